--- /dev/null
+++ b/include/sycamorelb/core/clock_func.h
@@ -0,0 +1,15 @@
+/** @file clock_func.h Reads the clocks; decision logic receives times instead.
+ */
+#pragma once
+
+#include "sycamorelb/core/unit_type.h"
+
+namespace sycamorelb {
+
+/** @return the monotonic time. */
+auto steadyNow() -> steady_time;
+
+/** @return the wall time. */
+auto wallNow() -> wall_ms;
+
+} // namespace sycamorelb
