--- /dev/null
+++ b/include/sycamorelb/telemetry/metrics.h
@@ -0,0 +1,67 @@
+/** @file metrics.h Counters, gauges and histograms of one node. */
+#pragma once
+
+#include "sycamorelb/core/unit_type.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+
+namespace sycamorelb::telemetry {
+
+/** All metrics; names and help texts are in telemetry/table/metric_table.h. */
+enum class metric : std::uint8_t {
+  Calls,
+  Refusals,
+  Retries,
+  Hedges,
+  CallSeconds,
+  HopSeconds,
+  ConfigPosition,
+  ConfigBehindSeconds,
+  ConfigPulls,
+  LogReads,
+  LogAppends,
+  Members,
+  DatagramBytes,
+  DatagramsDropped,
+  RpcBytes,
+  UpstreamLimit,
+  UpstreamInFlight,
+  MoveSharePpm,
+  MoveBrakes,
+  Claims,
+  IdleConnections,
+  SilentConnections,
+  Count,
+};
+
+using metric_labels = std::map<std::string, std::string>;
+
+/** Registry of the node's metrics. Thread safe. */
+class metrics {
+public:
+  metrics();
+  ~metrics();
+  metrics(const metrics &) = delete;
+  auto operator=(const metrics &) -> metrics & = delete;
+
+  /** Adds Amount to a counter. */
+  void increment(metric Metric, const metric_labels &Labels = {},
+                 double Amount = 1.0);
+  /** Sets a counter to a total that is kept elsewhere; it never falls. */
+  void raiseTo(metric Metric, const metric_labels &Labels, double Total);
+  /** Sets a gauge. */
+  void set(metric Metric, const metric_labels &Labels, double Value);
+  /** Adds an observation to a histogram of seconds. */
+  void observe(metric Metric, const metric_labels &Labels, micros Duration);
+  /** @return all metrics in the Prometheus text format. */
+  auto render() const -> std::string;
+
+private:
+  struct implementation;
+  std::unique_ptr<implementation> Impl;
+};
+
+} // namespace sycamorelb::telemetry
--- /dev/null
+++ b/src/admin/admin.capnp
@@ -0,0 +1,101 @@
+# Operators' RPC. Served by every node on its admin port; any node will do.
+@0xc3b1f5b6d7a94e21;
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("sycamorelb::admin::wire");
+
+struct Outcome {
+  # Fate of a mutation.
+  kind @0 :Kind;
+  version @1 :UInt64;
+  # Offset of the record that decided; 0 if there is none.
+  messages @2 :List(Text);
+  # Reasons of a rejection, one per fault.
+  nodesInForce @3 :UInt32;
+  nodesTotal @4 :UInt32;
+  lagging @5 :List(Text);
+  # Nodes that do not hold the version yet.
+
+  enum Kind {
+    accepted @0;
+    rejected @1;
+    notAccepted @2;
+    # The log certainly did not take the record.
+    unknown @3;
+    # Ask again with the same request id.
+  }
+}
+
+struct NodeStatus {
+  id @0 :Text;
+  zone @1 :Text;
+  region @2 :Text;
+  state @3 :Text;
+  configPosition @4 :UInt64;
+  upstreams @5 :List(UpstreamStatus);
+  adminAddress @6 :Text;
+}
+
+struct UpstreamStatus {
+  service @0 :Text;
+  version @1 :Text;
+  address @2 :Text;
+  state @3 :Text;
+  limit @4 :UInt32;
+  inFlight @5 :UInt32;
+  slots @6 :UInt32;
+}
+
+struct MoveStatus {
+  id @0 :Text;
+  service @1 :Text;
+  from @2 :Text;
+  to @3 :Text;
+  phase @4 :Text;
+  sharePpm @5 :UInt32;
+  byMs @6 :Int64;
+  reason @7 :Text;
+  step @8 :UInt32;
+}
+
+struct ZoneStatus {
+  id @0 :Text;
+  region @1 :Text;
+  inService @2 :Bool;
+}
+
+struct Status {
+  node @0 :Text;
+  configVersion @1 :UInt64;
+  configPosition @2 :UInt64;
+  nodes @3 :List(NodeStatus);
+  moves @4 :List(MoveStatus);
+  zones @5 :List(ZoneStatus);
+}
+
+struct MoveRequest {
+  service @0 :Text;
+  from @1 :Text;
+  # Empty for the active version.
+  to @2 :Text;
+  byMs @3 :Int64;
+  maxEarlySharePpm @4 :UInt32;
+}
+
+interface Gate {
+  # First object on a connection; yields Admin after mutual authentication.
+  challenge @0 (clientNonce :Data) -> (serverNonce :Data, serverMac :Data);
+  prove @1 (keyId :Text, clientMac :Data) -> (admin :Admin);
+}
+
+interface Admin {
+  apply @0 (requestId :Text, declaration :Text, file :Text) -> (outcome :Outcome);
+  startMove @1 (requestId :Text, move :MoveRequest) -> (outcome :Outcome, moveId :Text);
+  setZone @2 (requestId :Text, zone :Text, inService :Bool) -> (outcome :Outcome);
+  outcome @3 (requestId :Text) -> (outcome :Outcome);
+  # Fate of an earlier request, with the nodes that hold it.
+  status @4 () -> (status :Status);
+  declaration @5 () -> (version :UInt64, text :Text);
+  dump @6 () -> (json :Text);
+  drain @7 () -> ();
+}
