Feature: [Config] Public headers of config and platform

Change: headers only. Position is the offset of the last record seen, as on the design page; the comment in state_type.h said one more. config_state gains ZonesOut (zones held out by a zone record) and DeclaredAt (base check of an apply). Checked: all headers compile together with -Wall -Wextra.

--- a/include/sycamorelb/config/state_type.h
+++ b/include/sycamorelb/config/state_type.h
@@ -5,6 +5,7 @@
 
 #include <deque>
 #include <optional>
+#include <set>
 
 namespace sycamorelb::config {
 
@@ -39,15 +40,26 @@
 
 /** The configuration at one position of the log. */
 struct config_state {
-  declaration Declared;                 ///< Current declaration.
+  declaration Declared;       ///< Current declaration.
+  std::set<zone_id> ZonesOut; ///< Declared zones taken out by a zone record;
+                              ///< only a zone record brings them back.
   std::map<move_id, move_state> Moves;  ///< Running and recently ended moves.
   std::deque<request_outcome> Outcomes; ///< Oldest first, bounded.
-  log_offset Version;  ///< Offset of the last accepted record; 0 for none.
-  log_offset Position; ///< Offset after the last record replayed.
+  log_offset Version;    ///< Offset of the last accepted record; 0 for none.
+  log_offset DeclaredAt; ///< Offset of the last record that changed
+                         ///< Declared; at most Version.
+  log_offset Position;   ///< Offset of the last record replayed; 0 for none.
   std::uint64_t ChainHash = 0; ///< Hash over all records replayed.
   auto operator==(const config_state &) const -> bool = default;
 };
 
+/** A position in the log with the hash over all records up to it. */
+struct chain_point {
+  log_offset Position;    ///< Offset of the last record covered.
+  std::uint64_t Hash = 0; ///< Chain hash at that offset.
+  auto operator==(const chain_point &) const -> bool = default;
+};
+
 /** One record as read from the log. */
 struct raw_record {
   log_offset Offset; ///< Offset in the stream.
