--- /dev/null
+++ b/include/sycamorelb/membership/membership_func.h
@@ -0,0 +1,88 @@
+/** @file membership_func.h Decisions of the membership protocol (SWIM style).
+ *
+ * The functions change only the table they are given. They read no clock and
+ * send nothing; the caller carries out the returned effects.
+ */
+#pragma once
+
+#include "sycamorelb/membership/table_type.h"
+
+namespace sycamorelb::membership {
+
+/** Both clocks, read at the same moment. */
+struct instant {
+  steady_time Steady; ///< Drives all timers.
+  wall_ms Wall;       ///< Only for the age of brakes.
+};
+
+/**
+ * Makes the table of a starting node.
+ * @param Self its own record; Incarnation is its start time in ms.
+ * @param Seeds inner addresses of nodes to join by; its own is ignored.
+ * @param Seed seed of the random choices.
+ */
+auto makeTable(const member &Self, const std::vector<std::string> &Seeds,
+               const membership_options &Options, std::uint64_t Seed,
+               steady_time Now) -> member_table;
+
+/**
+ * Joins two records of the same member. The greater incarnation wins. Within
+ * an incarnation the later state, the data of the greater revision and the
+ * greater configuration position win independently of each other, so a
+ * suspicion that was built on old data does not bring the old data back. The
+ * join is commutative, associative and idempotent.
+ */
+auto joinMembers(const member &Left, const member &Right) -> member;
+
+/**
+ * Merges one update into the table. A record of this node that contradicts it
+ * is refuted. A claim that a member of the same incarnation is dead starts a
+ * local suspicion instead, so that the healing of a partition does not remove
+ * members that can refute the claim. Invalid records are ignored.
+ */
+void mergeMember(member_table &Table, const member_update &Update, instant Now,
+                 effects &Effects);
+
+/**
+ * Advances all timers: probes, suspicions, exchanges, tombstones. Due about
+ * every 100 ms.
+ */
+auto onTick(member_table &Table, instant Now) -> effects;
+
+/**
+ * Handles an authenticated gossip message.
+ * @param FromAddress source address of the datagram; Acks go there.
+ */
+auto onMessage(member_table &Table, const message &Message,
+               const std::string &FromAddress, instant Now) -> effects;
+
+/** Adds a brake raised by this node, and floods it. */
+auto raiseBrake(member_table &Table, const brake_notice &Brake, instant Now)
+    -> effects;
+
+/** Replaces the upstreams of this node. The revision is raised when the set,
+ * a version, an address, a capacity or a load state changed, or when a limit
+ * changed by at least a factor of two; smaller changes are not distributed,
+ * because 880 nodes that report each change would exceed 5 KB/s per node.
+ * @return whether the revision was raised; InvalidArgument when the record
+ * would not fit into a datagram.
+ */
+auto setOwnUpstreams(member_table &Table, std::vector<upstream_info> Upstreams)
+    -> result<bool>;
+
+/** Sets the log position that pings and Acks carry. */
+void setOwnConfig(member_table &Table, config_mark Config);
+
+/** Announces that this node is leaving; it keeps answering. */
+auto beginLeaving(member_table &Table, instant Now) -> effects;
+
+/** Announces that this node stops now. */
+auto finishLeaving(member_table &Table, instant Now) -> effects;
+
+/** @return the members that are not dead, with this node. */
+auto liveMembers(const member_table &Table) -> std::vector<member>;
+
+/** @return the record of a member, or nullptr when it is not known. */
+auto findMember(const member_table &Table, const node_id &Id) -> const member *;
+
+} // namespace sycamorelb::membership
