--- /dev/null
+++ b/include/sycamorelb/admin/admin_client.h
@@ -0,0 +1,48 @@
+/** @file admin_client.h Client of the operators' RPC. */
+#pragma once
+
+#include "sycamorelb/admin/admin_type.h"
+#include "sycamorelb/core/result_type.h"
+#include "sycamorelb/inner/auth_func.h"
+
+#include <memory>
+
+namespace sycamorelb::admin {
+
+/**
+ * Blocking client; belongs to the thread that made it. Calls fail with
+ * Unreachable when the request was certainly not received, Unauthorized when
+ * the handshake failed and Timeout when the outcome is unknown.
+ */
+class admin_client {
+public:
+  /**
+   * Connects to the admin port of a node.
+   * @param Address "ip:port".
+   * @param Timeout time for each call.
+   */
+  static auto connect(const std::string &Address, const inner::auth_keys &Keys,
+                      millis Timeout) -> result<std::unique_ptr<admin_client>>;
+  ~admin_client();
+  admin_client(const admin_client &) = delete;
+  auto operator=(const admin_client &) -> admin_client & = delete;
+
+  auto apply(const request_id &Request, const std::string &Text,
+             const std::string &File) -> result<outcome>;
+  auto startMove(const request_id &Request, const move_request &Move)
+      -> result<outcome>;
+  auto setZone(const request_id &Request, const zone_id &Zone, bool InService)
+      -> result<outcome>;
+  auto findOutcome(const request_id &Request) -> result<outcome>;
+  auto readStatus() -> result<status>;
+  auto readDeclaration() -> result<declaration_text>;
+  auto dump() -> result<std::string>;
+  auto drain() -> result<done>;
+
+private:
+  struct impl;
+  explicit admin_client(std::unique_ptr<impl> Impl);
+  std::unique_ptr<impl> Impl;
+};
+
+} // namespace sycamorelb::admin
--- /dev/null
+++ b/include/sycamorelb/admin/admin_server.h
@@ -0,0 +1,37 @@
+/** @file admin_server.h Serves the operators' RPC. */
+#pragma once
+
+#include "sycamorelb/admin/admin_type.h"
+#include "sycamorelb/inner/auth_func.h"
+#include "sycamorelb/inner/rpc_loop.h"
+
+#include <functional>
+
+namespace sycamorelb::admin {
+
+/** What a node does for operators; run on worker threads and may block for
+ * seconds. */
+struct admin_handlers {
+  std::function<outcome(const request_id &, const std::string &Text,
+                        const std::string &File)>
+      Apply; ///< Publishes a declaration.
+  std::function<outcome(const request_id &, const move_request &)>
+      StartMove; ///< Starts a move whose id is the request id.
+  std::function<outcome(const request_id &, const zone_id &, bool InService)>
+      SetZone; ///< Takes a zone out or back in.
+  std::function<outcome(const request_id &)> Outcome; ///< Fate of a request.
+  std::function<status()> Status;                     ///< State of the mesh.
+  std::function<declaration_text()> Declaration;      ///< Declaration in force.
+  std::function<std::string()> Dump;                  ///< State of the node.
+  std::function<void()> Drain;                        ///< Graceful stop.
+};
+
+/**
+ * Starts to serve operators on Loop until Loop is destroyed.
+ * @return the bound port; Unreachable when the address cannot be bound.
+ */
+auto serveOperators(inner::rpc_loop &Loop, const std::string &Address,
+                    const inner::auth_keys &Keys,
+                    const admin_handlers &Handlers) -> result<std::uint16_t>;
+
+} // namespace sycamorelb::admin
--- a/include/sycamorelb/settings/settings_type.h
+++ b/include/sycamorelb/settings/settings_type.h
@@ -11,7 +11,7 @@
 
 /** Shared secret for message authentication. */
 struct secret_key {
-  std::string Id;     ///< Name of the key, sent along with each message.
+  std::uint32_t Id = 0; ///< Number of the key, sent along with each message.
   std::string Secret; ///< At least 16 bytes.
 };
 
--- a/src/admin/admin.capnp
+++ b/src/admin/admin.capnp
@@ -84,13 +84,14 @@
 
 interface Gate {
   # First object on a connection; yields Admin after mutual authentication.
-  challenge @0 (clientNonce :Data) -> (serverNonce :Data, serverMac :Data);
-  prove @1 (keyId :Text, clientMac :Data) -> (admin :Admin);
+  challenge @0 (nonce :Data, client :Text)
+    -> (nonce :Data, server :Text, keyId :UInt32, proof :Data);
+  authenticate @1 (keyId :UInt32, proof :Data) -> (admin :Admin);
 }
 
 interface Admin {
   apply @0 (requestId :Text, declaration :Text, file :Text) -> (outcome :Outcome);
-  startMove @1 (requestId :Text, move :MoveRequest) -> (outcome :Outcome, moveId :Text);
+  startMove @1 (requestId :Text, move :MoveRequest) -> (outcome :Outcome);
   setZone @2 (requestId :Text, zone :Text, inService :Bool) -> (outcome :Outcome);
   outcome @3 (requestId :Text) -> (outcome :Outcome);
   # Fate of an earlier request, with the nodes that hold it.
--- /dev/null
+++ b/src/cli/verb_table.cpp
@@ -0,0 +1,86 @@
+/** @file verb_table.cpp All verbs of the command line. */
+#include "cli/verb_table.h"
+
+#include "cli/verb_func.h"
+
+namespace sycamorelb::cli {
+
+auto verbTable() -> const std::vector<verb> & {
+  static const auto Table = std::vector<verb>{
+      {"node",
+       "--settings=FILE | --print-settings",
+       "Runs a node until SIGTERM or SIGINT, then drains it.\n"
+       "  --print-settings prints all settings with their defaults.",
+       {"settings", "print_settings"},
+       0,
+       runNode},
+      {"check",
+       "FILE",
+       "Checks a declaration and lists all faults. Contacts no node.",
+       {"json"},
+       1,
+       runCheck},
+      {"apply",
+       "FILE [--wait] [--request-id=ID]",
+       "Publishes a declaration.\n"
+       "  --wait waits until it is in force on all live nodes.\n"
+       "  --request-id repeats an earlier request; it never acts twice.",
+       {"json", "node", "settings", "wait", "request_id", "timeout_ms"},
+       1,
+       runApply},
+      {"diff",
+       "FILE",
+       "Shows what applying a declaration would change.",
+       {"json", "node", "settings", "timeout_ms"},
+       1,
+       runDiff},
+      {"status",
+       "[--watch]",
+       "Shows nodes, zones and traffic moves.\n"
+       "  --watch repeats every --interval-ms milliseconds.",
+       {"json", "node", "settings", "watch", "interval_ms", "timeout_ms"},
+       0,
+       runStatus},
+      {"move",
+       "SERVICE --to=VERSION --by=TIME [--from=VERSION] [--wait]",
+       "Moves the traffic of a service to another version.\n"
+       "  --by is ISO-8601 UTC (2026-12-31T06:00:00Z) or relative (+90s, "
+       "+10m, +2h).\n"
+       "  --max-early-share-percent bounds the share before there is "
+       "evidence.\n"
+       "  --wait waits for the verdict: 0 for done, 1 for taken back.",
+       {"json", "node", "settings", "to", "from", "by", "wait", "request_id",
+        "max_early_share_percent", "timeout_ms"},
+       1,
+       runMove},
+      {"zone",
+       "out|in ZONE [--wait]",
+       "Takes an availability zone out of service, or back in.",
+       {"json", "node", "settings", "wait", "request_id", "timeout_ms"},
+       2,
+       runZone},
+      {"outcome",
+       "REQUEST_ID",
+       "Shows the fate of an earlier request.",
+       {"json", "node", "settings", "timeout_ms"},
+       1,
+       runOutcome},
+      {"dump",
+       "[--node=ADDRESS]",
+       "Prints the whole state of a node.",
+       {"json", "node", "settings", "timeout_ms"},
+       0,
+       runDump},
+      {"drain",
+       "[--node=ADDRESS]",
+       "Stops a node gracefully.",
+       {"json", "node", "settings", "timeout_ms"},
+       0,
+       runDrain},
+      {"version", "", "Prints the version of the program.", {"json"}, 0,
+       runVersion},
+  };
+  return Table;
+}
+
+} // namespace sycamorelb::cli
--- /dev/null
+++ b/src/node/brake_board.cpp
@@ -0,0 +1,60 @@
+/** @file brake_board.cpp Versions that receive no new work. */
+#include "node/brake_board.h"
+
+namespace sycamorelb::node {
+
+/** Brakes on moves that this node has not seen yet are kept too, at most this
+ * many: gossip may arrive before the record that starts the move. */
+static constexpr auto MaxBrakes = std::size_t{64};
+
+brake_board::brake_board() : Brakes(std::make_shared<const brake_map>()) {}
+
+auto brake_board::add(const membership::brake_notice &Brake) -> bool {
+  auto Lock = std::lock_guard(WriteMutex);
+  auto Current = Brakes.load();
+  if (Current->contains(Brake.Move) || Current->size() >= MaxBrakes) {
+    return false;
+  }
+  auto Next = std::make_shared<brake_map>(*Current);
+  Next->emplace(Brake.Move, Brake);
+  Brakes = std::move(Next);
+  return true;
+}
+
+auto brake_board::reason(const move_id &Move) const
+    -> std::optional<std::string> {
+  auto Current = Brakes.load();
+  auto Found = Current->find(Move);
+  if (Found == Current->end()) {
+    return std::nullopt;
+  }
+  return Found->second.Reason;
+}
+
+auto brake_board::braked(const config::snapshot &Snapshot,
+                         const service_id &Service) const
+    -> std::set<version_id> {
+  auto Versions = std::set<version_id>();
+  auto Running = Snapshot.RunningMoves.find(Service);
+  if (Running != Snapshot.RunningMoves.end() &&
+      Brakes.load()->contains(Running->second.Move.Id)) {
+    Versions.insert(Running->second.Move.To);
+  }
+  return Versions;
+}
+
+void brake_board::prune(const config::snapshot &Snapshot) {
+  auto Lock = std::lock_guard(WriteMutex);
+  auto Current = Brakes.load();
+  auto Next = std::make_shared<brake_map>(*Current);
+  std::erase_if(*Next, [&Snapshot](const auto &Entry) {
+    auto State = Snapshot.State.Moves.find(Entry.first);
+    return State != Snapshot.State.Moves.end() &&
+           State->second.Phase != config::move_phase::Running;
+  });
+  if (Next->size() != Current->size()) {
+    Brakes = std::move(Next);
+  }
+}
+
+} // namespace sycamorelb::node
--- /dev/null
+++ b/src/node/call_policy.cpp
@@ -0,0 +1,316 @@
+/** @file call_policy.cpp Decisions of the entry node about each call. */
+#include "node/call_policy.h"
+
+#include "node/route_table.h"
+#include "sycamorelb/inner/auth_func.h"
+#include "sycamorelb/limits/budget_func.h"
+#include "sycamorelb/proxy/header_name.h"
+#include "sycamorelb/routing/pick_func.h"
+#include "sycamorelb/routing/stats_func.h"
+
+#include <nlohmann/json.hpp>
+
+namespace sycamorelb::node {
+
+using proxy::call_outcome;
+using proxy::call_target;
+using proxy::header_list;
+using proxy::route_info;
+using routing::upstream_stats;
+using telemetry::metric;
+
+/** Period at which ejections are ended. */
+static constexpr auto EjectionPeriod = micros(100'000);
+
+/** @return the outcome as the observing functions know it. */
+static auto observedOutcome(const call_outcome &Outcome)
+    -> limits::call_outcome {
+  switch (Outcome.Kind) {
+  case proxy::outcome_kind::NotRun:
+    return Outcome.Step == "connect" ? limits::call_outcome::Unreachable
+                                     : limits::call_outcome::Refused;
+  case proxy::outcome_kind::Unknown:
+    return limits::call_outcome::Timeout;
+  case proxy::outcome_kind::Answered:
+    return Outcome.Status >= 500 ? limits::call_outcome::Failure
+                                 : limits::call_outcome::Success;
+  case proxy::outcome_kind::Cancelled:
+    return limits::call_outcome::Cancelled;
+  }
+  return limits::call_outcome::Cancelled;
+}
+
+/** Retry and hedge budgets of a route. */
+struct route_budgets {
+  limits::attempt_budget Retries; ///< For attempts after a failure.
+  limits::attempt_budget Hedges;  ///< For speculative attempts.
+};
+
+struct call_policy::implementation {
+  node_context &Context;
+  const brake_board &Brakes;
+  inner::auth_keys Keys;
+  std::atomic<std::shared_ptr<const route_table>> Routes;
+  mutable ranked_mutex<lock_rank::RoutingStats> Mutex; // Guards all below.
+  std::unordered_map<routing::upstream_id, std::unique_ptr<upstream_stats>>
+      Stats;
+  std::map<zone_id, zone_history> Zones;
+  std::shared_ptr<const candidate_table> Candidates;
+  std::map<route_id, route_budgets> Budgets;
+  random_source Random;
+  steady_time NextEjectionCheck{};
+  routing::pick_config PickConfig;
+  routing::outlier_config OutlierConfig;
+
+  implementation(node_context &NodeContext, const brake_board &Board)
+      : Context(NodeContext), Brakes(Board),
+        Keys(toAuthKeys(Context.Settings.InnerKeys)),
+        Random(Context.Incarnation.Value) {}
+
+  auto routes() -> std::shared_ptr<const route_table> {
+    auto Snapshot = Context.Store.current();
+    auto Current = Routes.load();
+    if (!Current || Current->Snapshot != Snapshot) {
+      Current = buildRouteTable(Snapshot);
+      Routes = Current;
+    }
+    return Current;
+  }
+
+  /** The mutex must be held. */
+  auto candidates() -> const candidate_table & {
+    auto Snapshot = Context.Store.current();
+    auto View = Context.View.load();
+    if (!Candidates || Candidates->Snapshot != Snapshot ||
+        Candidates->View != View) {
+      updateZoneHistory(Zones, *Snapshot, steadyNow());
+      Candidates =
+          buildCandidateTable(Snapshot, View, Zones, Stats, steadyNow());
+    }
+    return *Candidates;
+  }
+
+  auto resolve(std::string_view Method, std::string_view Path)
+      -> std::optional<route_info> {
+    auto Table = routes();
+    const auto &Declared = Table->Snapshot->State.Declared.Routes;
+    auto Index = routing::matchRoute(Table->Index, Declared, Method, Path);
+    if (!Index) {
+      return std::nullopt;
+    }
+    const auto &Route = Declared[*Index];
+    return route_info{Route.Name,       Route.Service,     Route.Timeout,
+                      Route.Idempotent, Route.MaxAttempts, Route.HedgeAfter};
+  }
+
+  auto pick(const route_info &Route, std::uint32_t Attempt,
+            const std::vector<call_target> &Excluded)
+      -> std::optional<call_target> {
+    auto Now = steadyNow();
+    auto Lock = std::lock_guard(Mutex);
+    const auto &Table = candidates();
+    auto Service = Table.Services.find(Route.Service);
+    if (Service == Table.Services.end()) {
+      return std::nullopt;
+    }
+    if (Attempt == 1) {
+      earnBudgets(Route, Now);
+    }
+    checkEjections(Table, Now);
+    const auto &Group = Service->second;
+    auto ExcludedIds = std::vector<routing::upstream_id>();
+    for (const auto &Target : Excluded) {
+      if (auto Index = Group.find(Target)) {
+        ExcludedIds.push_back(Group.Candidates[*Index].Id);
+      }
+    }
+    auto Request = routing::pick_request{
+        chooseVersion(Table, Route.Service, Group),
+        {Context.Self.Zone, Context.Self.Region},
+        ExcludedIds};
+    auto Picked = routing::pickUpstream(Group.Candidates, Request, PickConfig,
+                                        Random, Now);
+    const auto *Found = std::get_if<routing::picked>(&Picked);
+    if (Found == nullptr) {
+      return std::nullopt;
+    }
+    const auto &Upstream = Group.Upstreams[Found->Index];
+    routing::onStart(*Stats.at(Upstream.Id));
+    return makeTarget(Route, Upstream);
+  }
+
+  /** The mutex must be held. */
+  auto chooseVersion(const candidate_table &Table, const service_id &Service,
+                     const service_group &Group) -> version_id {
+    const auto &Snapshot = *Table.Snapshot;
+    auto Declared = Snapshot.State.Declared.Services.find(Service);
+    if (Declared == Snapshot.State.Declared.Services.end()) {
+      return {};
+    }
+    auto Running = Snapshot.RunningMoves.find(Service);
+    const auto *Move = Running == Snapshot.RunningMoves.end()
+                           ? nullptr
+                           : &Running->second;
+    return routing::chooseVersion(Declared->second, Move,
+                                  Brakes.braked(Snapshot, Service),
+                                  routing::eligibleVersions(Group.Candidates),
+                                  Random)
+        .Version;
+  }
+
+  auto makeTarget(const route_info &Route, const mesh_upstream &Upstream) const
+      -> call_target {
+    auto Target = call_target();
+    Target.Kind = Upstream.Node == Context.Self.Id
+                      ? proxy::target_kind::LocalUpstream
+                      : proxy::target_kind::AdmissionNode;
+    Target.Address = Upstream.PeerAddress;
+    Target.Service = Route.Service;
+    Target.Version = Upstream.Info.Version;
+    if (Target.Kind == proxy::target_kind::AdmissionNode) {
+      Target.ExtraHeaders.push_back(
+          {std::string(proxy::AuthHeader),
+           inner::makeRequestAuth(Keys, Route.Service.Value, Route.Name.Value,
+                                  Target.Version.Value, wallNow())});
+    }
+    return Target;
+  }
+
+  void finish(const route_info &Route, const call_target &Target,
+              const call_outcome &Outcome, const header_list &Headers) {
+    auto Now = steadyNow();
+    auto Observed = observedOutcome(Outcome);
+    auto Lock = std::lock_guard(Mutex);
+    const auto &Table = candidates();
+    auto Service = Table.Services.find(Route.Service);
+    if (Service == Table.Services.end()) {
+      return;
+    }
+    auto Index = Service->second.find(Target);
+    if (!Index) {
+      return;
+    }
+    const auto &Upstream = Service->second.Upstreams[*Index];
+    auto &Observation = *Stats.at(Upstream.Id);
+    routing::onFinish(Observation, Observed, Outcome.Latency,
+                      Upstream.Info.Slots, Now);
+    if (auto Report = parseLoadReport(Headers)) {
+      routing::onReport(Observation, *Report, Now);
+    }
+    if (routing::isSuspicious(Observation.Outlier, OutlierConfig)) {
+      ejectOutliers(Service->second, Now);
+    }
+  }
+
+  /** The mutex must be held. */
+  void checkEjections(const candidate_table &Table, steady_time Now) {
+    if (Now < NextEjectionCheck) {
+      return;
+    }
+    NextEjectionCheck = Now + EjectionPeriod;
+    for (const auto &[Service, Group] : Table.Services) {
+      ejectOutliers(Group, Now);
+    }
+  }
+
+  /** The mutex must be held. */
+  void ejectOutliers(const service_group &Group, steady_time Now) {
+    auto States = std::vector<routing::outlier_state *>();
+    States.reserve(Group.Upstreams.size());
+    for (const auto &Upstream : Group.Upstreams) {
+      States.push_back(&Stats.at(Upstream.Id)->Outlier);
+    }
+    routing::updateOutliers(States, OutlierConfig, Now);
+  }
+
+  /** The mutex must be held. */
+  auto budgetConfigs(const route_id &Name)
+      -> std::pair<limits::budget_config, limits::budget_config> {
+    auto Configs =
+        std::pair<limits::budget_config, limits::budget_config>();
+    auto Snapshot = Context.Store.current();
+    for (const auto &Route : Snapshot->State.Declared.Routes) {
+      if (Route.Name == Name) {
+        Configs.first.Percent = Route.RetryBudgetPercent;
+        Configs.second.Percent = Route.HedgeBudgetPercent;
+      }
+    }
+    return Configs;
+  }
+
+  /** The mutex must be held. */
+  void earnBudgets(const route_info &Route, steady_time Now) {
+    auto [Retry, Hedge] = budgetConfigs(Route.Name);
+    auto &Budget = Budgets[Route.Name];
+    limits::onCall(Budget.Retries, Retry, Now);
+    limits::onCall(Budget.Hedges, Hedge, Now);
+  }
+
+  auto mayRetry(const route_info &Route) -> bool {
+    auto Lock = std::lock_guard(Mutex);
+    auto Taken = limits::tryTake(Budgets[Route.Name].Retries,
+                                 budgetConfigs(Route.Name).first, steadyNow());
+    if (Taken) {
+      Context.Metrics.increment(metric::Retries, {{"route", Route.Name.Value}});
+    }
+    return Taken;
+  }
+
+  auto mayHedge(const route_info &Route) -> bool {
+    auto Lock = std::lock_guard(Mutex);
+    auto Taken = limits::tryTake(Budgets[Route.Name].Hedges,
+                                 budgetConfigs(Route.Name).second, steadyNow());
+    if (Taken) {
+      Context.Metrics.increment(metric::Hedges, {{"route", Route.Name.Value}});
+    }
+    return Taken;
+  }
+};
+
+call_policy::call_policy(node_context &Context, const brake_board &Brakes)
+    : Impl(std::make_unique<implementation>(Context, Brakes)) {}
+
+call_policy::~call_policy() = default;
+
+auto call_policy::hooks() -> proxy::entry_hooks {
+  auto *Policy = Impl.get();
+  auto Hooks = proxy::entry_hooks();
+  Hooks.Resolve = [Policy](std::string_view Method, std::string_view Path,
+                           const header_list &) {
+    return Policy->resolve(Method, Path);
+  };
+  Hooks.Pick = [Policy](const route_info &Route, std::uint32_t Attempt,
+                        const std::vector<call_target> &Excluded) {
+    return Policy->pick(Route, Attempt, Excluded);
+  };
+  Hooks.OnAttemptFinished =
+      [Policy](const route_info &Route, const call_target &Target,
+               const call_outcome &Outcome, const header_list &Headers) {
+        Policy->finish(Route, Target, Outcome, Headers);
+      };
+  Hooks.MayRetry = [Policy](const route_info &Route) {
+    return Policy->mayRetry(Route);
+  };
+  Hooks.MayHedge = [Policy](const route_info &Route) {
+    return Policy->mayHedge(Route);
+  };
+  return Hooks;
+}
+
+auto call_policy::dump() const -> nlohmann::json {
+  auto List = nlohmann::json::array();
+  auto Now = steadyNow();
+  auto Lock = std::lock_guard(Impl->Mutex);
+  for (const auto &[Id, Stats] : Impl->Stats) {
+    List.push_back({{"upstream", Id.Value},
+                    {"in_flight", Stats->InFlight},
+                    {"latency_us", Stats->LatencyUs},
+                    {"failure_ratio", Stats->FailureRatio},
+                    {"earned_limit", Stats->EarnedLimit},
+                    {"ejected", Stats->Outlier.Ejected &&
+                                    Stats->Outlier.EjectedUntil > Now}});
+  }
+  return List;
+}
+
+} // namespace sycamorelb::node
--- /dev/null
+++ b/src/node/config_loop.cpp
@@ -0,0 +1,419 @@
+/** @file config_loop.cpp Threads that keep the snapshot current. */
+#include "node/config_loop.h"
+
+#include "node/checkpoint_writer.h"
+#include "sycamorelb/config/checkpoint_func.h"
+#include "sycamorelb/telemetry/log_func.h"
+
+#include <condition_variable>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace sycamorelb::node {
+
+using config::chain_point;
+using config::delivery;
+using config::delivery_kind;
+using telemetry::log_level;
+using telemetry::logLine;
+using telemetry::metric;
+
+/** Records asked for in one read of the log. */
+static constexpr auto ReadBatch = std::size_t{256};
+/** Time for one pull from a peer. */
+static constexpr auto PullTimeout = millis(2000);
+/** Bounds of the backoff after a failed read or pull. */
+static constexpr auto BackoffBase = millis(100);
+static constexpr auto BackoffCap = millis(5000);
+/** Period at which roles and offers are looked at again. */
+static constexpr auto IdlePeriod = millis(200);
+/** Size of the records in a notice; with envelope and authentication the
+ * datagram stays below 1,200 bytes. */
+static constexpr auto MaxNoticeBytes = std::size_t{900};
+
+struct config_loop::implementation {
+  node_context &Context;
+  std::function<void(const chain_point &)> OnAdvance;
+  checkpoint_writer Checkpoints;
+  std::thread Reader;
+  std::thread Puller;
+  mutable std::mutex Mutex; // Guards all below; no other lock is taken inside.
+  std::condition_variable Changed;
+  std::map<node_id, config::peer_offer> Offers;
+  std::map<node_id, std::string> Addresses;
+  std::map<node_id, std::uint32_t> Failures;
+  std::optional<steady_time> BehindSince;
+  std::optional<steady_time> LastHelp;
+  steady_time NextDirect{};
+  bool LogOk = false;
+  random_source Random;
+
+  implementation(node_context &NodeContext,
+                 std::function<void(const chain_point &)> Advance)
+      : Context(NodeContext), OnAdvance(std::move(Advance)),
+        Checkpoints(NodeContext), Random(Context.Incarnation.Value) {}
+
+  auto live() const { return Context.View.load()->Live; }
+
+  // --- Advances. -----------------------------------------------------------
+
+  /** Passes an advance on: to waiting threads, to gossip and to peers. */
+  void advanced(const chain_point &Before, const delivery &Delivery) {
+    auto Point = Context.Store.point();
+    {
+      auto Lock = std::lock_guard(Mutex);
+      updateBehind(Point);
+    }
+    Changed.notify_all();
+    Checkpoints.observe(Delivery, Point.Position);
+    Context.Metrics.set(metric::ConfigPosition, {},
+                        static_cast<double>(Point.Position.Value));
+    OnAdvance(Point);
+    notifyPeers(Before);
+  }
+
+  auto take(const chain_point &Before, const delivery &Delivery,
+            const std::string &Peer) -> bool {
+    if (Delivery.Kind == delivery_kind::Advanced) {
+      advanced(Before, Delivery);
+      return true;
+    }
+    if (Delivery.Kind != delivery_kind::Known) {
+      logLine(log_level::Warning, {"config.deliver", Peer, ""},
+              "delivery not taken", {{"reason", Delivery.Reason}});
+    }
+    return Delivery.Kind == delivery_kind::Known;
+  }
+
+  void notifyPeers(const chain_point &Before) {
+    auto Notice = inner::config_notice();
+    auto Snapshot = Context.Store.current();
+    const auto &State = Snapshot->State;
+    Notice.Config = {State.Position, State.ChainHash};
+    Notice.Version = State.Version;
+    Notice.Base = {Before.Position, Before.Hash};
+    auto Batch = Context.Store.recordsAfter(Before, MaxNoticeBytes);
+    if (const auto *Found = std::get_if<config::record_batch>(&Batch)) {
+      auto Bytes = std::size_t{0};
+      for (const auto &Record : Found->Records) {
+        Bytes += Record.Bytes.size() + 16;
+      }
+      if (Bytes <= MaxNoticeBytes && Found->End.Position == State.Position) {
+        Notice.Records = Found->Records;
+      }
+    }
+    auto View = Context.View.load();
+    auto Targets = std::vector<node_id>();
+    {
+      auto Lock = std::lock_guard(Mutex);
+      Targets = config::chooseNotified(View->Live, Context.Self, Random);
+    }
+    for (const auto &Target : Targets) {
+      Context.Udp->send(innerAddress(*View, Target), Notice);
+    }
+  }
+
+  // --- Offers of peers. ------------------------------------------------------
+
+  /** The mutex must be held. */
+  void updateBehind(const chain_point &Own) {
+    auto Behind = false;
+    for (const auto &[Id, Offer] : Offers) {
+      Behind = Behind || Offer.Point.Position > Own.Position;
+    }
+    if (!Behind) {
+      BehindSince.reset();
+    } else if (!BehindSince) {
+      BehindSince = steadyNow();
+    }
+  }
+
+  auto findPeer(const node_id &Id) const -> std::optional<config::peer> {
+    for (const auto &Peer : live()) {
+      if (Peer.Id == Id) {
+        return Peer;
+      }
+    }
+    return std::nullopt;
+  }
+
+  void offer(const node_id &From, const std::string &Address,
+             const chain_point &Point) {
+    auto Own = Context.Store.point();
+    auto Peer = findPeer(From).value_or(config::peer{From, {}, {}});
+    auto Lock = std::lock_guard(Mutex);
+    auto &Offer = Offers[From];
+    Offer.Peer = Peer;
+    Offer.Point = Point;
+    Addresses[From] = Address;
+    updateBehind(Own);
+    if (BehindSince) {
+      Changed.notify_all();
+    }
+  }
+
+  // --- Pulling. --------------------------------------------------------------
+
+  void pullLoop() {
+    while (!Context.Stopping) {
+      auto Choice = std::optional<config::pull_choice>();
+      auto Address = std::string();
+      {
+        auto Lock = std::unique_lock(Mutex);
+        forgetDeadOffers();
+        Choice = choose();
+        if (!Choice || Choice->Forked) {
+          Changed.wait_for(Lock, IdlePeriod);
+          continue;
+        }
+        Address = Addresses[Choice->From];
+      }
+      settle(Choice->From, pull(Address));
+    }
+  }
+
+  /** The mutex must be held. */
+  auto choose() -> std::optional<config::pull_choice> {
+    auto List = std::vector<config::peer_offer>();
+    List.reserve(Offers.size());
+    for (const auto &[Id, Offer] : Offers) {
+      List.push_back(Offer);
+    }
+    auto Choice = config::choosePull(Context.Store.point(), Context.Self, List,
+                                     steadyNow(), Random);
+    if (Choice && Choice->Forked) {
+      logLine(log_level::Error, {"config.pull", Choice->From.Value, ""},
+              "peer has another history at the same position");
+      Offers.erase(Choice->From);
+    }
+    return Choice;
+  }
+
+  /** The mutex must be held. */
+  void forgetDeadOffers() {
+    if (Offers.size() <= live().size() * 2 + 16) {
+      return;
+    }
+    std::erase_if(Offers,
+                  [this](const auto &Entry) { return !findPeer(Entry.first); });
+  }
+
+  /** Sets the backoff of a peer after success or failure. */
+  void settle(const node_id &From, bool Helped) {
+    auto Lock = std::lock_guard(Mutex);
+    auto &Count = Failures[From];
+    Count = Helped ? 0 : Count + 1;
+    if (Helped) {
+      LastHelp = steadyNow();
+      return;
+    }
+    Offers[From].RetryAt =
+        steadyNow() + BackoffBase +
+        config::backoffDelay(Count, BackoffBase, BackoffCap, Random);
+  }
+
+  auto pull(const std::string &Address) -> bool {
+    auto Before = Context.Store.point();
+    auto Answer = Context.Rpc.fetchRecords(
+        Address, {Before.Position, Before.Hash}, PullTimeout);
+    if (!isOk(Answer)) {
+      Context.Metrics.increment(metric::ConfigPulls, {{"result", "failed"}});
+      telemetry::logError(log_level::Debug, errorOf(Answer));
+      return false;
+    }
+    noteContact(Context);
+    const auto &Fetched = valueOf(Answer);
+    switch (Fetched.Outcome) {
+    case inner::fetch_outcome::Records:
+      Context.Metrics.increment(metric::ConfigPulls, {{"result", "records"}});
+      return take(Before,
+                  Context.Store.apply(config::record_batch{
+                      Fetched.Records,
+                      {Fetched.Config.Position, Fetched.Config.ChainHash}}),
+                  Address);
+    case inner::fetch_outcome::TooOld:
+      return pullState(Address);
+    case inner::fetch_outcome::Fork:
+      Context.Metrics.increment(metric::ConfigPulls, {{"result", "fork"}});
+      return false;
+    }
+    return false;
+  }
+
+  auto pullState(const std::string &Address) -> bool {
+    auto Before = Context.Store.point();
+    auto Bytes = Context.Rpc.fetchState(Address, PullTimeout);
+    auto Decoded = isOk(Bytes) ? config::decodeState(valueOf(Bytes))
+                               : result<config::config_state>(errorOf(Bytes));
+    if (!isOk(Decoded)) {
+      Context.Metrics.increment(metric::ConfigPulls, {{"result", "failed"}});
+      telemetry::logError(log_level::Info, errorOf(Decoded));
+      return false;
+    }
+    Context.Metrics.increment(metric::ConfigPulls, {{"result", "state"}});
+    return take(Before, Context.Store.adopt(std::move(valueOf(Decoded))),
+                Address);
+  }
+
+  // --- Reading the log. ------------------------------------------------------
+
+  void readLoop() {
+    auto Attempt = std::uint32_t{0};
+    while (!Context.Stopping) {
+      auto Reader = config::isReader(live(), Context.Self);
+      if (!Reader && !mayReadDirectly()) {
+        auto Lock = std::unique_lock(Mutex);
+        Changed.wait_for(Lock, IdlePeriod);
+        continue;
+      }
+      if (readLog(Reader ? Context.Settings.Log.ReadWait : millis(0))) {
+        Attempt = 0;
+        Checkpoints.writeIfDue(live());
+        continue;
+      }
+      auto Lock = std::unique_lock(Mutex);
+      auto Delay = BackoffBase + config::backoffDelay(Attempt++, BackoffBase,
+                                                      BackoffCap, Random);
+      Changed.wait_for(Lock, Delay);
+    }
+  }
+
+  auto mayReadDirectly() -> bool {
+    auto Peers = live().size();
+    auto Lock = std::lock_guard(Mutex);
+    auto Now = steadyNow();
+    auto Input = config::direct_read_input{
+        false, Peers == 0 ? 0 : Peers - 1, BehindSince, LastHelp, NextDirect};
+    if (!config::shouldReadLog(Input, Now)) {
+      return false;
+    }
+    NextDirect = config::nextDirectRead(Now, Random);
+    return true;
+  }
+
+  auto readLog(millis Wait) -> bool {
+    auto Before = Context.Store.point();
+    auto Result = Context.Log.read(
+        ConfigStream, {Before.Position.Value + 1}, ReadBatch, Wait);
+    auto Answered = !std::holds_alternative<error>(Result);
+    Context.Metrics.increment(metric::LogReads,
+                              {{"result", Answered ? "ok" : "failed"}});
+    noteLogState(Answered);
+    if (const auto *Batch = std::get_if<platform::read_batch>(&Result)) {
+      if (!Batch->Records.empty()) {
+        take(Before, Context.Store.apply(Batch->Records), "log");
+      }
+    } else if (const auto *Expired =
+                   std::get_if<platform::read_expired>(&Result)) {
+      return restore(*Expired);
+    } else {
+      telemetry::logError(log_level::Debug, std::get<error>(Result));
+    }
+    return Answered;
+  }
+
+  void noteLogState(bool Answered) {
+    if (Answered) {
+      noteContact(Context);
+    }
+    auto Lock = std::lock_guard(Mutex);
+    if (LogOk != Answered) {
+      logLine(log_level::Info, {"log.read", Context.Settings.Log.Address, ""},
+              Answered ? "log service answers" : "log service does not answer");
+    }
+    LogOk = Answered;
+  }
+
+  /** Restores the state from the newest checkpoint when the records that this
+   * node needs have expired. */
+  auto restore(const platform::read_expired &Expired) -> bool {
+    auto Records = std::vector<config::raw_record>();
+    auto From = Expired.First;
+    while (From < Expired.Next && !Context.Stopping) {
+      auto Result = Context.Log.read(ConfigStream, From, ReadBatch, millis(0));
+      const auto *Batch = std::get_if<platform::read_batch>(&Result);
+      if (Batch == nullptr || Batch->Records.empty()) {
+        return false;
+      }
+      Records.insert(Records.end(), Batch->Records.begin(),
+                     Batch->Records.end());
+      From = {Records.back().Offset.Value + 1};
+    }
+    auto State = config::restoreFromLog(Records);
+    if (!isOk(State)) {
+      telemetry::logError(log_level::Warning, errorOf(State));
+      return false;
+    }
+    auto Before = Context.Store.point();
+    return take(Before, Context.Store.adopt(std::move(valueOf(State))), "log");
+  }
+};
+
+config_loop::config_loop(node_context &Context,
+                         std::function<void(const chain_point &)> OnAdvance)
+    : Impl(std::make_unique<implementation>(Context, std::move(OnAdvance))) {}
+
+config_loop::~config_loop() { stop(); }
+
+void config_loop::start() {
+  Impl->Reader = std::thread([this] { Impl->readLoop(); });
+  Impl->Puller = std::thread([this] { Impl->pullLoop(); });
+}
+
+void config_loop::stop() {
+  Impl->Context.Stopping = true;
+  Impl->Context.Log.stop();
+  Impl->Changed.notify_all();
+  if (Impl->Reader.joinable()) {
+    Impl->Reader.join();
+  }
+  if (Impl->Puller.joinable()) {
+    Impl->Puller.join();
+  }
+}
+
+void config_loop::onPeerPoint(const node_id &From, const std::string &Address,
+                              const chain_point &Point) {
+  Impl->offer(From, Address, Point);
+}
+
+void config_loop::onNotice(const node_id &From, const std::string &Address,
+                           const inner::config_notice &Notice) {
+  auto Own = Impl->Context.Store.point();
+  auto Point =
+      chain_point{Notice.Config.Position, Notice.Config.ChainHash};
+  if (!Notice.Records.empty() && Notice.Base.Position == Own.Position &&
+      Notice.Base.ChainHash == Own.Hash) {
+    Impl->take(Own,
+               Impl->Context.Store.apply(
+                   config::record_batch{Notice.Records, Point}),
+               Address);
+  }
+  Impl->offer(From, Address, Point);
+}
+
+auto config_loop::readLog(millis Wait) -> bool { return Impl->readLog(Wait); }
+
+auto config_loop::waitFor(log_offset Position, steady_time Deadline) -> bool {
+  auto Lock = std::unique_lock(Impl->Mutex);
+  while (Impl->Context.Store.point().Position < Position) {
+    auto Left = Deadline - steadyNow();
+    if (Left <= micros(0) || Impl->Context.Stopping) {
+      return false;
+    }
+    Impl->Changed.wait_for(Lock, Left);
+  }
+  return true;
+}
+
+auto config_loop::behind() const -> micros {
+  auto Lock = std::lock_guard(Impl->Mutex);
+  return Impl->BehindSince ? steadyNow() - *Impl->BehindSince : micros(0);
+}
+
+auto config_loop::logAvailable() const -> bool {
+  auto Lock = std::lock_guard(Impl->Mutex);
+  return Impl->LogOk;
+}
+
+} // namespace sycamorelb::node
--- /dev/null
+++ b/src/node/move_loop.cpp
@@ -0,0 +1,341 @@
+/** @file move_loop.cpp Thread that reports evidence and drives traffic moves.
+ */
+#include "node/move_loop.h"
+
+#include "sycamorelb/core/hash_func.h"
+#include "sycamorelb/moves/move_func.h"
+#include "sycamorelb/telemetry/log_func.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <nlohmann/json.hpp>
+#include <thread>
+
+namespace sycamorelb::node {
+
+using config::move_state;
+using telemetry::log_level;
+using telemetry::logLine;
+using telemetry::metric;
+
+/** Period of the driver's decisions. */
+static constexpr auto DrivePeriod = millis(500);
+/** Period of evidence reports while a move runs. */
+static constexpr auto ReportPeriod = millis(1000);
+/** Nodes that receive the reports: the driver and the next in rank, which takes
+ * over with full evidence when the driver fails. */
+static constexpr auto ReportReceivers = std::size_t{2};
+/** Time to publish one step or verdict. */
+static constexpr auto PublishTimeout = millis(3000);
+
+/** What a node holds of one running move. */
+struct move_work {
+  moves::local_evidence Local;    ///< From the upstreams of this node.
+  moves::merged_evidence Merged;  ///< From all reporters; for the driver.
+  moves::test_state Test;         ///< Sequential test of the driver.
+  moves::driver_memory Memory;    ///< Memory of the driver.
+  std::string LastDecision;       ///< For the state dump.
+};
+
+struct move_loop::implementation {
+  node_context &Context;
+  brake_board &Brakes;
+  gossip_loop &Gossip;
+  config_loop &Config;
+  publisher &Publisher;
+  std::thread Thread;
+  std::mutex SleepMutex; // Leaf lock for the pause between rounds.
+  std::condition_variable Wake;
+  mutable ranked_mutex<lock_rank::MoveEvidence> Mutex; // Guards all below.
+  std::map<move_id, move_work> Works;
+  steady_time NextReport{};
+
+  implementation(node_context &NodeContext, brake_board &Board,
+                 gossip_loop &GossipLoop, config_loop &ConfigLoop,
+                 publisher &NodePublisher)
+      : Context(NodeContext), Brakes(Board), Gossip(GossipLoop),
+        Config(ConfigLoop), Publisher(NodePublisher) {}
+
+  /** The mutex must be held. */
+  auto workOf(const move_id &Move) -> move_work & {
+    auto [Entry, Inserted] = Works.try_emplace(Move);
+    if (Inserted) {
+      Entry->second.Local.Move = Move;
+      Entry->second.Merged.Move = Move;
+    }
+    return Entry->second;
+  }
+
+  void run() {
+    while (!Context.Stopping) {
+      auto Snapshot = Context.Store.current();
+      Brakes.prune(*Snapshot);
+      forgetEnded(*Snapshot);
+      auto ReportNow = steadyNow() >= NextReport;
+      if (ReportNow) {
+        NextReport = steadyNow() + ReportPeriod;
+      }
+      for (const auto &[Service, State] : Snapshot->RunningMoves) {
+        serve(State, ReportNow);
+      }
+      auto Lock = std::unique_lock(SleepMutex);
+      Wake.wait_for(Lock, DrivePeriod);
+    }
+  }
+
+  void forgetEnded(const config::snapshot &Snapshot) {
+    auto Lock = std::lock_guard(Mutex);
+    std::erase_if(Works, [&Snapshot](const auto &Entry) {
+      auto State = Snapshot.State.Moves.find(Entry.first);
+      return State == Snapshot.State.Moves.end() ||
+             State->second.Phase != config::move_phase::Running;
+    });
+  }
+
+  /** @return the live members in order of their rank for the move. */
+  auto receivers(const move_id &Move) const -> std::vector<config::peer> {
+    auto Live = Context.View.load()->Live;
+    std::sort(Live.begin(), Live.end(),
+              [&Move](const config::peer &Left, const config::peer &Right) {
+                return rendezvousScore(Move.Value, Left.Id.Value) >
+                       rendezvousScore(Move.Value, Right.Id.Value);
+              });
+    Live.resize(std::min(Live.size(), ReportReceivers));
+    return Live;
+  }
+
+  void serve(const move_state &State, bool ReportNow) {
+    const auto &Move = State.Move.Id;
+    auto Receivers = receivers(Move);
+    if (ReportNow) {
+      sendReports(Move, Receivers);
+    }
+    Context.Metrics.set(metric::MoveSharePpm, {{"move", Move.Value}},
+                        State.Share.Value);
+    if (!Receivers.empty() && Receivers.front().Id == Context.Self.Id) {
+      drive(State);
+    }
+  }
+
+  void sendReports(const move_id &Move,
+                   const std::vector<config::peer> &Receivers) {
+    auto Reports = std::vector<moves::evidence_report>();
+    {
+      auto Lock = std::lock_guard(Mutex);
+      auto &Work = workOf(Move);
+      Reports = moves::takeReport(Work.Local, Context.Self.Id,
+                                  Context.Incarnation, wallNow());
+      for (const auto &Report : Reports) {
+        moves::mergeReport(Work.Merged, Report, wallNow());
+      }
+    }
+    auto View = Context.View.load();
+    for (const auto &Report : Reports) {
+      auto Datagram = inner::evidence_report{moves::encodeReport(Report)};
+      for (const auto &Receiver : Receivers) {
+        if (Receiver.Id != Context.Self.Id) {
+          Context.Udp->send(innerAddress(*View, Receiver.Id), Datagram);
+        }
+      }
+    }
+  }
+
+  auto capacityOf(const config::move &Move) const -> moves::move_capacity {
+    auto Capacity = moves::move_capacity();
+    auto View = Context.View.load();
+    for (const auto &Member : View->Members) {
+      for (const auto &Upstream : Member.Upstreams) {
+        if (Upstream.Service != Move.Service) {
+          continue;
+        }
+        Capacity.InFlight += Upstream.InFlight;
+        if (Upstream.State != membership::upstream_state::Warm) {
+          continue;
+        }
+        if (Upstream.Version == Move.To) {
+          Capacity.WarmNewLimit += Upstream.Limit;
+        } else if (Upstream.Version == Move.From) {
+          Capacity.WarmOldLimit += Upstream.Limit;
+        }
+      }
+    }
+    return Capacity;
+  }
+
+  auto planOf(const move_state &State) const -> moves::test_plan {
+    auto Plan = moves::test_plan{State.StartedAt, State.Move.By, 0};
+    auto Snapshot = Context.Store.current();
+    for (const auto &Route : Snapshot->State.Declared.Routes) {
+      Plan.Routes += Route.Service == State.Move.Service ? 1 : 0;
+    }
+    Plan.Routes = std::max(Plan.Routes, std::size_t{1});
+    return Plan;
+  }
+
+  void drive(const move_state &State) {
+    auto Decision = moves::move_decision();
+    auto NewAlarm = std::optional<moves::alarm>();
+    {
+      auto Lock = std::lock_guard(Mutex);
+      auto &Work = workOf(State.Move.Id);
+      auto HadAlarm = Work.Test.Alarm.has_value();
+      moves::advanceTest(Work.Test, Work.Merged, planOf(State), State.Step,
+                         wallNow());
+      if (!HadAlarm) {
+        NewAlarm = Work.Test.Alarm;
+      }
+      auto Input = moves::inputOf(Work.Test, Work.Merged);
+      Input.Brake = Brakes.reason(State.Move.Id);
+      Input.Capacity = capacityOf(State.Move);
+      Input.LogAvailable = Config.logAvailable();
+      Decision = moves::advance(State, Work.Memory, Input, wallNow());
+      Work.LastDecision = describeDecision(Decision);
+    }
+    if (NewAlarm) {
+      brake(State, *NewAlarm);
+    }
+    publish(State, Decision);
+  }
+
+  static auto describeDecision(const moves::move_decision &Decision)
+      -> std::string {
+    if (const auto *Hold = std::get_if<moves::move_hold>(&Decision)) {
+      return "hold: " + Hold->Reason;
+    }
+    if (const auto *Step = std::get_if<moves::move_step>(&Decision)) {
+      return "step " + std::to_string(Step->Number) + " to " +
+             std::to_string(Step->Share.Value) + " ppm";
+    }
+    const auto &Verdict = std::get<moves::move_verdict>(Decision);
+    return Verdict.Phase == config::move_phase::Done
+               ? "done"
+               : "taken back: " + Verdict.Reason;
+  }
+
+  void brake(const move_state &State, const moves::alarm &Alarm) {
+    auto Reason = Alarm.Reason;
+    if (!Alarm.Route.Value.empty()) {
+      Reason += " on route " + Alarm.Route.Value;
+    }
+    auto Notice = membership::brake_notice{State.Move.Id, State.Move.Service,
+                                           State.Move.To, wallNow(), Reason};
+    Brakes.add(Notice);
+    Gossip.raiseBrake(Notice);
+    Context.Metrics.increment(
+        metric::MoveBrakes,
+        {{"move", State.Move.Id.Value}, {"origin", "raised"}});
+    logLine(log_level::Warning, {"move.brake", "", ""}, "brake raised",
+            {{"move", State.Move.Id.Value}, {"reason", Reason}});
+  }
+
+  void publish(const move_state &State, const moves::move_decision &Decision) {
+    if (std::holds_alternative<moves::move_hold>(Decision)) {
+      return;
+    }
+    auto Record = config::record();
+    Record.At = wallNow();
+    auto Name = std::string();
+    if (const auto *Step = std::get_if<moves::move_step>(&Decision)) {
+      Name = "step-" + std::to_string(Step->Number);
+      Record.Body = config::move_step_record{State.Move.Id, Step->Number,
+                                             Step->Share};
+    } else {
+      const auto &Verdict = std::get<moves::move_verdict>(Decision);
+      Name = "verdict";
+      Record.Body = config::move_verdict_record{State.Move.Id, Verdict.Phase,
+                                                Verdict.Reason};
+    }
+    // The id of the process keeps the records of two drivers apart; replay
+    // decides between them by the step number.
+    Record.Request = {State.Move.Id.Value + "/" + Name + "/" +
+                      Context.Self.Id.Value + "/" +
+                      std::to_string(Context.Incarnation.Value)};
+    auto Result = Publisher.publish(Record, PublishTimeout);
+    logLine(Result.Kind == publish_kind::Accepted ? log_level::Info
+                                                  : log_level::Warning,
+            {"move.publish", "", Record.Request.Value},
+            describeDecision(Decision),
+            {{"move", State.Move.Id.Value},
+             {"accepted", Result.Kind == publish_kind::Accepted},
+             {"reason", Result.Reason}});
+  }
+};
+
+move_loop::move_loop(node_context &Context, brake_board &Brakes,
+                     gossip_loop &Gossip, config_loop &Config,
+                     publisher &Publisher)
+    : Impl(std::make_unique<implementation>(Context, Brakes, Gossip, Config,
+                                            Publisher)) {}
+
+move_loop::~move_loop() { stop(); }
+
+void move_loop::start() {
+  Impl->Thread = std::thread([this] { Impl->run(); });
+}
+
+void move_loop::stop() {
+  Impl->Context.Stopping = true;
+  Impl->Wake.notify_all();
+  if (Impl->Thread.joinable()) {
+    Impl->Thread.join();
+  }
+}
+
+void move_loop::record(const finished_call &Call) {
+  auto Snapshot = Impl->Context.Store.current();
+  auto Running = Snapshot->RunningMoves.find(Call.Service);
+  if (Running == Snapshot->RunningMoves.end()) {
+    return;
+  }
+  const auto &Move = Running->second.Move;
+  if (Call.Version != Move.From && Call.Version != Move.To) {
+    return;
+  }
+  auto Side = Call.Version == Move.To ? moves::move_side::New
+                                      : moves::move_side::Old;
+  auto Lock = std::lock_guard(Impl->Mutex);
+  moves::recordCall(Impl->workOf(Move.Id).Local, Call.Route, Side, Call.Sample,
+                    wallNow());
+}
+
+void move_loop::takeReport(const std::string &Bytes) {
+  auto Report = moves::decodeReport(Bytes);
+  if (!isOk(Report)) {
+    telemetry::logError(log_level::Warning, errorOf(Report));
+    return;
+  }
+  auto Snapshot = Impl->Context.Store.current();
+  const auto &Move = valueOf(Report).Move;
+  auto State = Snapshot->State.Moves.find(Move);
+  if (State == Snapshot->State.Moves.end() ||
+      State->second.Phase != config::move_phase::Running) {
+    return;
+  }
+  auto Lock = std::lock_guard(Impl->Mutex);
+  moves::mergeReport(Impl->workOf(Move).Merged, valueOf(Report), wallNow());
+}
+
+void move_loop::takeBrake(const membership::brake_notice &Brake) {
+  if (Impl->Brakes.add(Brake)) {
+    Impl->Context.Metrics.increment(
+        metric::MoveBrakes,
+        {{"move", Brake.Move.Value}, {"origin", "learned"}});
+    logLine(log_level::Warning, {"move.brake", "", ""}, "brake learned",
+            {{"move", Brake.Move.Value}, {"reason", Brake.Reason}});
+  }
+}
+
+auto move_loop::dump() const -> nlohmann::json {
+  auto List = nlohmann::json::array();
+  auto Lock = std::lock_guard(Impl->Mutex);
+  for (const auto &[Move, Work] : Impl->Works) {
+    List.push_back({{"move", Move.Value},
+                    {"reporters", Work.Merged.Reporters.size()},
+                    {"evidence", Work.Test.Evidence},
+                    {"information", Work.Test.Information},
+                    {"decision", Work.LastDecision}});
+  }
+  return List;
+}
+
+} // namespace sycamorelb::node
--- /dev/null
+++ b/src/node/publisher.cpp
@@ -0,0 +1,80 @@
+/** @file publisher.cpp Publishes mutations in the log and finds their fate. */
+#include "node/publisher.h"
+
+#include "sycamorelb/config/replay_func.h"
+#include "sycamorelb/telemetry/log_func.h"
+
+#include <thread>
+
+namespace sycamorelb::node {
+
+using telemetry::metric;
+
+/** Pause between reads of the log while a decision is awaited. */
+static constexpr auto DecisionPoll = millis(20);
+
+publisher::publisher(node_context &NodeContext, config_loop &ConfigLoop)
+    : Context(NodeContext), Config(ConfigLoop) {}
+
+auto publisher::decided(const request_id &Request) const
+    -> std::optional<publish_result> {
+  auto Snapshot = Context.Store.current();
+  auto Outcome = config::findOutcome(Snapshot->State, Request);
+  if (!Outcome) {
+    return std::nullopt;
+  }
+  auto Kind = Outcome->Kind == config::outcome_kind::Accepted
+                  ? publish_kind::Accepted
+                  : publish_kind::Rejected;
+  return publish_result{Kind, Outcome->At, Outcome->Reason};
+}
+
+auto publisher::awaitDecision(const request_id &Request, steady_time Deadline)
+    -> std::optional<publish_result> {
+  while (!Context.Stopping) {
+    Config.readLog(millis(0));
+    auto Result = decided(Request);
+    if (Result || steadyNow() + DecisionPoll >= Deadline) {
+      return Result;
+    }
+    std::this_thread::sleep_for(DecisionPoll);
+  }
+  return std::nullopt;
+}
+
+auto publisher::publish(const config::record &Record, millis Timeout)
+    -> publish_result {
+  if (auto Known = decided(Record.Request)) {
+    return *Known;
+  }
+  auto Deadline = steadyNow() + Timeout;
+  auto Appended = Context.Log.append(ConfigStream, config::encodeRecord(Record),
+                                     Context.Settings.Log.AppendTimeout);
+  if (const auto *Refused = std::get_if<platform::append_refused>(&Appended)) {
+    Context.Metrics.increment(metric::LogAppends, {{"result", "refused"}});
+    return {publish_kind::NotAccepted, {}, describe(Refused->Error)};
+  }
+  const auto *Unknown = std::get_if<platform::append_unknown>(&Appended);
+  Context.Metrics.increment(
+      metric::LogAppends,
+      {{"result", Unknown == nullptr ? "appended" : "unknown"}});
+  if (auto Result = awaitDecision(Record.Request, Deadline)) {
+    return *Result;
+  }
+  if (Unknown != nullptr) {
+    return {publish_kind::Unknown, {}, describe(Unknown->Error)};
+  }
+  return {publish_kind::Unknown, std::get<platform::append_done>(Appended).Offset,
+          "the record is durable but was not read back in time"};
+}
+
+auto publisher::lookUp(const request_id &Request) -> publish_result {
+  if (auto Known = decided(Request)) {
+    return *Known;
+  }
+  Config.readLog(millis(0));
+  return decided(Request).value_or(publish_result{
+      publish_kind::Unknown, {}, "no outcome of this request id is known"});
+}
+
+} // namespace sycamorelb::node
--- /dev/null
+++ b/src/node/route_table.h
@@ -0,0 +1,73 @@
+/** @file route_table.h Tables derived from snapshot and view for each pick. */
+#pragma once
+
+#include "node/mesh_view.h"
+#include "sycamorelb/config/snapshot_type.h"
+#include "sycamorelb/proxy/call_type.h"
+#include "sycamorelb/routing/route_func.h"
+
+#include <optional>
+
+namespace sycamorelb::node {
+
+/** Route index of one snapshot. */
+struct route_table {
+  config::snapshot_ptr Snapshot; ///< Snapshot it was built from.
+  routing::route_index Index;    ///< Routes by prefix.
+};
+
+/** @return the route table of a snapshot. */
+auto buildRouteTable(config::snapshot_ptr Snapshot)
+    -> std::shared_ptr<const route_table>;
+
+/** Whether a zone is in service, and since when. */
+struct zone_history {
+  bool InService = true; ///< State at the last snapshot.
+  steady_time Since{};   ///< When it came back; the origin if it never left.
+};
+
+/** @return whether a zone is in service; an undeclared zone is. */
+auto isZoneInService(const config::snapshot &Snapshot, const zone_id &Zone)
+    -> bool;
+
+/** Notes the zones of a snapshot. */
+void updateZoneHistory(std::map<zone_id, zone_history> &History,
+                       const config::snapshot &Snapshot, steady_time Now);
+
+/** Candidates of one service; both lists have the same order. */
+struct service_group {
+  std::vector<routing::candidate> Candidates; ///< For the pick.
+  std::vector<mesh_upstream> Upstreams;       ///< Where they are.
+
+  /** @return the index of the upstream behind a target. */
+  auto find(const proxy::call_target &Target) const
+      -> std::optional<std::size_t>;
+};
+
+/** Candidates of all services. */
+struct candidate_table {
+  config::snapshot_ptr Snapshot; ///< Snapshot it was built from.
+  mesh_view_ptr View;            ///< View it was built from.
+  std::unordered_map<service_id, service_group> Services; ///< By service.
+};
+
+/** Observations by upstream; entries have stable addresses. */
+using stats_map =
+    std::unordered_map<routing::upstream_id,
+                       std::unique_ptr<routing::upstream_stats>>;
+
+/**
+ * Builds the candidates.
+ * @param Stats gains entries for new upstreams, loses those of upstreams that
+ * are gone, and takes over the load reports of the view.
+ */
+auto buildCandidateTable(config::snapshot_ptr Snapshot, mesh_view_ptr View,
+                         const std::map<zone_id, zone_history> &Zones,
+                         stats_map &Stats, steady_time Now)
+    -> std::shared_ptr<const candidate_table>;
+
+/** @return the load report in the headers of a response, if there is one. */
+auto parseLoadReport(const proxy::header_list &Headers)
+    -> std::optional<routing::load_report>;
+
+} // namespace sycamorelb::node
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -76,7 +76,8 @@
 static auto takeKeys(const json &Array) -> std::vector<secret_key> {
   auto Keys = std::vector<secret_key>();
   for (const auto &Key : Array) {
-    Keys.push_back({Key.at("id"), Key.at("secret")});
+    Keys.push_back({Key.at("id").get<std::uint32_t>(),
+                    Key.at("secret").get<std::string>()});
   }
   return Keys;
 }
@@ -189,8 +190,8 @@
   Settings.Id = {"node-1"};
   Settings.Zone = {"zone-1"};
   Settings.Region = {"region-1"};
-  Settings.InnerKeys = {{"k1", "replace-this-secret"}};
-  Settings.AdminKeys = {{"k1", "replace-this-secret"}};
+  Settings.InnerKeys = {{1, "replace-this-secret"}};
+  Settings.AdminKeys = {{1, "replace-this-secret"}};
   return Settings;
 }
 
--- a/src/settings/table/settings_schema.h
+++ b/src/settings/table/settings_schema.h
@@ -19,7 +19,7 @@
         "type": "object", "additionalProperties": false,
         "required": ["id", "secret"],
         "properties": {
-          "id": {"type": "string", "minLength": 1, "maxLength": 16},
+          "id": {"type": "integer", "minimum": 0, "maximum": 4294967295},
           "secret": {"type": "string", "minLength": 16, "maxLength": 256}
         }
       }
--- a/test/settings_test.cpp
+++ b/test/settings_test.cpp
@@ -19,8 +19,8 @@
 Test(settings, all_faults_are_listed_with_pointers) {
   auto Parsed = parseSettings(
       R"({"id": "a", "zone": "z", "region": "r", "heartbeat": 5,
-          "inner_keys": [{"id": "k", "secret": "short"}],
-          "admin_keys": [{"id": "k", "secret": "0123456789abcdef"}],
+          "inner_keys": [{"id": 1, "secret": "short"}],
+          "admin_keys": [{"id": 1, "secret": "0123456789abcdef"}],
           "listen": {"ip": "localhost", "caller_port": 70000}})",
       "bad.json");
   cr_assert(!isOk(Parsed));
