--- /dev/null
+++ b/src/config/declaration.cpp
@@ -0,0 +1,111 @@
+/** @file declaration.cpp Reading, writing and comparing declarations. */
+#include "config/declaration_json.h"
+#include "config/json_text.h"
+
+#include <map>
+#include <set>
+
+namespace sycamorelb::config {
+
+using nlohmann::json;
+
+auto parseDeclaration(std::string_view Text, const std::string &File)
+    -> parse_result {
+  auto Parsed = parseJson(Text);
+  if (auto *Fault = std::get_if<json_fault>(&Parsed)) {
+    auto Found = "line " + std::to_string(Fault->Line) + ", column " +
+                 std::to_string(Fault->Column) + ": " + Fault->Message;
+    return std::vector<declaration_error>{{File, "", Found, "JSON"}};
+  }
+  const auto &Document = std::get<json_document>(Parsed);
+  auto Errors = std::vector<declaration_error>();
+  for (const auto &Duplicate : Document.Duplicates) {
+    Errors.push_back({File,
+                      Duplicate.Pointer + "/" + escapeToken(Duplicate.Key),
+                      "key given twice", "each key once"});
+  }
+  auto More = checkJson(Document.Root, File);
+  Errors.insert(Errors.end(), More.begin(), More.end());
+  if (!Errors.empty()) {
+    return Errors;
+  }
+  return declarationFromJson(Document.Root);
+}
+
+auto checkDeclaration(const declaration &Declaration, const std::string &File)
+    -> std::vector<declaration_error> {
+  return checkJson(declarationToJson(Declaration), File);
+}
+
+auto renderDeclaration(const declaration &Declaration) -> std::string {
+  return declarationToJson(Declaration)
+             .dump(2, ' ', false, json::error_handler_t::replace) +
+         "\n";
+}
+
+auto describe(const declaration_error &Error) -> std::string {
+  auto Pointer = Error.Pointer.empty() ? std::string("(root)") : Error.Pointer;
+  return Error.File + ": " + Pointer + ": found " + Error.Found +
+         "; allowed: " + Error.Allowed;
+}
+
+/** Elements of one kind by name; arrays are keyed by Key. */
+static auto byName(const json &Elements, const char *Key)
+    -> std::map<std::string, json> {
+  auto Result = std::map<std::string, json>();
+  for (const auto &[Name, Element] : Elements.items()) {
+    if (Elements.is_array()) {
+      Result[Element.at(Key).get<std::string>()] = Element;
+    } else {
+      Result[Name] = Element;
+    }
+  }
+  return Result;
+}
+
+static void diffElement(const std::string &Title, const json &Before,
+                        const json &After, std::vector<std::string> &Lines) {
+  for (const auto &[Key, Value] : After.items()) {
+    if (Before.at(Key) != Value) {
+      Lines.push_back("~ " + Title + ": " + Key + " " + Before.at(Key).dump() +
+                      " -> " + Value.dump());
+    }
+  }
+}
+
+static void diffKind(const std::string &Kind, const json &Before,
+                     const json &After, const char *Key,
+                     std::vector<std::string> &Lines) {
+  auto Old = byName(Before, Key);
+  auto New = byName(After, Key);
+  for (const auto &[Name, Element] : Old) {
+    if (!New.contains(Name)) {
+      Lines.push_back("- " + Kind + " " + Name);
+    }
+  }
+  for (const auto &[Name, Element] : New) {
+    auto Found = Old.find(Name);
+    if (Found == Old.end()) {
+      Lines.push_back("+ " + Kind + " " + Name + " " + Element.dump());
+    } else {
+      diffElement(Kind + " " + Name, Found->second, Element, Lines);
+    }
+  }
+}
+
+auto diffDeclarations(const declaration &Before, const declaration &After)
+    -> std::vector<std::string> {
+  auto Old = declarationToJson(Before);
+  auto New = declarationToJson(After);
+  auto Lines = std::vector<std::string>();
+  diffKind("zone", Old["zones"], New["zones"], "", Lines);
+  diffKind("service", Old["services"], New["services"], "", Lines);
+  diffKind("route", Old["routes"], New["routes"], "name", Lines);
+  diffKind("move", Old["moves"], New["moves"], "id", Lines);
+  if (Lines.empty() && !(Before == After)) {
+    Lines.emplace_back("~ order of routes or moves");
+  }
+  return Lines;
+}
+
+} // namespace sycamorelb::config
