Feature: [Config] Replay, checkpoints, store and distribution decisions

Cause: every node must reach the same state from the log, never go back, and restart from an expired log or from a peer.

--- a/include/sycamorelb/config/checkpoint_func.h
+++ b/include/sycamorelb/config/checkpoint_func.h
@@ -3,6 +3,8 @@
 
 #include "sycamorelb/config/record_type.h"
 
+#include <deque>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -30,6 +32,29 @@
 auto encodeCheckpoint(const config_state &State, const std::string &Id,
                       wall_ms At) -> std::vector<std::string>;
 
+/** Collects the parts of checkpoints from records in log order. Parts of
+ * different checkpoints may be interleaved, repeated or missing. */
+struct checkpoint_assembly {
+  /** Checkpoint of which parts are missing. */
+  struct pending {
+    checkpoint_part Head;                       ///< Its first seen part.
+    std::map<std::uint32_t, std::string> Parts; ///< Data by index.
+  };
+  std::deque<pending> Pending; ///< Oldest first, bounded.
+};
+
+/** Largest number of incomplete checkpoints kept: those of writers that died
+ * midway are dropped when newer ones follow. */
+inline constexpr std::size_t MaxPendingCheckpoints = 16;
+
+/**
+ * Adds one record to an assembly; records of other types are skipped.
+ * @return the state when this record completes a checkpoint whose hash and
+ * position fit and whose state is sound.
+ */
+auto addPart(checkpoint_assembly &Assembly, const raw_record &Record)
+    -> std::optional<config_state>;
+
 /**
  * Finds the newest complete checkpoint among records.
  * @param Records records in log order; other records are skipped.
@@ -39,7 +64,9 @@
     -> std::optional<config_state>;
 
 /**
- * Restores the state from the part of the log that is kept.
+ * Restores the state from the part of the log that is kept. A checkpoint whose
+ * chain hash contradicts the records is not used: it decides nothing when the
+ * log begins at offset 1, and otherwise most checkpoints decide.
  * @param Records contiguous records from the oldest one kept.
  * @return the state after the last record, or a NotFound error when the log
  * does not begin at offset 1 and holds no checkpoint from which the records
