--- /dev/null
+++ b/src/platform/log_client.cpp
@@ -0,0 +1,286 @@
+/** @file log_client.cpp HTTP client of the log service. */
+#include "sycamorelb/platform/log_client.h"
+
+#include "config/base64_func.h"
+#include "config/json_read.h"
+#include "config/json_text.h"
+#include "sycamorelb/core/clock_func.h"
+#include "sycamorelb/core/mutex.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <httplib.h>
+#include <mutex>
+#include <set>
+#include <utility>
+
+namespace sycamorelb::platform {
+
+using nlohmann::json;
+using pool_lock = std::unique_lock<ranked_mutex<lock_rank::ConnectionPools>>;
+
+/** Idle connections kept; more are closed after use. */
+static constexpr std::size_t MaxIdle = 4;
+/** Longest stream name. */
+static constexpr std::size_t MaxStreamBytes = 64;
+
+/** Answer to one request, or why there is none. */
+struct exchange {
+  httplib::Error Error = httplib::Error::Success; ///< Transport result.
+  int Status = 0;                                 ///< HTTP status.
+  std::string Body;                               ///< Bounded body.
+  bool TooLong = false;                           ///< Body beyond the bound.
+};
+
+struct log_client::impl {
+  log_client_settings Settings;
+  ranked_mutex<lock_rank::ConnectionPools> Mutex;     ///< Guards all below.
+  std::condition_variable_any Returned;               ///< A request ended.
+  std::vector<std::unique_ptr<httplib::Client>> Idle; ///< Kept connections.
+  std::set<httplib::Client *> Busy;                   ///< Requests in progress.
+  bool Stopped = false;                               ///< stop was called.
+
+  auto peer() const -> std::string {
+    return Settings.Host + ":" + std::to_string(Settings.Port);
+  }
+
+  auto fail(error_code Code, const char *Step, std::string Message) const
+      -> error {
+    return {Code, Step, peer(), std::move(Message)};
+  }
+
+  auto lease() -> std::unique_ptr<httplib::Client>;
+  void giveBack(std::unique_ptr<httplib::Client> Client, bool Reusable);
+  auto exchangeOnce(httplib::Request Request, millis Timeout) -> exchange;
+};
+
+static void setTimeouts(httplib::Client &Client, millis Connect, millis Whole) {
+  Client.set_connection_timeout(std::min(Connect, Whole));
+  Client.set_read_timeout(Whole);
+  Client.set_write_timeout(Whole);
+}
+
+auto log_client::impl::lease() -> std::unique_ptr<httplib::Client> {
+  auto Lock = pool_lock(Mutex);
+  if (Stopped) {
+    return nullptr;
+  }
+  auto Client = std::unique_ptr<httplib::Client>();
+  if (Idle.empty()) {
+    Client = std::make_unique<httplib::Client>(Settings.Host, Settings.Port);
+    Client->set_keep_alive(true);
+    Client->set_tcp_nodelay(true);
+    Client->set_decompress(false);
+  } else {
+    Client = std::move(Idle.back());
+    Idle.pop_back();
+  }
+  Busy.insert(Client.get());
+  return Client;
+}
+
+void log_client::impl::giveBack(std::unique_ptr<httplib::Client> Client,
+                                bool Reusable) {
+  auto Lock = pool_lock(Mutex);
+  Busy.erase(Client.get());
+  if (Reusable && !Stopped && Idle.size() < MaxIdle) {
+    Idle.push_back(std::move(Client));
+  }
+  Returned.notify_all();
+}
+
+auto log_client::impl::exchangeOnce(httplib::Request Request, millis Timeout)
+    -> exchange {
+  auto Result = exchange();
+  auto Client = lease();
+  if (!Client) {
+    // Nothing was sent.
+    Result.Error = httplib::Error::Connection;
+    return Result;
+  }
+  setTimeouts(*Client, Settings.ConnectTimeout, Timeout);
+  // The library's read timeout bounds each read, not the whole answer.
+  auto Deadline = steadyNow() + Timeout;
+  Request.content_receiver =
+      [&Result, Deadline, Max = Settings.MaxResponseBytes](
+          const char *Data, std::size_t Length, std::uint64_t, std::uint64_t) {
+        Result.TooLong = Result.Body.size() + Length > Max;
+        if (Result.TooLong || steadyNow() > Deadline) {
+          return false;
+        }
+        Result.Body.append(Data, Length);
+        return true;
+      };
+  auto Response = httplib::Response();
+  auto Sent = Client->send(Request, Response, Result.Error);
+  if (!Sent && Result.Error == httplib::Error::Success) {
+    Result.Error = httplib::Error::Unknown;
+  }
+  Result.Status = Response.status;
+  giveBack(std::move(Client), Sent);
+  return Result;
+}
+
+log_client::log_client(log_client_settings Settings)
+    : Impl(std::make_unique<impl>()) {
+  Impl->Settings = std::move(Settings);
+}
+
+log_client::~log_client() { stop(); }
+
+void log_client::stop() {
+  auto Lock = pool_lock(Impl->Mutex);
+  Impl->Stopped = true;
+  Impl->Idle.clear();
+  while (!Impl->Busy.empty()) {
+    for (auto *Client : Impl->Busy) {
+      Client->stop();
+    }
+    // A request that was about to connect is not reached by one stop alone.
+    Impl->Returned.wait_for(Lock, millis(20));
+  }
+}
+
+/** @return whether the name can stand in a path as it is. */
+static auto isStreamName(const std::string &Stream) -> bool {
+  return !Stream.empty() && Stream.size() <= MaxStreamBytes &&
+         std::all_of(Stream.begin(), Stream.end(), [](unsigned char Byte) {
+           return std::isalnum(Byte) != 0 || Byte == '-' || Byte == '_';
+         });
+}
+
+static auto parseBody(const std::string &Body) -> json {
+  auto Parsed = config::parseJson(Body);
+  auto *Document = std::get_if<config::json_document>(&Parsed);
+  return Document == nullptr ? json() : std::move(Document->Root);
+}
+
+static auto saysNotTaken(const std::string &Body) -> bool {
+  auto Root = parseBody(Body);
+  return Root.is_object() && Root.contains("taken") && Root["taken"] == false;
+}
+
+auto log_client::append(const std::string &Stream, std::string_view Bytes,
+                        millis Timeout) -> append_result {
+  static constexpr char Step[] = "append to log";
+  if (!isStreamName(Stream)) {
+    return append_refused{
+        Impl->fail(error_code::InvalidArgument, Step, "invalid stream name")};
+  }
+  auto Request = httplib::Request();
+  Request.method = "POST";
+  Request.path = "/streams/" + Stream + "/records";
+  Request.set_header("Content-Type", "application/octet-stream");
+  Request.body = Bytes;
+  auto Answer = Impl->exchangeOnce(std::move(Request), Timeout);
+  if (Answer.Error == httplib::Error::Connection) {
+    return append_refused{
+        Impl->fail(error_code::Unreachable, Step, "connection refused")};
+  }
+  if (Answer.Error != httplib::Error::Success) {
+    return append_unknown{Impl->fail(error_code::Timeout, Step,
+                                     httplib::to_string(Answer.Error))};
+  }
+  auto Root = parseBody(Answer.Body);
+  auto Reader = config::json_reader(Root);
+  auto Offset = Reader.number("offset");
+  if (Answer.Status == 200 && !Reader.fault() && Offset > 0) {
+    return append_done{{Offset}};
+  }
+  auto Message = "status " + std::to_string(Answer.Status);
+  auto Refusal =
+      (Answer.Status >= 400 && Answer.Status < 500) || Answer.Status == 503;
+  if (Refusal && saysNotTaken(Answer.Body)) {
+    auto Busy = Answer.Status == 503 || Answer.Status == 429;
+    return append_refused{
+        Impl->fail(Busy ? error_code::Overloaded : error_code::InvalidArgument,
+                   Step, Message)};
+  }
+  return append_unknown{Impl->fail(error_code::Timeout, Step, Message)};
+}
+
+/** Reads the records of an answer; false when one of them is malformed. */
+static auto readRecords(const json &Root, log_offset From,
+                        std::vector<config::raw_record> &Records) -> bool {
+  auto Reader = config::json_reader(Root);
+  const auto *List = Reader.any("records");
+  if (List == nullptr || !List->is_array()) {
+    return false;
+  }
+  auto Last = std::uint64_t{0};
+  for (const auto &Item : *List) {
+    auto Member = config::json_reader(Item);
+    auto Offset = Member.number("offset");
+    const auto *Data = Member.any("data");
+    if (Member.fault() || !Data->is_string() || Offset <= Last) {
+      return false;
+    }
+    auto Bytes = config::decodeBase64(Data->get_ref<const std::string &>());
+    if (!Bytes) {
+      return false;
+    }
+    Last = Offset;
+    if (Offset >= From.Value) {
+      Records.push_back({{Offset}, std::move(*Bytes)});
+    }
+  }
+  return true;
+}
+
+static auto readRequest(const std::string &Stream, log_offset From,
+                        std::size_t Max, millis Wait) -> httplib::Request {
+  auto Request = httplib::Request();
+  Request.method = "GET";
+  Request.path = "/streams/" + Stream +
+                 "/records?from=" + std::to_string(From.Value) +
+                 "&max=" + std::to_string(Max) +
+                 "&wait_ms=" + std::to_string(Wait.count());
+  return Request;
+}
+
+auto log_client::read(const std::string &Stream, log_offset From,
+                      std::size_t Max, millis Wait) -> read_result {
+  static constexpr char Step[] = "read log";
+  if (!isStreamName(Stream) || From.Value == 0 || Max == 0) {
+    return Impl->fail(error_code::InvalidArgument, Step,
+                      "invalid stream name, offset or maximum");
+  }
+  auto Whole = Wait + Impl->Settings.ReadMargin;
+  auto Answer = Impl->exchangeOnce(readRequest(Stream, From, Max, Wait), Whole);
+  // Large records: ask for fewer at once.
+  while (Answer.TooLong && Max > 1) {
+    Max /= 2;
+    Answer = Impl->exchangeOnce(readRequest(Stream, From, Max, Wait), Whole);
+  }
+  if (Answer.TooLong) {
+    return Impl->fail(error_code::Corrupt, Step, "answer is too long");
+  }
+  if (Answer.Error != httplib::Error::Success) {
+    auto Unconnected = Answer.Error == httplib::Error::Connection ||
+                       Answer.Error == httplib::Error::ConnectionTimeout;
+    return Impl->fail(Unconnected ? error_code::Unreachable
+                                  : error_code::Timeout,
+                      Step, httplib::to_string(Answer.Error));
+  }
+  if (Answer.Status != 200 && Answer.Status != 410) {
+    auto Busy = Answer.Status == 503 || Answer.Status == 429;
+    return Impl->fail(Busy ? error_code::Overloaded : error_code::Internal,
+                      Step, "status " + std::to_string(Answer.Status));
+  }
+  auto Root = parseBody(Answer.Body);
+  auto Reader = config::json_reader(Root);
+  auto Batch =
+      read_batch{{Reader.number("first")}, {Reader.number("next")}, {}};
+  if (Reader.fault()) {
+    return Impl->fail(error_code::Corrupt, Step, "answer does not decode");
+  }
+  if (Answer.Status == 410) {
+    return read_expired{Batch.First, Batch.Next};
+  }
+  if (!readRecords(Root, From, Batch.Records)) {
+    return Impl->fail(error_code::Corrupt, Step, "records do not decode");
+  }
+  return Batch;
+}
+
+} // namespace sycamorelb::platform
