Feature: [Membership] SWIM decisions, codec, authentication and UDP

Cause: nodes have to know each other and detect failures. Change: join of member records, probes, suspicion, verified death claims, bounded gossip, exchange by digest, Cap'n Proto schema and packed datagram codec with limits, HMAC authentication, UDP transport.

--- a/include/sycamorelb/inner/auth_func.h
+++ b/include/sycamorelb/inner/auth_func.h
@@ -28,6 +28,8 @@
 
 /** Length of a truncated HMAC-SHA256. */
 inline constexpr std::size_t MacBytes = 16;
+/** Bytes that sealDatagram adds: format, key id, MAC. */
+inline constexpr std::size_t DatagramOverhead = 1 + 4 + MacBytes;
 using mac = std::array<std::uint8_t, MacBytes>;
 
 /** Purpose of a signature; one of another purpose does not verify. */
--- a/include/sycamorelb/inner/datagram_type.h
+++ b/include/sycamorelb/inner/datagram_type.h
@@ -14,16 +14,16 @@
 
 /** Tells a peer that the sender advanced in the configuration log. */
 struct config_notice {
-  membership::config_mark Config;          ///< Position of the sender.
-  log_offset Version;                      ///< Last accepted record.
-  membership::config_mark Base;            ///< Position before Records.
-  std::vector<config::raw_record> Records; ///< Newest records, if they fit.
+  membership::config_mark Config{};          ///< Position of the sender.
+  log_offset Version{};                      ///< Last accepted record.
+  membership::config_mark Base{};            ///< Position before Records.
+  std::vector<config::raw_record> Records{}; ///< Newest records, if they fit.
   auto operator==(const config_notice &) const -> bool = default;
 };
 
 /** Evidence of traffic moves; the content belongs to package moves. */
 struct evidence_report {
-  std::string Bytes; ///< Encoded evidence.
+  std::string Bytes{}; ///< Encoded evidence.
   auto operator==(const evidence_report &) const -> bool = default;
 };
 
@@ -32,9 +32,9 @@
 
 /** A datagram with its envelope. */
 struct datagram {
-  node_id From;       ///< Sender.
-  wall_ms SentAt;     ///< Wall time of the sender.
-  datagram_body Body; ///< Content.
+  node_id From{};       ///< Sender.
+  wall_ms SentAt{};     ///< Wall time of the sender.
+  datagram_body Body{}; ///< Content.
   auto operator==(const datagram &) const -> bool = default;
 };
 
--- a/include/sycamorelb/inner/peer_type.h
+++ b/include/sycamorelb/inner/peer_type.h
@@ -21,9 +21,10 @@
 /** Answer to fetchRecords. */
 struct fetched_records {
   fetch_outcome Outcome = fetch_outcome::Records; ///< Kind of answer.
-  std::vector<config::raw_record> Records; ///< In log order. The server cuts
-                                           ///< the list at 512 KiB; ask again.
-  membership::config_mark Config;          ///< Position of the peer.
+  std::vector<config::raw_record>
+      Records{};                    ///< In log order. The server cuts
+                                    ///< the list at 512 KiB; ask again.
+  membership::config_mark Config{}; ///< Position of the peer.
   auto operator==(const fetched_records &) const -> bool = default;
 };
 
@@ -31,10 +32,10 @@
 struct claim_request {
   std::uint32_t Partition = 0; ///< Partition of the key.
   std::uint64_t KeyHash = 0;   ///< Hash of service and key.
-  node_id Node;                ///< Admission node of the attempt.
-  incarnation Incarnation;     ///< Its generation.
-  std::string AttemptId;       ///< Unique id of the attempt.
-  wall_ms At;                  ///< When the claim was made.
+  node_id Node{};              ///< Admission node of the attempt.
+  incarnation Incarnation{};   ///< Its generation.
+  std::string AttemptId{};     ///< Unique id of the attempt.
+  wall_ms At{};                ///< When the claim was made.
   auto operator==(const claim_request &) const -> bool = default;
 };
 
@@ -48,10 +49,10 @@
 /** Verdict about one claim of a batch. */
 struct claim_verdict {
   claim_result Result = claim_result::Refused; ///< Decision.
-  node_id HeldByNode;                          ///< Winner; only when held.
-  incarnation HeldByIncarnation; ///< Its generation; only when held.
-  std::string HeldByAttempt;     ///< Its attempt; only when held.
-  std::string Reason;            ///< Reason; only when refused.
+  node_id HeldByNode{};                        ///< Winner; only when held.
+  incarnation HeldByIncarnation{}; ///< Its generation; only when held.
+  std::string HeldByAttempt{};     ///< Its attempt; only when held.
+  std::string Reason{};            ///< Reason; only when refused.
   auto operator==(const claim_verdict &) const -> bool = default;
 };
 
@@ -69,7 +70,7 @@
   /** Encoded state. The server serves at most 4 at once by itself. */
   std::function<result<std::string>()> FetchState;
   std::function<membership::member_exchange(membership::member_exchange)>
-      ExchangeMembers;
+      ExchangeMembers{};
   /** One verdict per claim, in the same order. */
   std::function<std::vector<claim_verdict>(std::vector<claim_request>)> Claim;
   std::function<void(claim_request)> ReleaseClaim;
--- a/include/sycamorelb/membership/membership_func.h
+++ b/include/sycamorelb/membership/membership_func.h
@@ -9,6 +9,14 @@
 
 namespace sycamorelb::membership {
 
+/** Limits of the fields of a record; records beyond them are ignored. */
+inline constexpr std::size_t MaxIdBytes = 64;
+inline constexpr std::size_t MaxAddressBytes = 64;
+inline constexpr std::size_t MaxUpstreams = 16;
+inline constexpr std::size_t MaxReasonBytes = 160;
+/** Size of an encoded record at most, so that it fits into a datagram. */
+inline constexpr std::size_t MaxRecordBytes = 800;
+
 /** Both clocks, read at the same moment. */
 struct instant {
   steady_time Steady; ///< Drives all timers.
@@ -36,9 +44,10 @@
 
 /**
  * Merges one update into the table. A record of this node that contradicts it
- * is refuted. A claim that a member of the same incarnation is dead starts a
- * local suspicion instead, so that the healing of a partition does not remove
- * members that can refute the claim. Invalid records are ignored.
+ * is refuted. A claim that an alive member of the same incarnation is dead is
+ * verified by a ping first; otherwise the healing of a partition would remove
+ * all members of the other side until each of them had refuted the claim.
+ * Invalid records are ignored.
  */
 void mergeMember(member_table &Table, const member_update &Update, instant Now,
                  effects &Effects);
@@ -79,6 +88,19 @@
 /** Announces that this node stops now. */
 auto finishLeaving(member_table &Table, instant Now) -> effects;
 
+/** @return an upper bound of the size of an update within a datagram. */
+auto estimateBytes(const member_update &Update) -> std::size_t;
+/** @return an upper bound of the size of a brake within a datagram. */
+auto estimateBytes(const brake_notice &Brake) -> std::size_t;
+/** @return an upper bound of the size of a datagram without its updates and
+ * brakes. */
+auto estimateBaseBytes(const message &Message) -> std::size_t;
+
+/** @return whether a record respects all limits. */
+auto isValidMember(const member &Member) -> bool;
+/** @return whether a brake respects all limits. */
+auto isValidBrake(const brake_notice &Brake) -> bool;
+
 /** @return the members that are not dead, with this node. */
 auto liveMembers(const member_table &Table) -> std::vector<member>;
 
--- /dev/null
+++ b/src/inner/wire.h
@@ -0,0 +1,73 @@
+/** @file wire.h Conversion between plain structs and Cap'n Proto messages.
+ *
+ * The read functions check all limits and return false when one is exceeded.
+ * They throw kj::Exception on malformed messages; callers catch it.
+ */
+#pragma once
+
+#include "inner.capnp.h"
+#include "sycamorelb/inner/datagram_type.h"
+#include "sycamorelb/inner/peer_type.h"
+
+namespace sycamorelb::inner {
+
+/** Bytes of a Text or Data read from a peer at most. */
+inline constexpr std::size_t MaxRecordsBytes = 512U << 10U;
+/** Records in one answer at most; as many as peers keep. */
+inline constexpr std::size_t MaxRecords = 1024;
+/** Member records in one exchange at most. */
+inline constexpr std::size_t MaxExchangeUpdates = 4096;
+/** Length of the id of an attempt at most. */
+inline constexpr std::size_t MaxAttemptBytes = 128;
+/** Evidence in one message at most; a datagram carries less. */
+inline constexpr std::size_t MaxEvidenceBytes = 64U << 10U;
+
+using record_list = std::vector<config::raw_record>;
+using update_list = std::vector<membership::member_update>;
+
+void writeUpdate(wire::MemberUpdate::Builder Out,
+                 const membership::member_update &Update);
+auto readUpdate(wire::MemberUpdate::Reader In,
+                membership::member_update &Update) -> bool;
+
+void writeRecords(capnp::List<wire::Record>::Builder Out,
+                  const record_list &Records);
+auto readRecords(capnp::List<wire::Record>::Reader In, record_list &Records)
+    -> bool;
+
+void writeMark(wire::ConfigMark::Builder Out,
+               const membership::config_mark &Mark);
+auto readMark(wire::ConfigMark::Reader In) -> membership::config_mark;
+
+void writeExchange(wire::Exchange::Builder Out,
+                   const membership::member_exchange &Exchange);
+auto readExchange(wire::Exchange::Reader In,
+                  membership::member_exchange &Exchange) -> bool;
+
+void writeClaim(wire::ClaimRequest::Builder Out, const claim_request &Claim);
+auto readClaim(wire::ClaimRequest::Reader In, claim_request &Claim) -> bool;
+
+void writeVerdict(wire::ClaimVerdict::Builder Out,
+                  const claim_verdict &Verdict);
+auto readVerdict(wire::ClaimVerdict::Reader In, claim_verdict &Verdict) -> bool;
+
+/** Copies a text of at most Limit bytes. */
+auto readText(capnp::Text::Reader In, std::size_t Limit, std::string &Out)
+    -> bool;
+
+/** @return Bytes as a Cap'n Proto blob; a view. */
+inline auto asData(std::string_view Bytes) -> capnp::Data::Reader {
+  return {reinterpret_cast<const kj::byte *>(Bytes.data()), Bytes.size()};
+}
+
+/** @return a blob as bytes; a view. */
+inline auto asBytes(capnp::Data::Reader Data) -> std::string_view {
+  return {reinterpret_cast<const char *>(Data.begin()), Data.size()};
+}
+
+/** @return a C++ string as Cap'n Proto text; a view. */
+inline auto asText(const std::string &Text) -> capnp::Text::Reader {
+  return {Text.c_str(), Text.size()};
+}
+
+} // namespace sycamorelb::inner
