--- a/include/sycamorelb/inner/rpc_loop.h
+++ b/include/sycamorelb/inner/rpc_loop.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "sycamorelb/core/result_type.h"
+#include "sycamorelb/core/unit_type.h"
 
 #include <capnp/capability.h>
 #include <functional>
@@ -14,11 +15,19 @@
 struct rpc_loop_options {
   std::size_t Workers = 2;          ///< Threads for slow handlers.
   std::size_t MaxQueuedJobs = 256;  ///< Jobs waiting for a worker at most.
+  millis HandshakeTime{5000};       ///< For connections of addWatchedListener.
+  millis IdleTime{120'000};         ///< For connections of addWatchedListener.
   std::size_t MaxConnections = 512; ///< Accepted connections at most.
   std::uint64_t MessageWords = 256 * 1024; ///< Size of an incoming message at
                                            ///< most, in 8-byte words.
 };
 
+/** What a bootstrap tells the loop about its connection. */
+struct connection_watch {
+  bool Trusted = false;  ///< Whether the peer has authenticated.
+  steady_time LastUse{}; ///< Time of the last call.
+};
+
 /** Owns the event-loop thread. The destructor closes all connections. */
 class rpc_loop {
 public:
@@ -37,6 +46,14 @@
                    std::function<capnp::Capability::Client()> MakeBootstrap)
       -> result<std::uint16_t>;
 
+  using watched_bootstrap = std::function<capnp::Capability::Client(
+      const std::shared_ptr<connection_watch> &)>;
+  /** Like addListener, but closes a connection that is not trusted after
+   * HandshakeTime or that was not used for IdleTime. */
+  auto addWatchedListener(const std::string &Address,
+                          watched_bootstrap MakeBootstrap)
+      -> result<std::uint16_t>;
+
   /**
    * Runs Job on a worker thread and yields its outcome on the event loop. Only
    * from the event-loop thread. The promise is rejected as overloaded when too
--- a/src/inner/wire.cpp
+++ b/src/inner/wire.cpp
@@ -162,9 +162,9 @@
   if (Digest.size() != 0) {
     std::copy(Digest.begin(), Digest.end(), Exchange.Digest.emplace().begin());
   }
-  for (auto In : Updates) {
+  for (auto Item : Updates) {
     auto &Update = Exchange.Updates.emplace_back();
-    if (!readUpdate(In, Update)) {
+    if (!readUpdate(Item, Update)) {
       return false;
     }
   }
