Fix: [Membership] A refuted claim of death could still kill a member

Cause: a node that verified an old claim with a ping got an Ack from the member's newer incarnation without its record, kept the suspicion of the older one and declared it dead. Change: an Ack carries the own record when the Ping shows an older one, and a message of a newer incarnation ends or restarts the local suspicion.

--- a/src/membership/membership_func.cpp
+++ b/src/membership/membership_func.cpp
@@ -84,13 +84,19 @@
   auto Found = Table.Entries.find(Message.From);
   if (Found != Table.Entries.end()) {
     auto &Entry = Found->second;
+    auto State = Entry.Member.State;
     if (Entry.Member.Incarnation == Message.FromIncarnation) {
       auto &Position = Entry.Member.ConfigPosition;
       Position = std::max(Position, Message.Config.Position);
-      if (Entry.Member.State == member_state::Alive ||
-          Entry.Member.State == member_state::Leaving) {
+    }
+    if (Entry.Member.Incarnation <= Message.FromIncarnation) {
+      if (State == member_state::Alive || State == member_state::Leaving) {
         Entry.SuspectedAt.reset();
         Entry.Doubted = false;
+      } else if (Entry.Member.Incarnation < Message.FromIncarnation &&
+                 Entry.SuspectedAt) {
+        // The member has refuted the suspicion, and its record is under way.
+        Entry.SuspectedAt = Now.Steady;
       }
     }
   }
@@ -100,23 +106,41 @@
   }
 }
 
+/** @return the record that the sender of a ping has to learn at once: its own
+ * when it was replaced, or that of this node when the sender has an old one;
+ * otherwise nullptr. */
+auto recordForSender(member_table &Table, const message &Ping)
+    -> const member * {
+  auto Known = Table.Entries.find(Ping.From);
+  if (Known != Table.Entries.end() &&
+      Ping.FromIncarnation < Known->second.Member.Incarnation) {
+    return &Known->second.Member;
+  }
+  const auto &Own = ownEntry(Table).Member;
+  auto IsStale = [&](const member_update &Update) {
+    return Update.Member.Id == Own.Id &&
+           Update.Member.Incarnation < Own.Incarnation;
+  };
+  return std::any_of(Ping.Updates.begin(), Ping.Updates.end(), IsStale)
+             ? &Own
+             : nullptr;
+}
+
 void answerPing(member_table &Table, const message &Ping,
                 const std::string &FromAddress, instant Now, effects &Effects) {
   auto Ack =
       buildMessage(Table, message_kind::Ack, Ping.Sequence, Ping.From, Now);
-  auto Known = Table.Entries.find(Ping.From);
-  auto IsOld = Known != Table.Entries.end() &&
-               Ping.FromIncarnation < Known->second.Member.Incarnation;
-  auto HasRecord = std::any_of(
-      Ack.Updates.begin(), Ack.Updates.end(),
-      [&](const auto &Update) { return Update.Member.Id == Ping.From; });
-  if (IsOld && !HasRecord) {
-    // An old process has to learn that it was replaced; its record displaces
-    // the updates, which are sent again later.
-    Ack.Updates = {member_update{.Member = Known->second.Member}};
+  const auto *Record = recordForSender(Table, Ping);
+  if (Record != nullptr && std::none_of(Ack.Updates.begin(), Ack.Updates.end(),
+                                        [&](const auto &Update) {
+                                          return Update.Member.Id == Record->Id;
+                                        })) {
+    // It displaces the other updates, which are sent again later.
+    Ack.Updates = {member_update{.Member = *Record}};
     Ack.Brakes.clear();
   }
-  Effects.Messages.push_back({.Address = FromAddress, .Message = Ack});
+  Effects.Messages.push_back(
+      {.Address = FromAddress, .Message = std::move(Ack)});
 }
 
 void handleAck(member_table &Table, const message &Ack, instant Now,
