--- a/include/sycamorelb/routing/pick_type.h
+++ b/include/sycamorelb/routing/pick_type.h
@@ -73,6 +73,7 @@
   Draining,
   Excluded,
   Ejected,
+  Suspect,
 };
 
 /** Number of candidates by reason, for error messages. */
@@ -85,6 +86,7 @@
   std::uint32_t Draining = 0;         ///< Upstream is leaving.
   std::uint32_t Excluded = 0;         ///< Excluded by the caller.
   std::uint32_t Ejected = 0;          ///< Ejected as outliers.
+  std::uint32_t Suspect = 0;          ///< Node suspected to be dead.
 };
 
 /** @return the counts as one line, such as "4 candidates: 3 ejected, ...". */
@@ -93,10 +95,10 @@
 /** A picked upstream. */
 struct picked {
   std::size_t Index = 0; ///< Into the candidates.
-  /// All eligible candidates are ejected; one was picked all the same, as an
-  /// ejection is a guess and a refusal is certain.
+  /// Only ejected or suspected candidates are left; one was picked all the
+  /// same, since an ejection or suspicion may be wrong.
   bool Panic = false;
-  std::string PanicReason; ///< Which are ejected; empty without panic.
+  std::string PanicReason; ///< Which and why; empty without panic.
 };
 
 /** Nothing can be picked. */
@@ -114,7 +116,7 @@
   double SpillFull = 1.0;
   micros SlowStart{10'000'000}; ///< Ramp after a return.
   double SlowStartFloor = 0.1;  ///< Weight at the start of the ramp.
-  micros ReportLife{5'000'000}; ///< Older load counts and states are ignored.
+  micros ReportLife{2'000'000}; ///< Time over which a load report fades out.
   micros LatencyMemory{10'000'000}; ///< Time constant at which a high latency
                                     ///< without new samples is forgotten.
   bool ColdAware = true; ///< Passes over cold upstreams without a free slot.
