Feature: [Limits] Concurrency limit, cold start, admission, budgets

The concurrency limit follows the window median against a baseline and ignores windows without contention.

--- a/include/sycamorelb/limits/budget_func.h
+++ b/include/sycamorelb/limits/budget_func.h
@@ -23,8 +23,7 @@
 };
 
 /** Records a first attempt, which earns a part of an extra one. */
-void onCall(attempt_budget &Budget, const budget_config &Config,
-            steady_time Now);
+void onCall(attempt_budget &Budget, const budget_config &Config);
 
 /** @return whether an extra attempt may be made; takes its token. */
 auto tryTake(attempt_budget &Budget, const budget_config &Config,
--- /dev/null
+++ b/src/limits/concurrency.cpp
@@ -0,0 +1,119 @@
+/** @file concurrency.cpp Gradient of the window median against a baseline. */
+#include "sycamorelb/limits/concurrency_func.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sycamorelb::limits {
+
+namespace {
+
+/// Part of the way to a lower window median that the baseline goes.
+constexpr double BaselineFall = 0.3;
+/// The same for a higher median, in windows without contention only.
+constexpr double BaselineRise = 0.1;
+/// Part of the way to the window median that the typical latency goes.
+constexpr double TypicalGain = 0.3;
+/// Growth of the typical latency per window, at most. A sudden jump must stay
+/// visible against it until the cold detection has seen enough calls.
+constexpr double TypicalGrowth = 1.1;
+
+auto moved(micros From, micros To, double Part) -> micros {
+  auto Step = static_cast<double>((To - From).count()) * Part;
+  return micros(From.count() + std::llround(Step));
+}
+
+auto isBusy(const concurrency_state &State, std::uint32_t InFlight) -> bool {
+  return InFlight * 2.0 >= State.Limit;
+}
+
+/** Follows the latency of windows; contention must not raise the baseline. */
+void updateBaseline(concurrency_state &State, micros Median) {
+  if (State.Baseline == micros{0}) {
+    State.Baseline = Median;
+    State.Typical = Median;
+    return;
+  }
+  // A limit of 2 or less leaves no contention to measure. Without this case a
+  // lasting change of the workload would hold the limit at 1.
+  auto Uncontended = !isBusy(State, State.Window.Peak) || State.Limit <= 2;
+  if (Median < State.Baseline)
+    State.Baseline = moved(State.Baseline, Median, BaselineFall);
+  else if (Uncontended)
+    State.Baseline = moved(State.Baseline, Median, BaselineRise);
+  auto Ceiling =
+      micros(std::llround(State.Typical.count() * TypicalGrowth) + 1);
+  State.Typical = moved(State.Typical, std::min(Median, Ceiling), TypicalGain);
+}
+
+/** Adjusts the limit from a full window. */
+void closeWindow(concurrency_state &State, const concurrency_config &Config,
+                 const capacity_bounds &Bounds) {
+  auto Median = std::max(medianLatency(State.Window), micros{1});
+  updateBaseline(State, Median);
+  auto Busy = isBusy(State, State.Window.Peak);
+  auto Gradient = Config.Tolerance *
+                  static_cast<double>(State.Baseline.count()) /
+                  static_cast<double>(Median.count());
+  if (Busy && Gradient < 1)
+    State.Limit *= 0.5 + 0.5 * std::max(Gradient, 0.5);
+  else if (Busy && !State.Window.HadRefusal)
+    State.Limit += 1;
+  State.Limit =
+      std::clamp(State.Limit, 1.0, static_cast<double>(hardLimit(Bounds)));
+  State.Window = latency_window{};
+}
+
+} // namespace
+
+void addSample(latency_window &Window, micros Latency, steady_time Now) {
+  if (Window.Count == 0)
+    Window.StartedAt = Now;
+  auto Bounded = std::clamp<std::int64_t>(Latency.count(), 0, UINT32_MAX);
+  Window.Samples[Window.Count % latency_window::Capacity] =
+      static_cast<std::uint32_t>(Bounded);
+  ++Window.Count;
+}
+
+auto medianLatency(const latency_window &Window) -> micros {
+  auto Kept = std::min<std::size_t>(Window.Count, latency_window::Capacity);
+  if (Kept == 0)
+    return micros{0};
+  auto Sorted = Window.Samples;
+  auto Middle = Sorted.begin() + static_cast<std::ptrdiff_t>(Kept / 2);
+  std::nth_element(Sorted.begin(), Middle,
+                   Sorted.begin() + static_cast<std::ptrdiff_t>(Kept));
+  return micros{*Middle};
+}
+
+auto hardLimit(const capacity_bounds &Bounds) -> std::uint32_t {
+  return std::max(1U, std::min(Bounds.Slots, Bounds.Connections));
+}
+
+auto makeConcurrency(const capacity_bounds &Bounds) -> concurrency_state {
+  auto State = concurrency_state{};
+  State.Limit = hardLimit(Bounds);
+  return State;
+}
+
+void observeCall(concurrency_state &State, const concurrency_config &Config,
+                 const capacity_bounds &Bounds, call_outcome Outcome,
+                 micros Latency, std::uint32_t InFlight, steady_time Now) {
+  State.Window.Peak = std::max(State.Window.Peak, InFlight);
+  State.Limit = std::min(State.Limit, static_cast<double>(hardLimit(Bounds)));
+  if (Outcome == call_outcome::Refused) {
+    // A refusal far below the limit says nothing about the limit.
+    if (!State.Window.HadRefusal && isBusy(State, InFlight))
+      State.Limit = std::max(1.0, State.Limit * Config.RefusalBackoff);
+    State.Window.HadRefusal = true;
+    return;
+  }
+  if (Outcome != call_outcome::Success)
+    return;
+  addSample(State.Window, Latency, Now);
+  if (State.Window.Count >= Config.MinSamples &&
+      Now - State.Window.StartedAt >= Config.MinWindow)
+    closeWindow(State, Config, Bounds);
+}
+
+} // namespace sycamorelb::limits
--- /dev/null
+++ b/src/limits/limiter.cpp
@@ -0,0 +1,124 @@
+/** @file limiter.cpp Combines limit, cold start and queue of one upstream. */
+#include "sycamorelb/limits/limiter_func.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sycamorelb::limits {
+
+namespace {
+
+auto adaptiveLimit(const upstream_limiter &Limiter) -> std::uint32_t {
+  auto Limit = static_cast<std::uint32_t>(Limiter.Concurrency.Limit);
+  return std::clamp(Limit, 1U, hardLimit(Limiter.Bounds));
+}
+
+auto capacityNow(const upstream_limiter &Limiter, steady_time Now)
+    -> admission_capacity {
+  return {currentLimit(Limiter, Now), expectedServiceTime(Limiter)};
+}
+
+/** Feeds the end of a started call to the limits. */
+void observe(upstream_limiter &Limiter, call_outcome Outcome, micros Latency,
+             std::uint32_t InFlight, steady_time Now) {
+  auto WasCold = Limiter.Cold.Cold;
+  auto Event =
+      observeCall(Limiter.Cold, Limiter.Config.ColdStart, Outcome, Latency,
+                  Limiter.Concurrency.Typical, adaptiveLimit(Limiter), Now);
+  if (Event == cold_event::TurnedCold || Event == cold_event::Warm)
+    Limiter.Concurrency.Window = latency_window{};
+  // The latency of a cold upstream is no measure of its warm operation, unless
+  // none is known yet and it has just reached its limit.
+  if (Event == cold_event::Warm && Limiter.Concurrency.Typical == micros{0}) {
+    Limiter.Concurrency.Baseline = Limiter.Cold.Best;
+    Limiter.Concurrency.Typical = Limiter.Cold.Previous;
+  }
+  if (WasCold || Limiter.Cold.Cold)
+    return;
+  observeCall(Limiter.Concurrency, Limiter.Config.Concurrency, Limiter.Bounds,
+              Outcome, Latency, InFlight, Now);
+}
+
+} // namespace
+
+auto makeLimiter(const capacity_bounds &Bounds, const limiter_config &Config)
+    -> upstream_limiter {
+  auto Limiter = upstream_limiter{};
+  Limiter.Config = Config;
+  Limiter.Bounds = Bounds;
+  Limiter.Concurrency = makeConcurrency(Bounds);
+  Limiter.Cold = makeColdStart(Config.ColdStart);
+  return Limiter;
+}
+
+void onAnnounce(upstream_limiter &Limiter, const capacity_bounds &Bounds) {
+  // A larger announcement raises only the bound; the limit itself grows with
+  // successes.
+  Limiter.Bounds = Bounds;
+  Limiter.Concurrency.Limit = std::min(Limiter.Concurrency.Limit,
+                                       static_cast<double>(hardLimit(Bounds)));
+}
+
+void onRestart(upstream_limiter &Limiter, bool SameVersion) {
+  turnCold(Limiter.Cold, Limiter.Config.ColdStart);
+  if (!SameVersion)
+    Limiter.Concurrency = makeConcurrency(Limiter.Bounds);
+}
+
+auto onAdmit(upstream_limiter &Limiter, const work_offer &Work, steady_time Now)
+    -> offer_result {
+  return offer(Limiter.Queue, Work, capacityNow(Limiter, Now), Now);
+}
+
+void onStart(upstream_limiter &Limiter, steady_time Now) {
+  if (Limiter.Started == 0)
+    Limiter.LastProgress = Now;
+  ++Limiter.Started;
+}
+
+auto onFinish(upstream_limiter &Limiter, call_outcome Outcome, micros Latency,
+              steady_time Now) -> queue_step {
+  if (Outcome != call_outcome::NotStarted) {
+    observe(Limiter, Outcome, Latency, Limiter.Started, Now);
+    Limiter.Started -= Limiter.Started > 0 ? 1 : 0;
+    Limiter.LastProgress = Now;
+  }
+  return release(Limiter.Queue, capacityNow(Limiter, Now), Now);
+}
+
+auto onTick(upstream_limiter &Limiter, steady_time Now) -> queue_step {
+  return expire(Limiter.Queue, capacityNow(Limiter, Now), Now);
+}
+
+auto currentLimit(const upstream_limiter &Limiter, steady_time Now)
+    -> std::uint32_t {
+  auto Limit = adaptiveLimit(Limiter);
+  if (Limiter.Cold.Cold)
+    Limit = std::min(Limit, Limiter.Cold.Limit);
+  if (isStalled(Limiter, Now))
+    Limit = std::min(Limit, Limiter.Config.ColdStart.ColdLimit);
+  return std::max(1U, Limit);
+}
+
+auto isCold(const upstream_limiter &Limiter) -> bool {
+  return Limiter.Cold.Cold;
+}
+
+auto isStalled(const upstream_limiter &Limiter, steady_time Now) -> bool {
+  auto Typical = Limiter.Concurrency.Typical;
+  if (Limiter.Started == 0 || Typical == micros{0})
+    return false;
+  auto Allowed = micros(std::llround(static_cast<double>(Typical.count()) *
+                                     Limiter.Config.StallFactor));
+  return Now - Limiter.LastProgress >
+         std::max(Allowed, Limiter.Config.MinStall);
+}
+
+auto expectedServiceTime(const upstream_limiter &Limiter) -> micros {
+  const auto &Cold = Limiter.Cold;
+  if (Cold.Cold && Cold.Previous > micros{0})
+    return Cold.Previous;
+  return Limiter.Concurrency.Typical;
+}
+
+} // namespace sycamorelb::limits
