Feature: [Moves] Evidence, sequential test and decisions

Cause: traffic moves need evidence from admission nodes and a driver. Change: evidence with monotone counters and closed windows, a binary report of at most 1,150 bytes, a test by e-values, and the decisions of the driver.

--- a/include/sycamorelb/moves/evidence_func.h
+++ b/include/sycamorelb/moves/evidence_func.h
@@ -15,8 +15,14 @@
 inline constexpr millis WindowLength{1000};
 /** Windows a node keeps; a closed window is reported in this many reports. */
 inline constexpr std::int64_t WindowsKept = 4;
-/** Routes told apart in one move; further routes share the empty route id. */
+/** Routes told apart in one move; further routes share OverflowRoute. */
 inline constexpr std::size_t MaxRoutes = 32;
+/** Stands for all routes beyond MaxRoutes or with an id that is too long. */
+inline constexpr auto OverflowRoute = "*";
+/** Longest move, node or route id in a report. */
+inline constexpr std::size_t MaxIdBytes = 128;
+/** Windows further back than this are not merged any more. */
+inline constexpr std::int64_t MaxWindowAge = 64;
 /** Largest encoded report; with the authentication code of the transport it
  * fits the 1,200 bytes of a datagram. */
 inline constexpr std::size_t MaxReportBytes = 1150;
@@ -43,7 +49,9 @@
   std::map<route_id, route_evidence> Routes; ///< By route, bounded.
 };
 
-/** Part of a report: totals and closed windows of one route. */
+/** Part of a report: totals and closed windows of one route. A tally without
+ * calls is left out when encoded, and merging it changes nothing, so a route
+ * may be split over several reports. */
 struct route_report {
   route_id Route;                    ///< The route.
   tally_pair Total;                  ///< Cumulative counters.
@@ -63,10 +71,10 @@
 
 /** What the driver knows from one reporter about one route. */
 struct reporter_route {
-  std::uint32_t Sequence = 0;  ///< Report the totals came from.
-  tally_pair Total;            ///< Newest cumulative counters.
+  tally_pair Total;            ///< Largest cumulative counters seen.
   std::int64_t LastWindow = 0; ///< Newest window merged.
-  std::uint64_t Merged = 0;    ///< Bit i: window LastWindow-i was merged.
+  std::array<std::uint64_t, 2>
+      Merged{}; ///< By side, bit i: window LastWindow-i was merged.
 };
 
 /** What the driver knows from one reporter. */
@@ -111,7 +119,9 @@
     -> std::vector<evidence_report>;
 
 /**
- * Merges a report; lost, duplicated and reordered reports are harmless.
+ * Merges a report; lost, duplicated and reordered reports are harmless:
+ * cumulative counters only grow within a generation, so the larger value is the
+ * newer one, and a closed window is added once.
  * @return whether anything new was learnt.
  */
 auto mergeReport(merged_evidence &Evidence, const evidence_report &Report,
--- a/include/sycamorelb/moves/move_type.h
+++ b/include/sycamorelb/moves/move_type.h
@@ -41,7 +41,8 @@
   std::uint64_t Calls = 0;     ///< All calls.
   std::uint64_t Failures = 0;  ///< Failed calls.
   std::uint64_t Cancelled = 0; ///< Calls whose caller left.
-  std::array<std::uint32_t, LatencyBuckets> Latency{}; ///< Calls by latency.
+  std::array<std::uint32_t, LatencyBuckets>
+      Latency{}; ///< Calls that succeeded on a warm upstream, by latency.
   auto operator==(const tally &) const -> bool = default;
 };
 
@@ -80,8 +81,9 @@
 /** A finding of the sequential test against the new version. */
 struct alarm {
   route_id Route;      ///< Route that shows it; empty for all routes.
-  std::string Reason;  ///< "failures", "slow", "cancelled", "burst" or the
-                       ///< same with "_at_full_share".
+  std::string Reason;  ///< "failures", "slow", "cancelled", "burst",
+                       ///< "failures_at_full_share" or
+                       ///< "slow_at_full_share".
   double Evidence = 0; ///< Combined evidence (e-value) at the alarm.
   auto operator==(const alarm &) const -> bool = default;
 };
--- a/include/sycamorelb/moves/sequential_test_func.h
+++ b/include/sycamorelb/moves/sequential_test_func.h
@@ -12,6 +12,8 @@
 
 #include "sycamorelb/moves/evidence_func.h"
 
+#include <limits>
+
 namespace sycamorelb::moves {
 
 /** Largest probability of an alarm against a good version in one move. */
@@ -19,6 +21,16 @@
 /** A window is tested this long after its end, when its reports are in. */
 inline constexpr millis WindowGrace{2000};
 
+/** Statistics of the test; the table in sequential_test.cpp lists them. */
+inline constexpr std::size_t StatisticCount = 12;
+
+/** @return the logarithm of no evidence for every statistic. */
+constexpr auto noEvidence() -> std::array<double, StatisticCount> {
+  auto Result = std::array<double, StatisticCount>{};
+  Result.fill(-std::numeric_limits<double>::infinity());
+  return Result;
+}
+
 /** Fixed parameters of the test of one move, equal on every driver. */
 struct test_plan {
   wall_ms Start;          ///< Start of the move as recorded.
@@ -28,13 +40,14 @@
 
 /** Logarithms of the evidence of all statistics for one route. */
 struct route_test {
-  std::array<double, 12> LogEvidence{};            ///< By statistic.
+  std::array<double, StatisticCount> LogEvidence =
+      noEvidence();                                ///< By statistic.
   std::array<double, LatencyBuckets> OldLatency{}; ///< Decayed old latencies.
-  tally_pair Seen;           ///< Totals already used by the burst statistic.
-  tally_pair Pending;        ///< Counts waiting for the other side's reports.
-  double RecentOldCalls = 0; ///< Decayed calls of the old version.
+  tally_pair Seen;  ///< Totals already used by the burst statistic.
+  tally PendingNew; ///< New calls waiting for the reports of old calls.
+  double RecentOldCalls = 0;    ///< Decayed calls of the old version.
   double RecentOldFailures = 0; ///< Decayed failures of the old version.
-  bool Started = false;         ///< Whether LogEvidence holds a start.
+  bool BurstBegun = false;      ///< Whether the burst statistic began.
 };
 
 /** State of the test at one driver. */
@@ -42,9 +55,10 @@
   std::map<route_id, route_test> Routes; ///< The empty id is the sum.
   std::uint32_t Stage = 0;               ///< Step number last seen.
   bool Begun = false;                    ///< Whether any window was tested.
-  std::optional<alarm> Alarm;            ///< Latched finding.
-  double Evidence = 0;    ///< Combined evidence now; alarm at 100.
-  double Information = 0; ///< Sum over windows of old*new/(old+new) calls.
+  wall_ms BurstAt;            ///< Last update of the burst statistic.
+  std::optional<alarm> Alarm; ///< Latched finding.
+  double Evidence = 0;        ///< Combined evidence now; alarm at 100.
+  double Information = 0;     ///< Sum over windows of old*new/(old+new) calls.
 };
 
 /**
