Feature: [Claims] Replay, codec and writer of claims

Cause: calls with an idempotency key must run at most once. Change: deterministic replay, binary batches, and a writer that appends, reads back and decides. Batches name the offset below which their writer knows claims for a full time to live, so expiry does not depend on wall clocks.

--- a/include/sycamorelb/claims/claim_writer.h
+++ b/include/sycamorelb/claims/claim_writer.h
@@ -26,9 +26,13 @@
   millis TimeToLive = ClaimTimeToLive; ///< Of a claim.
   millis Margin = ClockMargin;         ///< Tolerated clock difference.
   millis UnusedAfter{600'000};         ///< Idle partitions are dropped.
-  millis ReadRetry{100};               ///< Pause after a failed read.
-  std::size_t MaxWaiting = 4096;       ///< Waiting callers of all partitions.
-  std::size_t MaxEntries = MaxClaims;  ///< Claims of one partition.
+  /** Retention that the log promises. When it covers a time to live and the
+   * margin, trimmed records are known to have expired; otherwise a writer whose
+   * oldest record is too young waits for a full time to live. */
+  millis Retention{0};
+  millis ReadRetry{100};              ///< Pause after a failed read.
+  std::size_t MaxWaiting = 4096;      ///< Waiting callers of all partitions.
+  std::size_t MaxEntries = MaxClaims; ///< Claims of one partition.
   std::function<steady_time()> SteadyNow; ///< Empty for the system's clock.
   std::function<wall_ms()> WallNow;       ///< Empty for the system's clock.
 };
@@ -57,7 +61,9 @@
   /**
    * Claims a key and waits for the answer, at most until Deadline. A granted
    * call must be started at once; a caller that was paused must compare the
-   * time with its deadline again.
+   * time with its deadline again. An attempt is given to one writer only: a
+   * writer releases attempts it has refused, so asking another writer needs a
+   * new attempt number.
    */
   auto claim(const claim_key &Key, const claimant &Who, steady_time Deadline)
       -> claim_answer;
--- /dev/null
+++ b/test/claims_replay_test.cpp
@@ -0,0 +1,333 @@
+/** @file claims_replay_test.cpp Replay of claims against a naive version, and
+ * the at-most-one-winner property of several writers. */
+#include "claims/partition_writer.h"
+#include "sycamorelb/core/random_func.h"
+
+#include <criterion/criterion.h>
+#include <map>
+#include <rapidcheck.h>
+
+using namespace sycamorelb;
+using namespace sycamorelb::claims;
+
+static auto keyOf(int Number) -> claim_key {
+  return claimKey(service_id{"dues"}, "key-" + std::to_string(Number));
+}
+
+static auto whoOf(int Number) -> claimant {
+  return {node_id{"n" + std::to_string(Number % 3)},
+          incarnation{std::uint64_t(Number % 2)}, std::uint64_t(Number)};
+}
+
+static auto anyBatch(std::uint64_t MostExpired) -> claim_batch {
+  auto Batch = claim_batch{};
+  Batch.WrittenAt.Value = *rc::gen::inRange(0, 1000);
+  Batch.ExpiredBelow.Value = *rc::gen::inRange<std::uint64_t>(0, MostExpired);
+  auto Count = *rc::gen::inRange(0, 6);
+  for (auto Index = 0; Index < Count; ++Index) {
+    auto Action = claim_action(*rc::gen::inRange(0, 3));
+    auto Status = std::uint16_t(Action == claim_action::Complete ? 200 : 0);
+    Batch.Records.push_back({Action, keyOf(*rc::gen::inRange(0, 4)),
+                             whoOf(*rc::gen::inRange(0, 5)), Status});
+  }
+  return Batch;
+}
+
+namespace {
+
+/** Naive replay: a plain map that is scanned for expiry. */
+struct naive_table {
+  struct entry {
+    claimant Who;
+    std::uint64_t Offset;
+    int Status;
+  };
+  std::map<claim_key, entry> Held;
+
+  void apply(std::uint64_t Offset, const claim_batch &Batch) {
+    auto Below = std::min(Batch.ExpiredBelow.Value, Offset);
+    std::erase_if(Held, [&](auto &Item) { return Item.second.Offset < Below; });
+    for (const auto &Record : Batch.Records) {
+      auto Found = Held.find(Record.Key);
+      if (Record.Action == claim_action::Claim) {
+        Held.try_emplace(Record.Key, entry{Record.Who, Offset, 0});
+      } else if (Found != Held.end() && Found->second.Who == Record.Who &&
+                 Found->second.Status == 0) {
+        if (Record.Action == claim_action::Release) {
+          Held.erase(Found);
+        } else {
+          Found->second.Status = Record.Status;
+        }
+      }
+    }
+  }
+};
+
+} // namespace
+
+// Guards against releases by others, lost expiry, changes by duplicates, and an
+// order queue that forgets a claim made again after a release.
+Test(claims_replay, agrees_with_a_naive_map_over_the_ordered_stream) {
+  cr_assert(rc::check("replay equals naive", [] {
+    auto Table = emptyTable({0});
+    auto Naive = naive_table{};
+    auto Count = *rc::gen::inRange<std::uint64_t>(1, 30);
+    for (auto Offset = std::uint64_t{0}; Offset < Count; ++Offset) {
+      auto Batch = anyBatch(Offset + 3);
+      replayClaims(Table, {Offset}, Batch);
+      replayClaims(Table, {Offset}, Batch);
+      Naive.apply(Offset, Batch);
+      RC_ASSERT(Table.Entries.size() == Naive.Held.size());
+      for (const auto &[Key, Entry] : Naive.Held) {
+        auto Expected = Entry.Status == 0 ? claim_answer(granted{})
+                                          : held{std::uint16_t(Entry.Status)};
+        RC_ASSERT(decide(Table, Key, Entry.Who) == Expected);
+        RC_ASSERT(
+            !std::holds_alternative<granted>(decide(Table, Key, whoOf(1'000))));
+      }
+    }
+  }));
+}
+
+// Guards against an order queue that grows with claims and releases of the same
+// keys, which would exceed the memory bound.
+Test(claims_replay, memory_follows_the_claims_in_force) {
+  auto Table = emptyTable({0});
+  for (auto Offset = 0; Offset < 50'000; ++Offset) {
+    auto Who = whoOf(Offset);
+    replayClaims(Table, {std::uint64_t(Offset)},
+                 {{},
+                  {},
+                  {{claim_action::Claim, keyOf(1), Who, 0},
+                   {claim_action::Release, keyOf(1), Who, 0}}});
+  }
+  cr_assert(Table.Entries.empty());
+  cr_assert(Table.Order.size() < 2'000);
+}
+
+// Guards against readers of damaged records: every strict prefix, every changed
+// byte and trailing bytes must be refused, and whole batches must survive.
+Test(claims_codec, round_trip_and_strict_bounds) {
+  cr_assert(rc::check("batch codec", [] {
+    auto Batch = anyBatch(1'000);
+    auto Bytes = encodeBatch(Batch);
+    auto Decoded = decodeBatch(Bytes);
+    RC_ASSERT(isOk(Decoded));
+    RC_ASSERT(valueOf(Decoded) == Batch);
+    auto At = *rc::gen::inRange<std::size_t>(0, Bytes.size());
+    RC_ASSERT(!isOk(decodeBatch(std::string_view(Bytes).substr(0, At))));
+    RC_ASSERT(!isOk(decodeBatch(Bytes + "x")));
+    auto Changed = Bytes;
+    Changed[At] = char(Changed[At] ^ *rc::gen::inRange(1, 256));
+    RC_ASSERT(!isOk(decodeBatch(Changed)));
+    auto Noise = *rc::gen::arbitrary<std::string>();
+    RC_ASSERT(!isOk(decodeBatch(Noise)));
+  }));
+}
+
+namespace {
+
+/** One writer with its own clocks. */
+struct sim_writer {
+  std::int64_t WallSkew = 0; ///< Difference of its wall clock, in ms.
+  bool Paused = false;
+  claim_writer_stats Stats;
+  claim_writer_options Options;
+  partition_state State;
+};
+
+/** Winner of a key as told to a claimant. */
+struct sim_grant {
+  std::int64_t At;
+};
+
+/** Simulated log with lost answers, delayed and repeated appends, outages and
+ * retention. */
+struct sim_world {
+  std::int64_t Now = 10'000; ///< Milliseconds.
+  std::vector<stream_record> Records;
+  std::vector<std::int64_t> AppendedAt;
+  std::vector<std::string> Delayed; ///< Appends still on their way.
+  std::uint64_t First = 0;
+  bool Down = false;
+  int Fault = 0; ///< Kind of the next append: 0 good.
+
+  void store(const std::string &Bytes) {
+    Records.push_back({{Records.size()}, Bytes});
+    AppendedAt.push_back(Now);
+  }
+
+  auto append(const std::string &Bytes) -> append_result {
+    auto Kind = std::exchange(Fault, 0);
+    if (Down || Kind == 1) {
+      return append_refused{};
+    }
+    if (Kind == 2) { // Lost before it took effect.
+      return append_unknown{};
+    }
+    if (Kind == 3) { // Takes effect later.
+      Delayed.push_back(Bytes);
+      return append_unknown{};
+    }
+    store(Bytes);
+    if (Kind == 4) { // The answer is lost.
+      return append_unknown{};
+    }
+    if (Kind == 5) { // A repeated request takes effect again later.
+      Delayed.push_back(Bytes);
+    }
+    return appended{{Records.size() - 1}};
+  }
+
+  auto read(log_offset From) -> read_result {
+    if (Down) {
+      return read_failed{};
+    }
+    if (From.Value < First) {
+      return read_trimmed{{First}};
+    }
+    auto Result = read_records{{First}, {Records.size()}, {}};
+    auto End = std::min<std::uint64_t>(Records.size(), From.Value + 3);
+    for (auto At = From.Value; At < End; ++At) {
+      Result.Records.push_back(Records[At]);
+    }
+    return Result;
+  }
+
+  void trim(std::int64_t Retention) {
+    while (First < Records.size() && AppendedAt[First] + Retention < Now) {
+      ++First;
+    }
+  }
+};
+
+} // namespace
+
+static constexpr auto SimLife = std::int64_t{2'000};
+
+static void startWriter(sim_writer &Writer, sim_world &World) {
+  Writer.State = {};
+  Writer.Options.TimeToLive = millis(SimLife);
+  Writer.Options.Margin = millis(500);
+  Writer.Options.Retention = millis(2 * SimLife + 1'000);
+  Writer.Options.SteadyNow = [&World] {
+    return steady_time(millis(World.Now));
+  };
+  Writer.Options.WallNow = [&World, &Writer] {
+    return wall_ms{World.Now + Writer.WallSkew};
+  };
+}
+
+/** Runs random events over three writers; checks each grant. */
+static void simulate(bool KnowsRetention) {
+  auto World = sim_world{};
+  auto Log = claim_log{
+      [&](auto, const std::string &Bytes) { return World.append(Bytes); },
+      [&](auto, log_offset From) { return World.read(From); }};
+  auto Writers = std::array<sim_writer, 3>{};
+  for (auto &Writer : Writers) {
+    Writer.WallSkew = *rc::gen::inRange(-100'000, 100'000);
+    startWriter(Writer, World);
+    Writer.Options.Retention = millis(KnowsRetention ? 5'000 : 0);
+  }
+  auto LastGrant = std::map<int, std::int64_t>(); // Running or finished calls.
+  auto Attempt = 0;
+  auto Events = *rc::gen::inRange(20, 250);
+  for (auto Event = 0; Event < Events; ++Event) {
+    auto Kind = *rc::gen::inRange(0, 16);
+    auto &Writer = Writers[*rc::gen::inRange<std::size_t>(0, 3)];
+    auto Context = partition_context{Log, Writer.Options, Writer.Stats};
+    if (Kind < 5) {
+      auto Key = *rc::gen::inRange(0, 2);
+      auto Who = whoOf(++Attempt);
+      auto End = *rc::gen::inRange(0, 4);
+      auto Deadline = steady_time(millis(World.Now + 300));
+      auto *State = &Writer.State;
+      addClaim(Writer.State, Context,
+               {keyOf(Key), Who, Deadline,
+                [&, Key, Who, End, State](const claim_answer &Answer) {
+                  if (!std::holds_alternative<granted>(Answer)) {
+                    return true;
+                  }
+                  if (End == 0) {
+                    return false; // The caller has gone, so nothing runs.
+                  }
+                  auto Found = LastGrant.find(Key);
+                  RC_ASSERT(Found == LastGrant.end() ||
+                            World.Now - Found->second >= SimLife);
+                  LastGrant[Key] = World.Now;
+                  if (End == 1) { // Ended certainly not started.
+                    LastGrant.erase(Key);
+                    State->Outgoing.push_back(
+                        {{claim_action::Release, keyOf(Key), Who, 0}, 0});
+                  }
+                  return true;
+                }});
+    } else if (Kind < 8) {
+      World.Now += *rc::gen::inRange(1, 120);
+    } else if (Kind == 8) {
+      World.Now += *rc::gen::inRange<std::int64_t>(1, 2 * SimLife);
+    } else if (Kind == 9) {
+      World.Fault = *rc::gen::inRange(1, 6);
+    } else if (Kind == 10 && !World.Delayed.empty()) {
+      World.store(World.Delayed.front());
+      World.Delayed.erase(World.Delayed.begin());
+    } else if (Kind == 11) {
+      World.Down = !World.Down && *rc::gen::inRange(0, 2) == 0;
+    } else if (Kind == 12) {
+      Writer.Paused = !Writer.Paused;
+    } else if (Kind == 13 && *rc::gen::inRange(0, 3) == 0) {
+      refuseAll(Writer.State, Context, "restart");
+      Writer.State = {};
+    }
+    World.trim(5'000);
+    for (auto &Other : Writers) {
+      if (!Other.Paused) {
+        runPartition(Other.State, {Log, Other.Options, Other.Stats});
+      }
+    }
+  }
+}
+
+// Guards against two winners of a key within the time to live: lost, delayed
+// and repeated appends, outages, pauses, restarts, retention and wall clocks
+// that differ by more than the margin.
+Test(claims_writers, never_two_winners_within_the_time_to_live) {
+  cr_assert(rc::check("one winner, retention known", [] { simulate(true); }));
+  cr_assert(
+      rc::check("one winner, from the beginning", [] { simulate(false); }));
+}
+
+// Guards against a new writer that starts after trimmed records and treats a
+// claim as the winner that another reader decided against.
+Test(claims_replay, claims_after_trimmed_records_are_uncertain) {
+  auto Batch = [](std::uint64_t Expired, claim_record Record) {
+    return claim_batch{{}, {Expired}, {std::move(Record)}};
+  };
+  auto Late = emptyTable({10});
+  auto Claim = [](int Who) {
+    return claim_record{claim_action::Claim, keyOf(1), whoOf(Who), 0};
+  };
+  replayClaims(Late, {10}, Batch(0, Claim(1)));
+  cr_assert(decide(Late, keyOf(1), whoOf(1)) == claim_answer(held{0}));
+  replayClaims(Late, {11}, Batch(10, Claim(2)));
+  replayClaims(Late, {12}, Batch(11, Claim(3)));
+  cr_assert(decide(Late, keyOf(1), whoOf(3)) == claim_answer(held{0}));
+  replayClaims(Late, {13}, Batch(13, Claim(4)));
+  cr_assert(decide(Late, keyOf(1), whoOf(4)) == claim_answer(granted{}));
+}
+
+// Guards against a table that grows without bound or decides after it had to
+// drop claims.
+Test(claims_replay, an_overflowing_table_decides_nothing) {
+  auto Table = emptyTable({0});
+  for (auto Number = 0; Number <= int(HardMaxClaims); ++Number) {
+    auto Key = claim_key{};
+    std::memcpy(Key.Bytes.data(), &Number, sizeof Number);
+    replayClaims(Table, {std::uint64_t(Number)},
+                 {{}, {}, {{claim_action::Claim, Key, whoOf(Number), 0}}});
+  }
+  cr_assert(Table.Entries.size() == HardMaxClaims);
+  cr_assert(
+      std::holds_alternative<refused>(decide(Table, claim_key{}, whoOf(0))));
+}
