--- a/include/sycamorelb/proxy/http_server.h
+++ b/include/sycamorelb/proxy/http_server.h
@@ -19,8 +19,8 @@
   std::uint16_t Port = 0;         ///< Port to listen on; 0 for any free one.
   std::uint32_t Workers = 64;     ///< Threads, hence calls in progress at once.
   std::uint32_t MaxConnections = 8192; ///< More are closed when accepted.
-  std::uint32_t MaxQueued = 1024; ///< Requests that wait for a worker; more
-                                  ///< are refused as not run.
+  millis QueueTimeout{50}; ///< While all workers are busy for longer, new
+                           ///< requests are refused as not run.
   std::uint32_t MaxHeadBytes = 16 * 1024;  ///< Request line and headers.
   std::uint32_t MaxHeaders = 100;          ///< Header fields of one request.
   std::uint64_t MaxBodyBytes = 1ULL << 30; ///< Body of a forwarded request.
--- a/include/sycamorelb/proxy/proxy_handler.h
+++ b/include/sycamorelb/proxy/proxy_handler.h
@@ -26,7 +26,8 @@
       const route_info &Route, std::uint32_t Attempt,
       const std::vector<call_target> &Excluded)>
       Pick;
-  /** Reports each attempt that Pick returned a target for, exactly once. */
+  /** Reports each attempt that Pick returned a target for, exactly once. The
+   * latency of a hedge that was not sent is 0 and Started is false. */
   std::function<void(const route_info &Route, const call_target &Target,
                      const call_outcome &Outcome,
                      const header_list &ResponseHeaders)>
@@ -49,7 +50,8 @@
       const admission_ticket &Ticket, cancellation &Cancel)>
       Claim;
   /** Returns the slot; called exactly once for each ticket. KeyHash is set if a
-   * claim was granted; the claim is to be released if the outcome is NotRun. */
+   * claim was granted; the claim is to be released if the outcome is NotRun, or
+   * if no byte was sent to the upstream (Outcome.Started is false). */
   std::function<void(
       const admission_request &Request, const admission_ticket &Ticket,
       const call_outcome &Outcome, std::optional<std::uint64_t> KeyHash)>
