Feature: [Proxy] Server, forwarding, admission and entry

The server keeps idle and slow connections in epoll; the workers wait on the same epoll descriptor, so a request needs no hand-over between threads. cpp-httplib listens, accepts and serves the local endpoints. Its client is not used for forwarding: it adds headers, cannot forward a 304 with a length, and sees an early answer only after the whole body was written. Not yet covered by tests.

--- /dev/null
+++ b/src/proxy/call_header.cpp
@@ -0,0 +1,103 @@
+/** @file call_header.cpp Headers that nodes add, read and remove. */
+#include "proxy/call_header.h"
+
+#include <algorithm>
+#include <array>
+
+namespace sycamorelb::proxy {
+
+static auto isNodeHeader(std::string_view Name) -> bool {
+  constexpr auto Names = std::array<std::string_view, 9>{
+      DeadlineHeader, AttemptsHeader, OutcomeHeader, ReasonHeader,  AuthHeader,
+      ServiceHeader,  VersionHeader,  RouteHeader,   PriorityHeader};
+  return std::any_of(Names.begin(), Names.end(), [&](auto Candidate) {
+    return equalNames(Name, Candidate);
+  });
+}
+
+auto writeRequestHead(const request_head &Head, const call_body &Body,
+                      const outgoing_head &Out) -> std::string {
+  auto Text = std::string();
+  Text.reserve(1024);
+  Text.append(Head.Method).append(" ").append(Head.Target);
+  Text += " HTTP/1.1\r\n";
+  if (!findHeader(Head.Headers, "host")) {
+    Text += "Host: unknown\r\n";
+  }
+  for (const auto &[Name, Value] : withoutHopHeaders(Head.Headers)) {
+    if (!isNodeHeader(Name)) {
+      appendHeader(Text, Name, Value);
+    }
+  }
+  for (const auto &[Name, Value] : Out.Added) {
+    appendHeader(Text, Name, Value);
+  }
+  appendHeader(Text, DeadlineHeader, std::to_string(Out.Remaining.count()));
+  appendHeader(Text, AttemptsHeader, std::to_string(Out.Attempts));
+  if (Head.Body.Kind == body_kind::Length) {
+    appendHeader(Text, "Content-Length", std::to_string(Head.Body.Length));
+  } else if (Head.Body.Kind == body_kind::Chunked && Body.Whole) {
+    appendHeader(Text, "Content-Length", std::to_string(Body.Buffered.size()));
+  } else if (Head.Body.Kind == body_kind::Chunked) {
+    appendHeader(Text, "Transfer-Encoding", "chunked");
+  }
+  if (Out.ExpectContinue) {
+    appendHeader(Text, "Expect", "100-continue");
+  }
+  return Text + "\r\n";
+}
+
+auto remainingTime(const header_list &Headers, millis Limit) -> millis {
+  auto Value = findHeader(Headers, DeadlineHeader);
+  auto Carried = Value ? parseDecimal(*Value) : std::nullopt;
+  if (!Carried || *Carried > static_cast<std::uint64_t>(Limit.count())) {
+    return Limit;
+  }
+  return millis(static_cast<std::int64_t>(*Carried));
+}
+
+auto allowedAttempts(const header_list &Headers, std::uint32_t Default)
+    -> std::uint32_t {
+  auto Value = findHeader(Headers, AttemptsHeader);
+  auto Carried = Value ? parseDecimal(*Value) : std::nullopt;
+  if (!Carried) {
+    return Default;
+  }
+  return static_cast<std::uint32_t>(
+      std::clamp<std::uint64_t>(*Carried, 1, Default));
+}
+
+auto attemptShare(std::uint32_t Allowance, std::uint32_t OwnAttempts,
+                  std::uint32_t Attempt) -> std::uint32_t {
+  if (Attempt > 1 || OwnAttempts >= Allowance) {
+    return 1;
+  }
+  return Allowance - (OwnAttempts - 1);
+}
+
+auto classifyAnswer(const response_head &Head) -> outcome_kind {
+  auto Mark = findHeader(Head.Headers, OutcomeHeader);
+  if (!Mark || Head.Status < 400) {
+    return outcome_kind::Answered;
+  }
+  if (*Mark == "not-run") {
+    return outcome_kind::NotRun;
+  }
+  auto IsGateway = Head.Status == 502 || Head.Status == 504;
+  return *Mark == "unknown" && IsGateway ? outcome_kind::Unknown
+                                         : outcome_kind::Answered;
+}
+
+void answerFailure(exchange &Exchange, const call_outcome &Outcome) {
+  auto NotRun = Outcome.Kind == outcome_kind::NotRun;
+  auto TimedOut = Outcome.Reason == statusName(io_status::TimedOut);
+  auto Mark = std::string(NotRun ? "not-run" : "unknown");
+  auto Why = Outcome.Step + " " + Outcome.Peer + ": " + Outcome.Reason;
+  auto Gateway = TimedOut ? 504 : 502;
+  Exchange.answer(
+      NotRun ? 503 : Gateway,
+      {{std::string(OutcomeHeader), Mark}, {std::string(ReasonHeader), Why}},
+      Mark + ": " + Why + "\n");
+}
+
+} // namespace sycamorelb::proxy
--- /dev/null
+++ b/src/proxy/exchange.cpp
@@ -0,0 +1,175 @@
+/** @file exchange.cpp One request of a caller and the answer to it. */
+#include "proxy/exchange.h"
+
+#include "sycamorelb/core/clock_func.h"
+
+#include <algorithm>
+#include <array>
+#include <charconv>
+#include <utility>
+
+namespace sycamorelb::proxy {
+
+// Larger pieces are written directly, since copying them costs more than a
+// further segment.
+static constexpr auto CollectBytes = std::size_t{16 * 1024};
+
+exchange::exchange(connection &Caller, request_head TheHead,
+                   exchange_limits Limits, bool Draining)
+    : Caller(Caller), Head(std::move(TheHead)), Limits(Limits),
+      Draining(Draining), Body(Head.Body, Limits.MaxBodyBytes),
+      ContinueDue(Head.ExpectContinue) {}
+
+auto exchange::limits(steady_time Deadline) const -> wait_limits {
+  auto Progress = steadyNow() + Limits.BodyTimeout;
+  return {.Deadline = std::min(Deadline, Progress)};
+}
+
+auto exchange::readBody(wait_limits Wait, std::string_view &Piece)
+    -> body_status {
+  Caller.consume(std::exchange(PieceSize, 0));
+  Wait.Deadline = std::min(Wait.Deadline, steadyNow() + Limits.BodyTimeout);
+  for (;;) {
+    if (Body.isComplete()) {
+      return body_status::End;
+    }
+    auto Step = Body.decode(Caller.input());
+    if (Body.isInvalid()) {
+      return body_status::Invalid;
+    }
+    if (!Step.Data.empty()) {
+      PieceSize = Step.Consumed;
+      Piece = Step.Data;
+      return body_status::Piece;
+    }
+    Caller.consume(Step.Consumed);
+    if (Step.Consumed > 0) {
+      continue;
+    }
+    if (std::exchange(ContinueDue, false)) {
+      auto Written = std::uint64_t{0};
+      Caller.write("HTTP/1.1 100 Continue\r\n\r\n", {}, Wait, Written);
+    }
+    switch (Caller.fill(Wait)) {
+    case io_status::Ok:
+      break;
+    case io_status::TimedOut:
+      return body_status::TimedOut;
+    case io_status::Early:
+      return body_status::Early;
+    case io_status::Closed:
+    case io_status::Failed:
+    case io_status::CallerLeft:
+      return body_status::CallerLeft;
+    }
+  }
+}
+
+void exchange::readBufferedBody() {
+  Caller.consume(std::exchange(PieceSize, 0));
+  while (!Body.isComplete() && !Body.isInvalid()) {
+    auto Step = Body.decode(Caller.input());
+    if (Step.Consumed == 0) {
+      return;
+    }
+    Caller.consume(Step.Consumed);
+  }
+}
+
+void exchange::beginAnswer(int Status, std::string_view Reason,
+                           const header_list &Headers, body_framing Framing) {
+  readBufferedBody();
+  auto UntilClose = Framing.Kind == body_kind::UntilClose ||
+                    Framing.Kind == body_kind::Chunked;
+  Chunked = UntilClose && Head.MinorVersion == 1;
+  auto Keep = Head.KeepAlive && !Draining && Body.isComplete() &&
+              (!UntilClose || Chunked);
+  End = Keep ? exchange_end::Keep : exchange_end::Close;
+  Out = "HTTP/1.1 " + std::to_string(Status) + " ";
+  Out.append(Reason).append("\r\n");
+  for (const auto &[Name, Value] : Headers) {
+    appendHeader(Out, Name, Value);
+  }
+  if (Framing.Kind == body_kind::Length) {
+    appendHeader(Out, "Content-Length", std::to_string(Framing.Length));
+  } else if (Chunked) {
+    appendHeader(Out, "Transfer-Encoding", "chunked");
+  }
+  if (!Keep) {
+    appendHeader(Out, "Connection", "close");
+  } else if (Head.MinorVersion == 0) {
+    appendHeader(Out, "Connection", "keep-alive");
+  }
+  Out += "\r\n";
+}
+
+auto exchange::writeAnswer(std::string_view Data, steady_time Deadline)
+    -> bool {
+  if (Data.empty()) {
+    return true;
+  }
+  if (Chunked) {
+    auto Size = std::array<char, 20>();
+    auto End = std::to_chars(Size.begin(), Size.end(), Data.size(), 16).ptr;
+    Out.append(Size.begin(), End).append("\r\n");
+  }
+  if (Out.size() + Data.size() <= CollectBytes) {
+    Out.append(Data);
+  } else {
+    auto Status = Caller.write(Out, Data, limits(Deadline), Sent);
+    Out.clear();
+    if (Status != io_status::Ok) {
+      End = exchange_end::Abort;
+      return false;
+    }
+  }
+  if (Chunked) {
+    Out += "\r\n";
+  }
+  return true;
+}
+
+auto exchange::flush(steady_time Deadline) -> bool {
+  auto Status = Caller.write(Out, {}, limits(Deadline), Sent);
+  Out.clear();
+  if (Status != io_status::Ok) {
+    End = exchange_end::Abort;
+  }
+  return Status == io_status::Ok;
+}
+
+auto exchange::finishAnswer(steady_time Deadline) -> bool {
+  if (Chunked) {
+    Out += "0\r\n\r\n";
+  }
+  return flush(Deadline);
+}
+
+void exchange::discardAnswer() {
+  Out.clear();
+  Chunked = false;
+  End = exchange_end::Abort;
+}
+
+void exchange::answer(int Status, const header_list &Headers,
+                      std::string_view Text) {
+  // A complete answer must reach a caller whose own deadline has passed.
+  auto Deadline = steadyNow() + Limits.BodyTimeout;
+  auto HasBody = Status != 204 && Status != 304;
+  beginAnswer(Status, reasonPhrase(Status), Headers,
+              {HasBody ? body_kind::Length : body_kind::None, Text.size()});
+  if (Head.Method == "HEAD" || !HasBody || writeAnswer(Text, Deadline)) {
+    flush(Deadline);
+  }
+}
+
+void exchange::answerRaw(std::string_view Message, bool Close) {
+  readBufferedBody();
+  End = Close || !Body.isComplete() ? exchange_end::Close : exchange_end::Keep;
+  auto Status = Caller.write(Message, {}, limits(steady_time::max()), Sent);
+  if (Status != io_status::Ok) {
+    End = exchange_end::Abort;
+  }
+}
+
+} // namespace sycamorelb::proxy
--- /dev/null
+++ b/src/proxy/http_server.cpp
@@ -0,0 +1,360 @@
+/** @file http_server.cpp Server whose idle connections hold no thread. */
+#include "sycamorelb/proxy/http_server.h"
+
+#include "proxy/local_endpoint.h"
+#include "proxy/server_connection.h"
+
+#include "sycamorelb/core/clock_func.h"
+#include "sycamorelb/proxy/header_name.h"
+
+#include <array>
+#include <atomic>
+#include <condition_variable>
+#include <mutex>
+#include <sys/epoll.h>
+#include <sys/eventfd.h>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+#include <utility>
+#include <vector>
+
+namespace sycamorelb::proxy {
+
+// Time for the caller to read the answer and close, before the connection is
+// closed although unread input may then discard the answer.
+static constexpr auto LingerTimeout = millis{2000};
+static constexpr auto SweepPeriod = millis{20};
+
+struct http_server::implementation {
+  explicit implementation(server_options Options);
+
+  void adopt(int Fd);
+  void accept();
+  void work();
+  void sweep();
+  void refuseWaiting();
+  auto dispatch(const epoll_event &Event, bool Refuse) -> bool;
+  void onReady(server_connection &Connection, bool Refuse);
+  void serveBuffered(server_connection &Connection, bool Refuse);
+  auto serveOne(server_connection &Connection, std::size_t HeadSize,
+                bool Refuse) -> exchange_end;
+  void run(exchange &Exchange, bool Refuse);
+  void park(server_connection &Connection, connection_phase Phase,
+            millis Timeout);
+  void beginRequest();
+  void endRequest();
+  void stop();
+
+  server_options Options;
+  library_server Library;
+  call_handler Calls;
+  connection_registry Registry;
+  int Epoll;
+  int Wake; // Event descriptor that ends the workers.
+  std::uint16_t Port = 0;
+  std::atomic<bool> Draining{false};
+  std::atomic<bool> Stopping{false};
+  std::atomic<bool> AcceptorDone{false};
+  std::atomic<std::uint64_t> Accepted{0};
+  std::atomic<std::uint64_t> Requests{0};
+  std::atomic<std::uint64_t> BadRequests{0};
+  std::atomic<std::uint64_t> Overloaded{0};
+  std::atomic<std::uint32_t> Busy{0};
+  std::atomic<std::int64_t> AllBusySince{0}; // Steady µs; 0 while one is free.
+  std::mutex IdleMutex; // A leaf lock: nothing is called while it is held.
+  std::condition_variable IdleChanged;
+  std::thread Acceptor;
+  std::thread Sweeper;
+  std::vector<std::thread> Workers;
+};
+
+http_server::implementation::implementation(server_options Options)
+    : Options(std::move(Options)), Library([this](int Fd) { adopt(Fd); }),
+      Epoll(::epoll_create1(EPOLL_CLOEXEC)),
+      Wake(::eventfd(0, EFD_CLOEXEC | EFD_NONBLOCK)) {
+  auto Event = epoll_event{EPOLLIN, {.ptr = nullptr}};
+  ::epoll_ctl(Epoll, EPOLL_CTL_ADD, Wake, &Event);
+}
+
+void http_server::implementation::adopt(int Fd) {
+  ++Accepted;
+  prepareSocket(Fd);
+  // A refused connection is closed by the registry's own copy.
+  auto *Connection = Registry.add(Fd, Options.MaxConnections);
+  if (Connection == nullptr) {
+    return;
+  }
+  Connection->Deadline =
+      (steadyNow() + Options.HeadTimeout).time_since_epoch().count();
+  auto Event =
+      epoll_event{EPOLLIN | EPOLLRDHUP | EPOLLONESHOT, {.ptr = Connection}};
+  ::epoll_ctl(Epoll, EPOLL_CTL_ADD, Fd, &Event);
+}
+
+void http_server::implementation::accept() {
+  // The library leaves its loop on some transient errors of accept; the port is
+  // then bound again.
+  while (!Stopping) {
+    Library.listen_after_bind();
+    if (!Stopping && Library.bind(Options.Host, Port) == 0) {
+      std::this_thread::sleep_for(std::chrono::milliseconds(10));
+    }
+  }
+  AcceptorDone = true;
+}
+
+void http_server::implementation::park(server_connection &Connection,
+                                       connection_phase Phase, millis Timeout) {
+  auto Deadline = (steadyNow() + Timeout).time_since_epoch().count();
+  Connection.Deadline = Deadline;
+  Connection.Phase = Phase;
+  auto Event =
+      epoll_event{EPOLLIN | EPOLLRDHUP | EPOLLONESHOT, {.ptr = &Connection}};
+  // After this call another thread may use or remove the connection.
+  ::epoll_ctl(Epoll, EPOLL_CTL_MOD, Connection.Socket.fd(), &Event);
+}
+
+auto http_server::implementation::dispatch(const epoll_event &Event,
+                                           bool Refuse) -> bool {
+  if (Event.data.ptr == nullptr) {
+    return false;
+  }
+  onReady(*static_cast<server_connection *>(Event.data.ptr), Refuse);
+  return true;
+}
+
+void http_server::implementation::work() {
+  auto Event = epoll_event();
+  for (;;) {
+    auto Count = ::epoll_wait(Epoll, &Event, 1, -1);
+    if (Count == 1 && !dispatch(Event, false)) {
+      return;
+    }
+  }
+}
+
+void http_server::implementation::sweep() {
+  while (!Stopping) {
+    auto Lock = std::unique_lock(IdleMutex);
+    IdleChanged.wait_for(Lock, SweepPeriod, [this] { return Stopping.load(); });
+    Lock.unlock();
+    Registry.shutExpired(steadyNow());
+    refuseWaiting();
+  }
+}
+
+void http_server::implementation::refuseWaiting() {
+  auto Event = epoll_event();
+  for (;;) {
+    auto Since = AllBusySince.load();
+    auto Now = steadyNow().time_since_epoch().count();
+    if (Since == 0 || Now - Since < micros(Options.QueueTimeout).count() ||
+        ::epoll_wait(Epoll, &Event, 1, 0) != 1 || !dispatch(Event, true)) {
+      return;
+    }
+  }
+}
+
+void http_server::implementation::onReady(server_connection &Connection,
+                                          bool Refuse) {
+  auto Lingering = Connection.Phase.load() == connection_phase::Linger;
+  auto Status = Connection.Socket.fillNow();
+  if (Status == io_status::Closed || Status == io_status::Failed || Stopping) {
+    Registry.remove(Connection);
+    return;
+  }
+  if (Lingering) {
+    Connection.Socket.consume(Connection.Socket.input().size());
+    auto Left =
+        Connection.Deadline.load() - steadyNow().time_since_epoch().count();
+    park(Connection, connection_phase::Linger,
+         std::chrono::ceil<millis>(micros(Left)));
+    return;
+  }
+  serveBuffered(Connection, Refuse);
+}
+
+void http_server::implementation::serveBuffered(server_connection &Connection,
+                                                bool Refuse) {
+  auto WasReading = Connection.Phase.load() == connection_phase::Head;
+  for (;;) {
+    auto Input = Connection.Socket.input();
+    auto Head = findHeadEnd(Input);
+    if (!Head.Found && Input.size() <= Options.MaxHeadBytes) {
+      break;
+    }
+    Connection.Phase = connection_phase::Busy;
+    WasReading = false;
+    auto Size = Head.Found ? Head.Size : Input.size();
+    switch (serveOne(Connection, Size, Refuse)) {
+    case exchange_end::Keep:
+      continue;
+    case exchange_end::Close:
+      ::shutdown(Connection.Socket.fd(), SHUT_WR);
+      park(Connection, connection_phase::Linger, LingerTimeout);
+      return;
+    case exchange_end::Abort:
+      Connection.Socket.resetOnClose();
+      Registry.remove(Connection);
+      return;
+    }
+  }
+  if (Connection.Socket.input().empty()) {
+    Connection.Socket.releaseBuffer();
+    park(Connection, connection_phase::Idle, Options.IdleTimeout);
+    return;
+  }
+  // The time for a head runs from its first byte, however slowly it arrives.
+  auto Left = Options.HeadTimeout;
+  if (WasReading) {
+    auto Until = Connection.Deadline.load();
+    Left = std::chrono::ceil<millis>(
+        micros(Until - steadyNow().time_since_epoch().count()));
+  }
+  park(Connection, connection_phase::Head, Left);
+}
+
+auto http_server::implementation::serveOne(server_connection &Connection,
+                                           std::size_t HeadSize, bool Refuse)
+    -> exchange_end {
+  auto Limits = head_limits{Options.MaxHeadBytes, Options.MaxHeaders,
+                            Options.MaxBodyBytes};
+  auto Parsed =
+      parseRequestHead(Connection.Socket.input().substr(0, HeadSize), Limits);
+  auto BodyLimits = exchange_limits{Options.MaxBodyBytes, Options.BodyTimeout};
+  if (auto *Error = std::get_if<framing_error>(&Parsed)) {
+    ++BadRequests;
+    Connection.Socket.consume(Connection.Socket.input().size());
+    auto Refused =
+        exchange(Connection.Socket, request_head(), BodyLimits, Draining);
+    Refused.closeAfterAnswer();
+    Refused.answer(Error->Status, {{std::string(OutcomeHeader), "not-run"}},
+                   Error->Reason + "\n");
+    return Refused.end();
+  }
+  Connection.Socket.consume(HeadSize);
+  auto Exchange =
+      exchange(Connection.Socket, std::move(std::get<request_head>(Parsed)),
+               BodyLimits, Draining);
+  run(Exchange, Refuse);
+  return Exchange.end();
+}
+
+void http_server::implementation::run(exchange &Exchange, bool Refuse) {
+  if (Refuse) {
+    ++Overloaded;
+    Exchange.answer(503,
+                    {{std::string(OutcomeHeader), "not-run"},
+                     {std::string(ReasonHeader), "all workers busy"}},
+                    "not run: all workers busy\n");
+    return;
+  }
+  beginRequest();
+  if (Library.hasLocal(Exchange.head())) {
+    Library.serveLocal(Exchange);
+  } else if (!Calls) {
+    Exchange.answer(404, {}, "no such endpoint\n");
+  } else if (Exchange.isDraining()) {
+    Exchange.answer(503,
+                    {{std::string(OutcomeHeader), "not-run"},
+                     {std::string(ReasonHeader), "node is draining"}},
+                    "not run: node is draining\n");
+  } else {
+    Calls(Exchange);
+  }
+  endRequest();
+}
+
+void http_server::implementation::beginRequest() {
+  ++Requests;
+  if (++Busy == Options.Workers) {
+    AllBusySince = steadyNow().time_since_epoch().count();
+  }
+}
+
+void http_server::implementation::endRequest() {
+  AllBusySince = 0;
+  if (--Busy == 0 && Draining) {
+    auto Lock = std::lock_guard(IdleMutex);
+    IdleChanged.notify_all();
+  }
+}
+
+void http_server::implementation::stop() {
+  if (Stopping.exchange(true) || !Acceptor.joinable()) {
+    return;
+  }
+  {
+    auto Lock = std::lock_guard(IdleMutex);
+    IdleChanged.notify_all();
+  }
+  // The library ignores a stop that comes while it binds again.
+  while (!AcceptorDone) {
+    Library.requestStop();
+    std::this_thread::sleep_for(std::chrono::milliseconds(1));
+  }
+  Acceptor.join();
+  Registry.shutAll();
+  ::eventfd_write(Wake, 1);
+  Sweeper.join();
+  for (auto &Worker : Workers) {
+    Worker.join();
+  }
+}
+
+http_server::http_server(server_options Options)
+    : Impl(std::make_unique<implementation>(std::move(Options))) {}
+
+http_server::~http_server() {
+  stop();
+  ::close(Impl->Wake);
+  ::close(Impl->Epoll);
+}
+
+void http_server::handle(const std::string &Method, const std::string &Path,
+                         local_handler Handler) {
+  Impl->Library.add(Method, Path, std::move(Handler));
+}
+
+void http_server::handleCalls(call_handler Handler) {
+  Impl->Calls = std::move(Handler);
+}
+
+auto http_server::start() -> result<std::uint16_t> {
+  auto &Server = *Impl;
+  Server.Port = Server.Library.bind(Server.Options.Host, Server.Options.Port);
+  if (Server.Port == 0) {
+    return error{error_code::Unreachable, "bind",
+                 Server.Options.Host + ":" +
+                     std::to_string(Server.Options.Port),
+                 "the address cannot be bound"};
+  }
+  Server.Acceptor = std::thread([&Server] { Server.accept(); });
+  Server.Sweeper = std::thread([&Server] { Server.sweep(); });
+  for (auto Index = 0U; Index < Server.Options.Workers; ++Index) {
+    Server.Workers.emplace_back([&Server] { Server.work(); });
+  }
+  // The library ignores a stop that comes before it runs.
+  while (!Server.Library.is_running()) {
+    std::this_thread::yield();
+  }
+  return Server.Port;
+}
+
+void http_server::beginDrain() { Impl->Draining = true; }
+
+auto http_server::waitIdle(millis Timeout) -> bool {
+  auto Lock = std::unique_lock(Impl->IdleMutex);
+  return Impl->IdleChanged.wait_for(Lock, Timeout,
+                                    [this] { return Impl->Busy == 0; });
+}
+
+void http_server::stop() { Impl->stop(); }
+
+auto http_server::stats() const -> server_stats {
+  return {Impl->Accepted,   Impl->Requests,        Impl->BadRequests,
+          Impl->Overloaded, Impl->Registry.size(), Impl->Busy};
+}
+
+} // namespace sycamorelb::proxy
