Feature: [Standin] Upstream with slots, cold start and commanded faults

Tests and demos need an upstream that becomes cold, fails, slows down, truncates and freezes on command, and that counts executions per token and key.

--- /dev/null
+++ b/standin/upstream_main.cpp
@@ -0,0 +1,55 @@
+/** @file upstream_main.cpp Runs the upstream stand-in until SIGTERM. */
+#include "upstream_server.h"
+
+#include <csignal>
+#include <cstdio>
+#include <gflags/gflags.h>
+
+DEFINE_string(host, "127.0.0.1", "address to listen on");
+DEFINE_uint32(port, 0, "port to listen on; 0 for any free one");
+DEFINE_string(service, "service", "service to announce");
+DEFINE_string(version, "v1", "version to announce");
+DEFINE_uint32(slots, 10, "calls worked on at once");
+DEFINE_uint32(connections, 120, "connections accepted");
+DEFINE_double(service_ms, 5, "time of a call on a warm host, in ms");
+DEFINE_int64(warm_ms, 30000,
+             "time in ms that warms a cold host; 0 starts warm");
+DEFINE_uint32(cold_slots, 1, "calls that a cold host can bear");
+DEFINE_uint32(warm_calls, 50, "completed calls that warm a cold host");
+DEFINE_string(announce, "", "http://ip:port of the node beside it");
+DEFINE_int64(drain_ms, 5000, "longest time for calls in progress at the end");
+
+auto main(int Count, char **Arguments) -> int {
+  using namespace sycamorelb;
+  gflags::ParseCommandLineFlags(&Count, &Arguments, true);
+  // The signals are blocked in all threads and taken by sigwait below.
+  auto Signals = sigset_t();
+  sigemptyset(&Signals);
+  sigaddset(&Signals, SIGTERM);
+  sigaddset(&Signals, SIGINT);
+  pthread_sigmask(SIG_BLOCK, &Signals, nullptr);
+  auto Options = standin::upstream_options();
+  Options.Host = FLAGS_host;
+  Options.Port = static_cast<std::uint16_t>(FLAGS_port);
+  Options.Service = FLAGS_service;
+  Options.Version = FLAGS_version;
+  Options.Connections = FLAGS_connections;
+  Options.Announce = FLAGS_announce;
+  Options.Behaviour.ServiceMs = FLAGS_service_ms;
+  Options.Behaviour.Slots = FLAGS_slots;
+  Options.Behaviour.WarmMs = FLAGS_warm_ms;
+  Options.Behaviour.ColdSlots = FLAGS_cold_slots;
+  Options.Behaviour.WarmCalls = FLAGS_warm_calls;
+  auto Server = standin::upstream_server(Options);
+  auto Started = Server.start();
+  if (!isOk(Started)) {
+    std::fprintf(stderr, "%s\n", describe(errorOf(Started)).c_str());
+    return 1;
+  }
+  std::printf("listening on %s:%u\n", Options.Host.c_str(), valueOf(Started));
+  std::fflush(stdout);
+  auto Signal = 0;
+  sigwait(&Signals, &Signal);
+  Server.stop(millis(FLAGS_drain_ms));
+  return 0;
+}
