--- a/include/sycamorelb/inner/auth_func.h
+++ b/include/sycamorelb/inner/auth_func.h
@@ -38,6 +38,8 @@
   Request = 2,
   RpcServer = 3,
   RpcClient = 4,
+  AdminServer = 5,
+  AdminClient = 6,
 };
 
 /** Checks a key list: not empty, unique ids, secrets of at least 16 bytes. */
--- a/include/sycamorelb/inner/peer_type.h
+++ b/include/sycamorelb/inner/peer_type.h
@@ -36,6 +36,9 @@
   incarnation Incarnation{};   ///< Its generation.
   std::string AttemptId{};     ///< Unique id of the attempt.
   wall_ms At{};                ///< When the claim was made.
+  std::uint16_t Status = 0;    ///< At the end of a claim: HTTP status of the
+                               ///< completed call, or 0 for a call that did
+                               ///< not start.
   auto operator==(const claim_request &) const -> bool = default;
 };
 
@@ -52,6 +55,7 @@
   node_id HeldByNode{};                        ///< Winner; only when held.
   incarnation HeldByIncarnation{}; ///< Its generation; only when held.
   std::string HeldByAttempt{};     ///< Its attempt; only when held.
+  std::uint16_t HeldStatus = 0;  ///< HTTP status of its call; 0 if unknown.
   std::string Reason{};            ///< Reason; only when refused.
   auto operator==(const claim_verdict &) const -> bool = default;
 };
--- a/src/admin/admin_client.cpp
+++ b/src/admin/admin_client.cpp
@@ -106,9 +106,8 @@
     using value = std::invoke_result_t<F, typename R::Reader>;
     auto Value = value();
     auto Failure = kj::runCatchingExceptions([&] {
-      auto Response =
-          withTimeout<capnp::Response<R>>(Request.send());
-      Value = Read(Response);
+      auto Response = withTimeout<capnp::Response<R>>(Request.send());
+      Value = Read(static_cast<typename R::Reader>(Response));
     });
     KJ_IF_MAYBE(Exception, Failure) {
       return makeError(error_code::Timeout, Step, *Exception);
--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -3,6 +3,7 @@
 
 #include "admin/admin_wire.h"
 #include "inner/handshake.h"
+#include "sycamorelb/core/clock_func.h"
 
 #include <kj/debug.h>
 #include <optional>
@@ -152,7 +153,7 @@
     auto Params = Context.getParams();
     // A nonce serves for one attempt.
     auto Handshake = std::exchange(Pending, std::nullopt);
-    KJ_REQUIRE(Handshake && inner::verifyMac(State->Keys, Params.getKeyId(),
+    KJ_REQUIRE(Handshake.has_value() && inner::verifyMac(State->Keys, Params.getKeyId(),
                                              inner::auth_purpose::AdminClient,
                                              inner::handshakeBytes(*Handshake),
                                              toBytes(Params.getProof())),
--- a/src/inner/inner.capnp
+++ b/src/inner/inner.capnp
@@ -37,6 +37,7 @@
   version @2 :Text;
   issuedAtMs @3 :Int64;
   reason @4 :Text;
+  heldStatus @5 :UInt16;
 }
 
 struct ConfigMark {
@@ -99,6 +100,7 @@
   incarnation @3 :UInt64;
   attempt @4 :Text;
   atMs @5 :Int64;
+  status @6 :UInt16;
 }
 
 struct ClaimVerdict {
@@ -107,6 +109,7 @@
   heldByIncarnation @2 :UInt64;
   heldByAttempt @3 :Text;
   reason @4 :Text;
+  heldStatus @5 :UInt16;
 }
 
 interface Gate {
--- a/src/inner/wire.cpp
+++ b/src/inner/wire.cpp
@@ -178,6 +178,7 @@
   Out.setIncarnation(Claim.Incarnation.Value);
   Out.setAttempt(asText(Claim.AttemptId));
   Out.setAtMs(Claim.At.Value);
+  Out.setStatus(Claim.Status);
 }
 
 auto readClaim(wire::ClaimRequest::Reader In, claim_request &Claim) -> bool {
@@ -185,6 +186,7 @@
   Claim.KeyHash = In.getKeyHash();
   Claim.Incarnation.Value = In.getIncarnation();
   Claim.At.Value = In.getAtMs();
+  Claim.Status = In.getStatus();
   return readText(In.getNode(), MaxIdBytes, Claim.Node.Value) &&
          readText(In.getAttempt(), MaxAttemptBytes, Claim.AttemptId);
 }
@@ -195,6 +197,7 @@
   Out.setHeldByNode(asText(Verdict.HeldByNode.Value));
   Out.setHeldByIncarnation(Verdict.HeldByIncarnation.Value);
   Out.setHeldByAttempt(asText(Verdict.HeldByAttempt));
+  Out.setHeldStatus(Verdict.HeldStatus);
   Out.setReason(asText(Verdict.Reason.substr(0, MaxReasonBytes)));
 }
 
@@ -205,6 +208,7 @@
   }
   Verdict.Result = static_cast<claim_result>(In.getResult());
   Verdict.HeldByIncarnation.Value = In.getHeldByIncarnation();
+  Verdict.HeldStatus = In.getHeldStatus();
   return readText(In.getHeldByNode(), MaxIdBytes, Verdict.HeldByNode.Value) &&
          readText(In.getHeldByAttempt(), MaxAttemptBytes,
                   Verdict.HeldByAttempt) &&
--- a/src/node/admission_control.cpp
+++ b/src/node/admission_control.cpp
@@ -4,6 +4,7 @@
 
 #include "node/route_table.h"
 #include "sycamorelb/limits/limiter_func.h"
+#include "sycamorelb/membership/name_func.h"
 #include "sycamorelb/telemetry/log_func.h"
 
 #include <condition_variable>
@@ -394,12 +395,11 @@
   auto Lock = std::lock_guard(Impl->Mutex);
   for (const auto &Upstream : Impl->Upstreams) {
     auto Info = implementation::publishedInfo(*Upstream, Now);
-    static constexpr const char *States[] = {"cold", "warm", "draining"};
     List.push_back(
         {{"service", Info.Service.Value},
          {"version", Info.Version.Value},
          {"address", Info.Address},
-         {"state", States[static_cast<int>(Info.State)]},
+         {"state", membership::upstreamStateName(Info.State)},
          {"slots", Info.Slots},
          {"connections", Info.Connections},
          {"limit", Info.Limit},
--- a/src/node/call_policy.cpp
+++ b/src/node/call_policy.cpp
@@ -114,7 +114,7 @@
       return std::nullopt;
     }
     if (Attempt == 1) {
-      earnBudgets(Route, Now);
+      earnBudgets(Route);
     }
     checkEjections(Table, Now);
     const auto &Group = Service->second;
@@ -239,11 +239,11 @@
   }
 
   /** The mutex must be held. */
-  void earnBudgets(const route_info &Route, steady_time Now) {
+  void earnBudgets(const route_info &Route) {
     auto [Retry, Hedge] = budgetConfigs(Route.Name);
     auto &Budget = Budgets[Route.Name];
-    limits::onCall(Budget.Retries, Retry, Now);
-    limits::onCall(Budget.Hedges, Hedge, Now);
+    limits::onCall(Budget.Retries, Retry);
+    limits::onCall(Budget.Hedges, Hedge);
   }
 
   auto mayRetry(const route_info &Route) -> bool {
--- a/src/node/gossip_loop.cpp
+++ b/src/node/gossip_loop.cpp
@@ -2,6 +2,7 @@
 #include "node/gossip_loop.h"
 
 #include "sycamorelb/membership/exchange_func.h"
+#include "sycamorelb/membership/name_func.h"
 #include "sycamorelb/telemetry/log_func.h"
 
 #include <condition_variable>
--- a/src/node/operations_cmd.cpp
+++ b/src/node/operations_cmd.cpp
@@ -5,6 +5,7 @@
 #include "node/route_table.h"
 #include "sycamorelb/config/declaration_func.h"
 #include "sycamorelb/config/replay_func.h"
+#include "sycamorelb/membership/name_func.h"
 #include "sycamorelb/telemetry/log_func.h"
 
 #include <nlohmann/json.hpp>
@@ -175,10 +176,9 @@
   Status.ConfigPosition = Member.ConfigPosition;
   Status.AdminAddress = Member.Addresses.Admin;
   for (const auto &Upstream : Member.Upstreams) {
-    static constexpr const char *States[] = {"cold", "warm", "draining"};
     Status.Upstreams.push_back(
         {Upstream.Service.Value, Upstream.Version.Value, Upstream.Address,
-         States[static_cast<int>(Upstream.State)], Upstream.Limit,
+         membership::upstreamStateName(Upstream.State), Upstream.Limit,
          Upstream.InFlight, Upstream.Slots});
   }
   return Status;
--- a/src/node/state_dump.cpp
+++ b/src/node/state_dump.cpp
@@ -3,6 +3,7 @@
 
 #include "node/route_table.h"
 #include "sycamorelb/config/declaration_func.h"
+#include "sycamorelb/membership/name_func.h"
 
 #include <nlohmann/json.hpp>
 
--- a/standin/upstream_main.cpp
+++ b/standin/upstream_main.cpp
@@ -8,7 +8,7 @@
 DEFINE_string(host, "127.0.0.1", "address to listen on");
 DEFINE_uint32(port, 0, "port to listen on; 0 for any free one");
 DEFINE_string(service, "service", "service to announce");
-DEFINE_string(version, "v1", "version to announce");
+DEFINE_string(service_version, "v1", "version to announce");
 DEFINE_uint32(slots, 10, "calls worked on at once");
 DEFINE_uint32(connections, 120, "connections accepted");
 DEFINE_double(service_ms, 5, "time of a call on a warm host, in ms");
@@ -32,7 +32,7 @@
   Options.Host = FLAGS_host;
   Options.Port = static_cast<std::uint16_t>(FLAGS_port);
   Options.Service = FLAGS_service;
-  Options.Version = FLAGS_version;
+  Options.Version = FLAGS_service_version;
   Options.Connections = FLAGS_connections;
   Options.Announce = FLAGS_announce;
   Options.Behaviour.ServiceMs = FLAGS_service_ms;
