Fix: [Routing] Returning upstreams received no calls

A returned upstream has a tenth of its weight, and the score divides by the same weight: it lost each comparison and got 0 of 4000 picks. It now takes the calls of its weight without a comparison, like a cold one. The measured utilisation is relative to the slow-started capacity, so that a returned own zone does not take all local traffic at once.

--- a/src/routing/pick.cpp
+++ b/src/routing/pick.cpp
@@ -26,7 +26,7 @@
   double Weight = 1;      ///< Limit with slow start.
   double InFlight = 0;    ///< Own or reported calls in flight.
   double Utilisation = 0; ///< Measured, 0 to 1.
-  bool Learning = false;  ///< Cold, or not observed enough.
+  bool Learning = false;  ///< Cold, returning, or little observed.
 };
 
 /** @return 1 for a new report, falling to 0 over its life. */
@@ -61,8 +61,9 @@
   Entry.Index = Index;
   Entry.Tier = tierOf(Candidate, Request.Origin);
   Entry.Limit = trustedLimit(Candidate, Config, Now);
-  Entry.Weight = Entry.Limit * slowStartWeight(Candidate, Config, Now);
-  Entry.Learning = isCold(Candidate, Config, Now);
+  auto SlowStart = slowStartWeight(Candidate, Config, Now);
+  Entry.Weight = Entry.Limit * SlowStart;
+  Entry.Learning = SlowStart < 1 || isCold(Candidate, Config, Now);
   if (Candidate.Stats == nullptr) {
     Entry.Learning = true;
     return Entry;
@@ -71,8 +72,11 @@
   auto Fresh = reportWeight(Stats, Config, Now);
   Entry.InFlight = std::max(static_cast<double>(Stats.InFlight),
                             Fresh * Stats.Report.InFlight);
-  Entry.Utilisation = std::min(
-      1.0, std::max(Stats.InFlight / Entry.Limit, Fresh * Stats.Utilisation));
+  // Relative to the slow-started capacity, so that traffic also comes back to
+  // the own zone gradually.
+  auto Utilisation =
+      std::max(Stats.InFlight / Entry.Limit, Fresh * Stats.Utilisation);
+  Entry.Utilisation = std::min(1.0, Utilisation / SlowStart);
   Entry.Learning = Entry.Learning || Stats.LatencyUs == 0 ||
                    Stats.EarnedLimit < std::min(2U, Candidate.Slots);
   return Entry;
@@ -231,8 +235,9 @@
                random_source &Random, steady_time Now) -> std::size_t {
   auto Tier = pickTier(Entries, Config, Random);
   auto First = drawEntry(Entries, Tier, Entries.size(), Random);
-  // A cold or unobserved upstream loses every comparison of scores as its limit
-  // is low. It takes the calls of its weight here, which let it warm up.
+  // A cold, returning or unobserved upstream has a low weight and would lose
+  // every comparison of scores. It takes the calls of its weight here; without
+  // them it would never warm up.
   if (Entries[First].Learning && Entries[First].InFlight < Entries[First].Limit)
     return First;
   auto Second = drawEntry(Entries, Tier, First, Random);
--- /dev/null
+++ b/test/routing_pick_test.cpp
@@ -0,0 +1,253 @@
+/** @file routing_pick_test.cpp Tests of picks and outlier ejection. */
+#include "sycamorelb/routing/pick_func.h"
+#include "sycamorelb/routing/stats_func.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace sycamorelb;
+using namespace sycamorelb::routing;
+using limits::call_outcome;
+
+namespace {
+
+constexpr auto Start = steady_time{micros{1'000'000'000}};
+
+/** A group of observed, warm upstreams. */
+struct fixture {
+  std::vector<upstream_stats> Stats;
+  std::vector<candidate> Candidates;
+  pick_request Request{version_id{"v1"}, {zone_id{"z0"}, region_id{"r0"}}, {}};
+  pick_config Config;
+  random_source Random{7};
+
+  explicit fixture(std::size_t Count, std::size_t Zones = 1) : Stats(Count) {
+    for (auto Index = std::size_t{0}; Index < Count; ++Index) {
+      auto Zone = Index % Zones;
+      Stats[Index].LatencyUs = 10'000;
+      Stats[Index].LatencyAt = Start;
+      Stats[Index].EarnedLimit = 10;
+      auto Candidate = candidate{};
+      Candidate.Id = upstream_id{"u" + std::to_string(Index)};
+      Candidate.Version = Request.Version;
+      Candidate.Zone = zone_id{"z" + std::to_string(Zone)};
+      Candidate.Region = region_id{"r" + std::to_string(Zone / 2)};
+      Candidate.Slots = 10;
+      Candidate.Stats = &Stats[Index];
+      Candidates.push_back(Candidate);
+    }
+  }
+
+  auto pick(steady_time Now = Start) -> pick_result {
+    return pickUpstream(Candidates, Request, Config, Random, Now);
+  }
+
+  /** @return how often each candidate was picked. */
+  auto picks(int Times, steady_time Now = Start) -> std::vector<int> {
+    auto Counts = std::vector<int>(Candidates.size());
+    for (auto Time = 0; Time < Times; ++Time)
+      ++Counts[std::get<picked>(pick(Now)).Index];
+    return Counts;
+  }
+};
+
+auto genMember() -> rc::Gen<membership::member_state> {
+  using membership::member_state;
+  return rc::gen::element(member_state::Alive, member_state::Alive,
+                          member_state::Suspect, member_state::Leaving,
+                          member_state::Dead);
+}
+
+} // namespace
+
+// Guards against calls for a zone out of service, a leaving node, a draining
+// upstream, another version or an upstream that was tried before.
+Test(routing_pick, picks_only_eligible_candidates) {
+  cr_assert(rc::check("eligible only", [](std::uint64_t Seed) {
+    auto Fixture = fixture{*rc::gen::inRange<std::size_t>(0, 20), 4};
+    Fixture.Random = random_source{Seed};
+    auto Excluded = std::vector<upstream_id>{};
+    for (auto &Candidate : Fixture.Candidates) {
+      if (*rc::gen::inRange(0, 5) == 0)
+        Candidate.Version = version_id{"v2"};
+      Candidate.ZoneInService = *rc::gen::inRange(0, 5) != 0;
+      Candidate.Member = *genMember();
+      if (*rc::gen::inRange(0, 5) == 0)
+        Candidate.State = membership::upstream_state::Draining;
+      if (*rc::gen::inRange(0, 5) == 0)
+        Excluded.push_back(Candidate.Id);
+    }
+    for (auto &Stats : Fixture.Stats)
+      Stats.Outlier.Ejected = *rc::gen::arbitrary<bool>();
+    Fixture.Request.Excluded = Excluded;
+    auto Has = [&](ineligible_reason Reason) {
+      return std::ranges::any_of(Fixture.Candidates, [&](const auto &It) {
+        return checkEligible(It, Fixture.Request) == Reason;
+      });
+    };
+    auto Healthy = Has(ineligible_reason::None);
+    auto Guessed =
+        Has(ineligible_reason::Ejected) || Has(ineligible_reason::Suspect);
+    auto Result = Fixture.pick();
+    RC_ASSERT(std::holds_alternative<picked>(Result) == (Healthy || Guessed));
+    if (!std::holds_alternative<picked>(Result))
+      return;
+    const auto &Picked = std::get<picked>(Result);
+    auto Reason =
+        checkEligible(Fixture.Candidates[Picked.Index], Fixture.Request);
+    RC_ASSERT(Picked.Panic == !Healthy);
+    RC_ASSERT(Picked.PanicReason.empty() == Healthy);
+    if (Healthy)
+      RC_ASSERT(Reason == ineligible_reason::None);
+    else
+      RC_ASSERT(Reason == ineligible_reason::Ejected ||
+                Reason == ineligible_reason::Suspect);
+  }));
+}
+
+// Guards against a cliff: the kept share must fall in small steps as the
+// utilisation rises, from all traffic down to the part of the capacity.
+Test(routing_pick, tiers_spill_continuously) {
+  cr_assert(rc::check("continuous spill", [] {
+    auto Capacity = [] { return *rc::gen::inRange(1, 100) * 1.0; };
+    auto Near = tier_load{Capacity(), 0};
+    auto Middle = tier_load{Capacity(), *rc::gen::inRange(0, 101) / 100.0};
+    auto Far = tier_load{Capacity(), 0};
+    auto Total = Near.Capacity + Middle.Capacity + Far.Capacity;
+    auto Previous = 1.0;
+    for (auto Percent = 0; Percent <= 100; ++Percent) {
+      Near.Utilisation = Percent / 100.0;
+      auto Shares = shareTiers(Near, Middle, Far, pick_config{});
+      RC_ASSERT(std::abs(Shares.OwnZone + Shares.OwnRegion + Shares.Elsewhere -
+                         1) < 1e-9);
+      RC_ASSERT(Shares.OwnZone <= Previous + 1e-9);
+      RC_ASSERT(Previous - Shares.OwnZone < 0.03);
+      Previous = Shares.OwnZone;
+    }
+    RC_ASSERT(std::abs(Previous - Near.Capacity / Total) < 1e-9);
+  }));
+}
+
+// Guards against traffic that leaves the own zone without need.
+Test(routing_pick, idle_own_zone_keeps_all_traffic) {
+  auto Fixture = fixture{12, 3};
+  auto Counts = Fixture.picks(300);
+  for (auto Index = std::size_t{0}; Index < Counts.size(); ++Index)
+    cr_assert((Counts[Index] > 0) == (Index % 3 == 0));
+}
+
+// Guards against a report that raises the trust above what was observed.
+Test(routing_pick, reports_only_lower_the_trust) {
+  cr_assert(rc::check("reports only lower", [] {
+    auto Fixture = fixture{1};
+    auto &Stats = Fixture.Stats[0];
+    Stats.EarnedLimit = *rc::gen::inRange(1, 11);
+    auto Before = trustedLimit(Fixture.Candidates[0], Fixture.Config, Start);
+    auto Report =
+        load_report{*rc::gen::inRange(0U, 2000U), *rc::gen::inRange(0U, 2000U),
+                    *rc::gen::arbitrary<bool>()};
+    onReport(Stats, Report, Start);
+    auto After = trustedLimit(Fixture.Candidates[0], Fixture.Config, Start);
+    RC_ASSERT(After <= Before);
+    RC_ASSERT(Report.Limit == 0 || After <= std::max(Report.Limit, 1U));
+  }));
+}
+
+// Guards against a returned upstream, or a returned zone, that receives its
+// full share at once.
+Test(routing_pick, returned_upstream_starts_slowly) {
+  for (auto ByZone : {false, true}) {
+    auto Fixture = fixture{4};
+    if (ByZone)
+      Fixture.Candidates[0].ZoneInServiceSince = Start;
+    else
+      Fixture.Stats[0].Outlier.ReturnedAt = Start;
+    auto AtOnce = Fixture.picks(4000)[0];
+    auto Halfway = Fixture.picks(4000, Start + micros{5'000'000})[0];
+    auto Later = Fixture.picks(4000, Start + micros{10'000'000})[0];
+    cr_assert(AtOnce > 0 && AtOnce < 300, "%d", AtOnce);
+    cr_assert(Halfway > AtOnce && Halfway < Later, "%d", Halfway);
+    cr_assert(Later > 800, "%d", Later);
+  }
+}
+
+// Guards against a cold upstream that receives more than its limit while others
+// have room, and against one that never receives the calls that warm it up.
+Test(routing_pick, cold_upstream_gets_few_calls_but_some) {
+  auto Fixture = fixture{4};
+  Fixture.Stats[0].EarnedLimit = 1;
+  onReport(Fixture.Stats[0], {1, 0, true}, Start);
+  auto Idle = Fixture.picks(4000)[0];
+  cr_assert(Idle > 40 && Idle < 400, "%d", Idle);
+  onReport(Fixture.Stats[0], {1, 1, true}, Start);
+  cr_assert(Fixture.picks(1000)[0] == 0);
+}
+
+// Guards against a fast-failing upstream that attracts calls, and a slow one
+// that is never tried again.
+Test(routing_pick, slow_and_failing_upstreams_get_less) {
+  auto Fixture = fixture{3};
+  for (auto Call = 0; Call < 20; ++Call) {
+    onStart(Fixture.Stats[0]);
+    onFinish(Fixture.Stats[0], call_outcome::Failure, micros{100}, 10, Start);
+  }
+  Fixture.Stats[1].LatencyUs = 100'000;
+  auto Counts = Fixture.picks(3000);
+  cr_assert(Counts[0] < Counts[2] / 2 && Counts[1] < Counts[2] / 2);
+  auto Later = Fixture.picks(3000, Start + micros{120'000'000});
+  cr_assert(Later[1] > 500, "%d", Later[1]);
+}
+
+// Guards against an ejection of more than half of a group, of any upstream when
+// all fail alike, and against ejection times that do not grow.
+Test(routing_pick, at_most_half_is_ejected) {
+  cr_assert(rc::check("ejection bound", [] {
+    auto States =
+        std::vector<outlier_state>(*rc::gen::inRange<std::size_t>(1, 12));
+    auto Group = std::vector<outlier_state *>{};
+    for (auto &State : States)
+      Group.push_back(&State);
+    auto Now = Start;
+    for (auto Step = 0; Step < 100; ++Step) {
+      auto &State = States[*rc::gen::inRange<std::size_t>(0, States.size())];
+      auto Outcome = *rc::gen::element(
+          call_outcome::Success, call_outcome::Failure, call_outcome::Failure,
+          call_outcome::Unreachable, call_outcome::Refused);
+      observeCall(State, Outcome);
+      Now += micros{*rc::gen::inRange(0, 500'000)};
+      updateOutliers(Group, {}, Now);
+      auto Ejected = std::ranges::count(States, true, &outlier_state::Ejected);
+      RC_ASSERT(Ejected <= static_cast<std::ptrdiff_t>(States.size() / 2));
+    }
+  }));
+}
+
+Test(routing_pick, common_fault_ejects_none) {
+  auto States = std::vector<outlier_state>(4);
+  auto Group = std::vector<outlier_state *>{};
+  for (auto &State : States)
+    Group.push_back(&State);
+  for (auto Call = 0; Call < 30; ++Call)
+    for (auto &State : States) {
+      observeCall(State, call_outcome::Failure);
+      cr_assert(updateOutliers(Group, {}, Start).Ejected.empty());
+    }
+}
+
+// Guards against an ejection that never ends or does not grow on repetition.
+Test(routing_pick, ejection_grows_and_ends) {
+  auto States = std::vector<outlier_state>(2);
+  auto Group = std::vector<outlier_state *>{&States[0], &States[1]};
+  auto Now = Start;
+  auto Previous = micros{0};
+  for (auto Round = 0; Round < 5; ++Round) {
+    observeCall(States[0], call_outcome::Unreachable);
+    cr_assert(updateOutliers(Group, {}, Now).Ejected.size() == 1);
+    auto Length = States[0].EjectedUntil - Now;
+    cr_assert(Length > Previous);
+    Previous = Length;
+    Now = States[0].EjectedUntil;
+    cr_assert(updateOutliers(Group, {}, Now).Returned.size() == 1);
+  }
+}
