Fix: [Limits] Noise collapsed the limit or kept upstreams cold

Windows now need 64 samples, and a busy window moves the baseline only if its median is below half of it. - The lowest window median as reference kept an upstream with unknown warm latency cold for ever. The reference is now an EWMA of the medians. - A learned ratio of slow calls that starts at 2 % took variance for a cold upstream. It starts at its upper bound of 25 %. An upstream that became slower for good leaves the cold limit again, as the known warm latency grows by 2 % per window without evidence.

--- a/include/sycamorelb/limits/budget_func.h
+++ b/include/sycamorelb/limits/budget_func.h
@@ -36,7 +36,8 @@
  * Extra attempts left for a call and all calls nested in it. Allowance is only
  * moved or spent, never created. Hence a root call with allowance A whose call
  * tree has T calls makes at most A extra attempts itself and, as each repeats
- * at most the whole tree, at most (1 + A) * T attempts at any depth.
+ * at most the whole tree, at most (1 + A) * T attempts at any depth,
+ * provided that no node reports more as left than is.
  */
 struct attempt_allowance {
   std::uint32_t Left = RootAllowance; ///< Extra attempts left.
--- a/include/sycamorelb/limits/cold_start_func.h
+++ b/include/sycamorelb/limits/cold_start_func.h
@@ -29,10 +29,11 @@
   bool Cold = true;        ///< Whether the cold-start limit applies.
   std::uint32_t Limit = 1; ///< Limit while cold.
   double Alarm = 0;        ///< CUSUM of "slow" against "as usual".
-  double SlowRatio = 0.02; ///< Learned ratio of slow calls while warm.
-  micros Previous{0};      ///< Median of the previous window; 0 for none.
-  micros Best{0};        ///< Lowest window median since the start; 0 for none.
-  latency_window Window; ///< Open window.
+  /// Learned ratio of slow calls while warm. It starts at its upper bound, as a
+  /// low start takes ordinary variance for a cold upstream.
+  double SlowRatio = 0.25;
+  micros Recent{0};            ///< EWMA of the window medians; 0 for none.
+  latency_window Window;       ///< Open window.
   std::uint32_t TimesCold = 0; ///< Times it became cold again.
 };
 
@@ -41,11 +42,12 @@
 
 /** Effect of an observation on the cold state. */
 enum class cold_event : std::uint8_t {
-  None,
-  Raised,
-  Lowered,
-  Warm,
-  TurnedCold
+  None,       ///< No window closed.
+  Held,       ///< A window closed without evidence for a raise.
+  Raised,     ///< The limit rose.
+  Lowered,    ///< The limit fell while warming up.
+  Warm,       ///< The cold-start limit does not apply any more.
+  TurnedCold, ///< The limit dropped to the cold limit.
 };
 
 /**
--- a/include/sycamorelb/limits/concurrency_func.h
+++ b/include/sycamorelb/limits/concurrency_func.h
@@ -13,7 +13,7 @@
 /** Latencies of the successful calls of one measurement window. */
 struct latency_window {
   /// Samples kept; later ones overwrite the oldest.
-  static constexpr std::size_t Capacity = 64;
+  static constexpr std::size_t Capacity = 256;
   std::array<std::uint32_t, Capacity> Samples{}; ///< Microseconds.
   std::uint32_t Count = 0; ///< Successes in the window, also overwritten ones.
   steady_time StartedAt{}; ///< Time of the first sample.
@@ -41,8 +41,9 @@
 struct concurrency_config {
   /// Latency above Tolerance times the baseline lowers the limit.
   double Tolerance = 1.5;
-  /// Successes a window needs; the median of fewer samples is too noisy.
-  std::uint32_t MinSamples = 16;
+  /// Successes a window needs. The median of 64 exponential latencies deviates
+  /// by 18 %; with 16 the noise alone lowered the limit from 10 to 3.
+  std::uint32_t MinSamples = 64;
   micros MinWindow{250'000};   ///< Shortest window.
   double RefusalBackoff = 0.7; ///< Factor on a refusal, once per window.
 };
--- a/src/limits/cold_start.cpp
+++ b/src/limits/cold_start.cpp
@@ -19,8 +19,10 @@
 constexpr double SlowRatioGain = 0.01;
 /// Parts of the threshold that one refusal or stall adds.
 constexpr double RefusalParts = 4;
-/// A window median below this part of the previous one still falls.
-constexpr double StillFalling = 0.8;
+/// A window median below this part of the recent ones still falls.
+constexpr double StillFalling = 0.75;
+/// Weight of a window in the EWMA of the medians.
+constexpr double RecentGain = 0.5;
 
 enum class signal : std::uint8_t { None, AsUsual, Slow, Refused };
 
@@ -70,21 +72,25 @@
   if (Typical > micros{0})
     return Latency <= Config.NearFactor * static_cast<double>(Typical.count());
   // Without a known warm latency the upstream counts as warming up as long as
-  // its latency falls.
-  return State.Previous > micros{0} &&
-         Latency >= StillFalling * State.Previous.count() &&
-         Latency <= Config.NearFactor * State.Best.count();
+  // its latency falls. The comparison is with recent windows, not with the
+  // lowest: the lowest median of a few noisy samples is hardly met again.
+  return State.Recent > micros{0} &&
+         Latency >= StillFalling * State.Recent.count() &&
+         Latency <= Config.NearFactor * State.Recent.count();
 }
 
 auto closeWindow(cold_state &State, const cold_start_config &Config,
                  micros Typical, std::uint32_t WarmLimit) -> cold_event {
   auto Median = std::max(medianLatency(State.Window), micros{1});
   State.Window = latency_window{};
-  State.Best = State.Best == micros{0} ? Median : std::min(State.Best, Median);
   auto Evidence = isEvidence(State, Config, Median, Typical);
-  State.Previous = Median;
+  State.Recent =
+      State.Recent == micros{0}
+          ? Median
+          : micros(std::llround(State.Recent.count() * (1 - RecentGain) +
+                                Median.count() * RecentGain));
   if (!Evidence)
-    return cold_event::None;
+    return cold_event::Held;
   State.Limit = std::min(State.Limit * 2, WarmLimit);
   if (State.Limit < WarmLimit)
     return cold_event::Raised;
@@ -105,15 +111,14 @@
   State.Cold = true;
   State.Limit = std::max(1U, Config.ColdLimit);
   State.Alarm = 0;
-  State.Previous = micros{0};
-  State.Best = micros{0};
+  State.Recent = micros{0};
   State.Window = latency_window{};
 }
 
 auto observeCall(cold_state &State, const cold_start_config &Config,
                  call_outcome Outcome, micros Latency, micros Typical,
                  std::uint32_t WarmLimit, steady_time Now) -> cold_event {
-  auto Reference = Typical > micros{0} ? Typical : State.Best;
+  auto Reference = Typical > micros{0} ? Typical : State.Recent;
   auto Signal = classify(Config, Outcome, Latency, Reference);
   accumulate(State, Config, Signal);
   auto AtColdLimit = State.Cold && State.Limit <= Config.ColdLimit;
--- a/src/limits/concurrency.cpp
+++ b/src/limits/concurrency.cpp
@@ -8,10 +8,12 @@
 
 namespace {
 
-/// Part of the way to a lower window median that the baseline goes.
-constexpr double BaselineFall = 0.3;
-/// The same for a higher median, in windows without contention only.
-constexpr double BaselineRise = 0.1;
+/// Part of the way to the window median that the baseline goes.
+constexpr double BaselineGain = 0.1;
+/// In a window with contention the baseline follows only a median below this
+/// part of it. Following every lower median would turn the noise of the medians
+/// into a falling baseline, and that into a falling limit.
+constexpr double ClearlyFaster = 0.5;
 /// Part of the way to the window median that the typical latency goes.
 constexpr double TypicalGain = 0.3;
 /// Growth of the typical latency per window, at most. A sudden jump must stay
@@ -37,10 +39,8 @@
   // A limit of 2 or less leaves no contention to measure. Without this case a
   // lasting change of the workload would hold the limit at 1.
   auto Uncontended = !isBusy(State, State.Window.Peak) || State.Limit <= 2;
-  if (Median < State.Baseline)
-    State.Baseline = moved(State.Baseline, Median, BaselineFall);
-  else if (Uncontended)
-    State.Baseline = moved(State.Baseline, Median, BaselineRise);
+  if (Uncontended || Median.count() < ClearlyFaster * State.Baseline.count())
+    State.Baseline = moved(State.Baseline, Median, BaselineGain);
   auto Ceiling =
       micros(std::llround(State.Typical.count() * TypicalGrowth) + 1);
   State.Typical = moved(State.Typical, std::min(Median, Ceiling), TypicalGain);
--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -18,6 +18,16 @@
   return {currentLimit(Limiter, Now), expectedServiceTime(Limiter)};
 }
 
+/// Growth of the known warm latency per cold window without evidence. Without
+/// it an upstream that became slower for good would stay at the cold limit; at
+/// 2 % a fivefold latency is accepted after 61 windows.
+constexpr double ForgetGrowth = 1.02;
+
+void forgetWarm(concurrency_state &State) {
+  for (auto *Latency : {&State.Baseline, &State.Typical})
+    *Latency = micros(std::llround(Latency->count() * ForgetGrowth));
+}
+
 /** Feeds the end of a started call to the limits. */
 void observe(upstream_limiter &Limiter, call_outcome Outcome, micros Latency,
              std::uint32_t InFlight, steady_time Now) {
@@ -27,11 +37,13 @@
                   Limiter.Concurrency.Typical, adaptiveLimit(Limiter), Now);
   if (Event == cold_event::TurnedCold || Event == cold_event::Warm)
     Limiter.Concurrency.Window = latency_window{};
+  if (Event == cold_event::Held)
+    forgetWarm(Limiter.Concurrency);
   // The latency of a cold upstream is no measure of its warm operation, unless
   // none is known yet and it has just reached its limit.
   if (Event == cold_event::Warm && Limiter.Concurrency.Typical == micros{0}) {
-    Limiter.Concurrency.Baseline = Limiter.Cold.Best;
-    Limiter.Concurrency.Typical = Limiter.Cold.Previous;
+    Limiter.Concurrency.Baseline = Limiter.Cold.Recent;
+    Limiter.Concurrency.Typical = Limiter.Cold.Recent;
   }
   if (WasCold || Limiter.Cold.Cold)
     return;
@@ -116,8 +128,8 @@
 
 auto expectedServiceTime(const upstream_limiter &Limiter) -> micros {
   const auto &Cold = Limiter.Cold;
-  if (Cold.Cold && Cold.Previous > micros{0})
-    return Cold.Previous;
+  if (Cold.Cold && Cold.Recent > micros{0})
+    return Cold.Recent;
   return Limiter.Concurrency.Typical;
 }
 
