--- a/include/sycamorelb/limits/concurrency_func.h
+++ b/include/sycamorelb/limits/concurrency_func.h
@@ -24,6 +24,11 @@
 /** Adds a successful call. */
 void addSample(latency_window &Window, micros Latency, steady_time Now);
 
+/** @return the duration in microseconds. */
+inline auto toDouble(micros Duration) -> double {
+  return static_cast<double>(Duration.count());
+}
+
 /** @return the median latency; 0 for an empty window. */
 auto medianLatency(const latency_window &Window) -> micros;
 
--- a/include/sycamorelb/routing/pick_func.h
+++ b/include/sycamorelb/routing/pick_func.h
@@ -54,8 +54,7 @@
 
 /** @return the concurrency this node trusts the candidate with: the report,
  * but not more than was earned by observed calls. */
-auto trustedLimit(const candidate &Candidate, const pick_config &Config,
-                  steady_time Now) -> double;
+auto trustedLimit(const candidate &Candidate) -> double;
 
 /** @return the weight of slow start, from the floor to 1. */
 auto slowStartWeight(const candidate &Candidate, const pick_config &Config,
--- a/include/sycamorelb/routing/pick_type.h
+++ b/include/sycamorelb/routing/pick_type.h
@@ -114,9 +114,9 @@
   double SpillFrom = 0.6;
   /// Utilisation at which the split is by capacity alone.
   double SpillFull = 1.0;
-  micros SlowStart{10'000'000}; ///< Ramp after a return.
-  double SlowStartFloor = 0.1;  ///< Weight at the start of the ramp.
-  micros ReportLife{2'000'000}; ///< Time over which a load report fades out.
+  micros SlowStart{10'000'000};     ///< Ramp after a return.
+  double SlowStartFloor = 0.1;      ///< Weight at the start of the ramp.
+  micros ReportLife{2'000'000};     ///< Time over which a reported load fades.
   micros LatencyMemory{10'000'000}; ///< Time constant at which a high latency
                                     ///< without new samples is forgotten.
   bool ColdAware = true; ///< Passes over cold upstreams without a free slot.
--- a/src/limits/cold_start.cpp
+++ b/src/limits/cold_start.cpp
@@ -29,8 +29,7 @@
 auto classify(const cold_start_config &Config, call_outcome Outcome,
               micros Latency, micros Reference) -> signal {
   auto Slow = Reference > micros{0} &&
-              static_cast<double>(Latency.count()) >
-                  Config.SlowFactor * static_cast<double>(Reference.count());
+              toDouble(Latency) > Config.SlowFactor * toDouble(Reference);
   switch (Outcome) {
   case call_outcome::Success:
     return Slow ? signal::Slow : signal::AsUsual;
@@ -68,15 +67,15 @@
 /** @return whether the closed window is evidence for a raise. */
 auto isEvidence(const cold_state &State, const cold_start_config &Config,
                 micros Median, micros Typical) -> bool {
-  auto Latency = static_cast<double>(Median.count());
+  auto Latency = toDouble(Median);
   if (Typical > micros{0})
-    return Latency <= Config.NearFactor * static_cast<double>(Typical.count());
+    return Latency <= Config.NearFactor * toDouble(Typical);
   // Without a known warm latency the upstream counts as warming up as long as
   // its latency falls. The comparison is with recent windows, not with the
   // lowest: the lowest median of a few noisy samples is hardly met again.
   return State.Recent > micros{0} &&
-         Latency >= StillFalling * State.Recent.count() &&
-         Latency <= Config.NearFactor * State.Recent.count();
+         Latency >= StillFalling * toDouble(State.Recent) &&
+         Latency <= Config.NearFactor * toDouble(State.Recent);
 }
 
 auto closeWindow(cold_state &State, const cold_start_config &Config,
@@ -87,8 +86,8 @@
   State.Recent =
       State.Recent == micros{0}
           ? Median
-          : micros(std::llround(State.Recent.count() * (1 - RecentGain) +
-                                Median.count() * RecentGain));
+          : micros(std::llround(toDouble(State.Recent) * (1 - RecentGain) +
+                                toDouble(Median) * RecentGain));
   if (!Evidence)
     return cold_event::Held;
   State.Limit = std::min(State.Limit * 2, WarmLimit);
--- a/src/limits/concurrency.cpp
+++ b/src/limits/concurrency.cpp
@@ -21,7 +21,7 @@
 constexpr double TypicalGrowth = 1.1;
 
 auto moved(micros From, micros To, double Part) -> micros {
-  auto Step = static_cast<double>((To - From).count()) * Part;
+  auto Step = toDouble((To - From)) * Part;
   return micros(From.count() + std::llround(Step));
 }
 
@@ -39,10 +39,11 @@
   // A limit of 2 or less leaves no contention to measure. Without this case a
   // lasting change of the workload would hold the limit at 1.
   auto Uncontended = !isBusy(State, State.Window.Peak) || State.Limit <= 2;
-  if (Uncontended || Median.count() < ClearlyFaster * State.Baseline.count())
+  if (Uncontended ||
+      toDouble(Median) < ClearlyFaster * toDouble(State.Baseline))
     State.Baseline = moved(State.Baseline, Median, BaselineGain);
   auto Ceiling =
-      micros(std::llround(State.Typical.count() * TypicalGrowth) + 1);
+      micros(std::llround(toDouble(State.Typical) * TypicalGrowth) + 1);
   State.Typical = moved(State.Typical, std::min(Median, Ceiling), TypicalGain);
 }
 
@@ -52,9 +53,8 @@
   auto Median = std::max(medianLatency(State.Window), micros{1});
   updateBaseline(State, Median);
   auto Busy = isBusy(State, State.Window.Peak);
-  auto Gradient = Config.Tolerance *
-                  static_cast<double>(State.Baseline.count()) /
-                  static_cast<double>(Median.count());
+  auto Gradient =
+      Config.Tolerance * toDouble(State.Baseline) / toDouble(Median);
   if (Busy && Gradient < 1)
     State.Limit *= 0.5 + 0.5 * std::max(Gradient, 0.5);
   else if (Busy && !State.Window.HadRefusal)
--- a/src/limits/limiter.cpp
+++ b/src/limits/limiter.cpp
@@ -25,7 +25,7 @@
 
 void forgetWarm(concurrency_state &State) {
   for (auto *Latency : {&State.Baseline, &State.Typical})
-    *Latency = micros(std::llround(Latency->count() * ForgetGrowth));
+    *Latency = micros(std::llround(toDouble(*Latency) * ForgetGrowth));
 }
 
 /** Feeds the end of a started call to the limits. */
@@ -120,8 +120,8 @@
   auto Typical = Limiter.Concurrency.Typical;
   if (Limiter.Started == 0 || Typical == micros{0})
     return false;
-  auto Allowed = micros(std::llround(static_cast<double>(Typical.count()) *
-                                     Limiter.Config.StallFactor));
+  auto Allowed =
+      micros(std::llround(toDouble(Typical) * Limiter.Config.StallFactor));
   return Now - Limiter.LastProgress >
          std::max(Allowed, Limiter.Config.MinStall);
 }
--- a/src/routing/pick.cpp
+++ b/src/routing/pick.cpp
@@ -16,6 +16,10 @@
 /// rest keeps the score finite.
 constexpr double FailureWeight = 0.9;
 
+/// Part of its weight that a fully used cold upstream keeps, so that new
+/// reports of it arrive.
+constexpr double MinHeadroom = 0.05;
+
 enum tier : std::uint8_t { OwnZone, OwnRegion, Elsewhere, TierCount };
 
 /** An eligible candidate with the values the choice needs. */
@@ -39,13 +43,11 @@
                     0.0, 1.0);
 }
 
-auto isCold(const candidate &Candidate, const pick_config &Config,
-            steady_time Now) -> bool {
-  if (Candidate.State == membership::upstream_state::Cold)
-    return true;
-  const auto *Stats = Candidate.Stats;
-  return Stats != nullptr && Stats->Report.Cold &&
-         reportWeight(*Stats, Config, Now) > 0;
+/** A cold report holds until the next one: forgetting it would raise the trust
+ * without an observation. */
+auto isCold(const candidate &Candidate) -> bool {
+  return Candidate.State == membership::upstream_state::Cold ||
+         (Candidate.Stats != nullptr && Candidate.Stats->Report.Cold);
 }
 
 auto tierOf(const candidate &Candidate, const pick_origin &Origin) -> tier {
@@ -60,10 +62,10 @@
   auto Entry = entry{};
   Entry.Index = Index;
   Entry.Tier = tierOf(Candidate, Request.Origin);
-  Entry.Limit = trustedLimit(Candidate, Config, Now);
+  Entry.Limit = trustedLimit(Candidate);
   auto SlowStart = slowStartWeight(Candidate, Config, Now);
   Entry.Weight = Entry.Limit * SlowStart;
-  Entry.Learning = SlowStart < 1 || isCold(Candidate, Config, Now);
+  Entry.Learning = SlowStart < 1 || isCold(Candidate);
   if (Candidate.Stats == nullptr) {
     Entry.Learning = true;
     return Entry;
@@ -79,6 +81,10 @@
   Entry.Utilisation = std::min(1.0, Utilisation / SlowStart);
   Entry.Learning = Entry.Learning || Stats.LatencyUs == 0 ||
                    Stats.EarnedLimit < std::min(2U, Candidate.Slots);
+  // Many nodes share the few slots of a cold upstream, and each sees only its
+  // own calls; the reported utilisation tells how far the others fill them.
+  if (Config.ColdAware && Entry.Learning)
+    Entry.Weight *= std::max(MinHeadroom, 1 - Entry.Utilisation);
   return Entry;
 }
 
@@ -300,15 +306,13 @@
   return ineligible_reason::None;
 }
 
-auto trustedLimit(const candidate &Candidate, const pick_config &Config,
-                  steady_time Now) -> double {
+auto trustedLimit(const candidate &Candidate) -> double {
   if (Candidate.Stats == nullptr)
     return 1;
   const auto &Stats = *Candidate.Stats;
   auto Limit = std::min(Stats.EarnedLimit,
                         static_cast<double>(std::max(1U, Candidate.Slots)));
-  if (Stats.HasReport && Stats.Report.Limit > 0 &&
-      reportWeight(Stats, Config, Now) > 0)
+  if (Stats.Report.Limit > 0)
     Limit = std::min(Limit, static_cast<double>(Stats.Report.Limit));
   return std::max(1.0, Limit);
 }
--- a/src/routing/stats.cpp
+++ b/src/routing/stats.cpp
@@ -86,6 +86,10 @@
       Stats.HasReport
           ? Stats.Utilisation + ReportGain * (Utilisation - Stats.Utilisation)
           : Utilisation;
+  // Trust in a cold upstream is earned anew.
+  if (Report.Cold)
+    Stats.EarnedLimit = std::min(
+        Stats.EarnedLimit, static_cast<double>(std::max(1U, Report.Limit)));
   Stats.Report = Report;
   Stats.ReportedAt = Now;
   Stats.HasReport = true;
--- a/test/routing_pick_test.cpp
+++ b/test/routing_pick_test.cpp
@@ -143,12 +143,12 @@
     auto Fixture = fixture{1};
     auto &Stats = Fixture.Stats[0];
     Stats.EarnedLimit = *rc::gen::inRange(1, 11);
-    auto Before = trustedLimit(Fixture.Candidates[0], Fixture.Config, Start);
+    auto Before = trustedLimit(Fixture.Candidates[0]);
     auto Report =
         load_report{*rc::gen::inRange(0U, 2000U), *rc::gen::inRange(0U, 2000U),
                     *rc::gen::arbitrary<bool>()};
     onReport(Stats, Report, Start);
-    auto After = trustedLimit(Fixture.Candidates[0], Fixture.Config, Start);
+    auto After = trustedLimit(Fixture.Candidates[0]);
     RC_ASSERT(After <= Before);
     RC_ASSERT(Report.Limit == 0 || After <= std::max(Report.Limit, 1U));
   }));
@@ -184,6 +184,15 @@
   cr_assert(Fixture.picks(1000)[0] == 0);
 }
 
+// Guards against a cold report that is forgotten: the upstream must not get a
+// full share again before it reports otherwise.
+Test(routing_pick, cold_report_outlives_its_load_count) {
+  auto Fixture = fixture{4};
+  onReport(Fixture.Stats[0], {1, 0, true}, Start);
+  auto Later = Fixture.picks(4000, Start + micros{60'000'000})[0];
+  cr_assert(Later > 40 && Later < 400, "%d", Later);
+}
+
 // Guards against a fast-failing upstream that attracts calls, and a slow one
 // that is never tried again.
 Test(routing_pick, slow_and_failing_upstreams_get_less) {
