--- a/bench/micro_routing.cpp
+++ b/bench/micro_routing.cpp
@@ -30,9 +30,9 @@
   auto Candidates = std::vector<candidate>{};
   Stats.resize(Count);
   for (auto Index = std::size_t{0}; Index < Count; ++Index) {
-    Stats[Index].LatencyUs = 10'000 + 10.0 * (Index % 7);
+    Stats[Index].LatencyUs = 10'000 + 10.0 * static_cast<double>(Index % 7);
     Stats[Index].EarnedLimit = 10;
-    Stats[Index].InFlight = Index % 5;
+    Stats[Index].InFlight = static_cast<std::uint32_t>(Index % 5);
     auto Candidate = candidate{};
     Candidate.Id = idOf(Index);
     Candidate.Version = version_id{"v1"};
