Feature: [Moves] Tests of evidence, error rates and decisions

The type alarm became move_alarm, because unistd.h declares a function of that name. A move waits for more information when the old failure ratio is high.

--- a/include/sycamorelb/moves/move_func.h
+++ b/include/sycamorelb/moves/move_func.h
@@ -26,13 +26,15 @@
 
 /** Inputs of one decision. */
 struct move_input {
-  std::optional<alarm> Alarm;       ///< From the test of this driver.
+  std::optional<move_alarm> Alarm;  ///< From the test of this driver.
   std::optional<std::string> Brake; ///< Reason of a brake by any node.
   std::uint64_t NewCalls = 0;       ///< Calls on the new version so far.
   double Evidence = 0;              ///< test_state::Evidence.
   double Information = 0;           ///< test_state::Information.
-  move_capacity Capacity;           ///< From the member table.
-  bool LogAvailable = true;         ///< Whether the log takes records now.
+  double InformationNeeded =
+      BaseInformation;      ///< test_state::InformationNeeded.
+  move_capacity Capacity;   ///< From the member table.
+  bool LogAvailable = true; ///< Whether the log takes records now.
 };
 
 /**
--- a/include/sycamorelb/moves/move_type.h
+++ b/include/sycamorelb/moves/move_type.h
@@ -79,13 +79,13 @@
 using move_decision = std::variant<move_hold, move_step, move_verdict>;
 
 /** A finding of the sequential test against the new version. */
-struct alarm {
+struct move_alarm {
   route_id Route;      ///< Route that shows it; empty for all routes.
   std::string Reason;  ///< "failures", "slow", "cancelled", "burst",
                        ///< "failures_at_full_share" or
                        ///< "slow_at_full_share".
   double Evidence = 0; ///< Combined evidence (e-value) at the alarm.
-  auto operator==(const alarm &) const -> bool = default;
+  auto operator==(const move_alarm &) const -> bool = default;
 };
 
 } // namespace sycamorelb::moves
--- a/include/sycamorelb/moves/sequential_test_func.h
+++ b/include/sycamorelb/moves/sequential_test_func.h
@@ -31,6 +31,10 @@
   return Result;
 }
 
+/** Information after which the test has missed at most 5 % of the effects it is
+ * designed for while few calls fail; see test/moves_sequential_test.cpp. */
+inline constexpr double BaseInformation = 1500;
+
 /** Fixed parameters of the test of one move, equal on every driver. */
 struct test_plan {
   wall_ms Start;          ///< Start of the move as recorded.
@@ -55,10 +59,12 @@
   std::map<route_id, route_test> Routes; ///< The empty id is the sum.
   std::uint32_t Stage = 0;               ///< Step number last seen.
   bool Begun = false;                    ///< Whether any window was tested.
-  wall_ms BurstAt;            ///< Last update of the burst statistic.
-  std::optional<alarm> Alarm; ///< Latched finding.
-  double Evidence = 0;        ///< Combined evidence now; alarm at 100.
-  double Information = 0;     ///< Sum over windows of old*new/(old+new) calls.
+  wall_ms BurstAt;                 ///< Last update of the burst statistic.
+  std::optional<move_alarm> Alarm; ///< Latched finding.
+  double Evidence = 0;             ///< Combined evidence now; alarm at 100.
+  double Information = 0; ///< Sum over windows of old*new/(old+new) calls.
+  double InformationNeeded = BaseInformation; ///< Grows with the variance of
+                                              ///< the old failure ratio.
 };
 
 /**
--- a/src/moves/move.cpp
+++ b/src/moves/move.cpp
@@ -12,13 +12,10 @@
 /// Evidence at which a move waits for more before the next step; the alarm is
 /// at 100.
 static constexpr auto SuspiciousEvidence = 5.0;
-/// Sum of old*new/(old+new) calls to reach before the full share, unless the
-/// time forces it. The test misses at most 5 % of the effects it is designed
-/// for at this amount; see test/moves_sequential_test.cpp.
-static constexpr auto EnoughInformation = 1200.0;
-/// Smallest share at which enough information may still be waited for; above
-/// it, few calls of the old version remain to compare with.
-static constexpr auto ComparisonShare = share_ppm{500'000};
+/// From this share on, a move waits for the information that the test needs
+/// unless the time forces the next step; above it, too few calls of the old
+/// version remain to compare with.
+static constexpr auto ComparisonShare = share_ppm{300'000};
 /// Time of the move is extended by an outage of the log, at most by this.
 static constexpr auto MaxOutage = millis{600'000};
 
@@ -71,6 +68,7 @@
   Input.Alarm = Test.Alarm;
   Input.Evidence = Test.Evidence;
   Input.Information = Test.Information;
+  Input.InformationNeeded = Test.InformationNeeded;
   for (const auto &[Route, Total] : Evidence.Totals) {
     Input.NewCalls += Total[std::size_t(move_side::New)].Calls;
   }
@@ -122,7 +120,7 @@
   return move_verdict{move_phase::TakenBack, std::move(Reason)};
 }
 
-static auto describeAlarm(const alarm &Alarm) -> std::string {
+static auto describeAlarm(const move_alarm &Alarm) -> std::string {
   return Alarm.Route.Value.empty() ? Alarm.Reason
                                    : Alarm.Reason + " on " + Alarm.Route.Value;
 }
@@ -174,8 +172,8 @@
   if (Input.Evidence >= SuspiciousEvidence && !IsPressed) {
     return "the new version is under suspicion";
   }
-  if (State.Share >= ComparisonShare && Input.Information < EnoughInformation &&
-      !IsPressed) {
+  if (State.Share >= ComparisonShare &&
+      Input.Information < Input.InformationNeeded && !IsPressed) {
     return "too few calls to compare before the full share";
   }
   return "";
--- a/src/moves/sequential_test.cpp
+++ b/src/moves/sequential_test.cpp
@@ -265,6 +265,15 @@
   return Old + New > 0 ? Old * New / (Old + New) : 0;
 }
 
+/** @return the information that shows +5 points in the failure ratio; it is
+ * proportional to the variance of a call. */
+static auto informationNeeded(const tally &Old) -> double {
+  constexpr auto BaseVariance = 0.05;
+  auto Ratio = double(Old.Failures + 1) / double(Old.Calls + 2);
+  auto Variance = Ratio * (1 - Ratio);
+  return BaseInformation * std::max(1.0, Variance / BaseVariance);
+}
+
 static auto oldTotal(const merged_evidence &Evidence, const route_id &Route)
     -> const tally & {
   static const auto None = tally{};
@@ -293,6 +302,7 @@
                         const test_plan &Plan, std::uint32_t Step,
                         std::int64_t Last) {
   auto Sums = sumOf(Evidence.Totals);
+  State.InformationNeeded = informationNeeded(Sums[0]);
   while (!Evidence.Windows.empty() && Evidence.Windows.begin()->first <= Last) {
     auto Node = Evidence.Windows.extract(Evidence.Windows.begin());
     auto Sum = sumOf(Node.mapped());
@@ -332,7 +342,7 @@
   auto Routes = std::max(Plan.Routes, State.Routes.size() - 1);
   auto Sum = 0.0;
   auto Largest = 0.0;
-  auto Finding = alarm{};
+  auto Finding = move_alarm{};
   for (const auto &[Route, Test] : State.Routes) {
     auto RouteWeight = Route.Value.empty() ? 0.5 : 0.5 / double(Routes);
     for (auto Index = std::size_t{0}; Index < StatisticCount; ++Index) {
@@ -341,7 +351,7 @@
       Sum += Part;
       if (Part > Largest) {
         Largest = Part;
-        Finding = alarm{Route, Statistics[Index].Reason, 0};
+        Finding = move_alarm{Route, Statistics[Index].Reason, 0};
       }
     }
   }
--- /dev/null
+++ b/test/moves_sim.h
@@ -0,0 +1,165 @@
+/** @file moves_sim.h Simulates a move: calls, reports with loss, test, driver.
+ */
+#pragma once
+
+#include "sycamorelb/core/random_func.h"
+#include "sycamorelb/moves/move_func.h"
+
+#include <cmath>
+
+namespace sycamorelb::moves::sim {
+
+/** Calls and versions of one simulated move. */
+struct scenario {
+  double CallsPerSecond = 40; ///< Mean over the time.
+  double LoadSwing = 0;       ///< Relative swing of load and latency.
+  int Routes = 1;             ///< Number of routes.
+  double OldFailures = 0.005; ///< Failure ratio of the old version.
+  double AddedFailures = 0;   ///< Added for the new version.
+  double Slowdown = 1;        ///< Latency factor of the new version.
+  double Spread = 0.6;        ///< Sigma of the lognormal latency.
+  double GiveUpMs = 1e9;      ///< Callers leave after this time.
+  int BadRoute = -1;          ///< Only this route is bad; -1 for all.
+  double BadAboveShare = 0;   ///< Bad only at or above this share.
+  int BadFromSecond = 0;      ///< Bad only from this time on.
+  int BadFromFullSecond = -1; ///< Bad from this time at full share on.
+  double SharedOutage = 0;    ///< Failure ratio of both versions in seconds
+                              ///< 60 to 70.
+  double ColdCalls = 0;       ///< Part of new calls on cold upstreams, slow.
+  int Seconds = 600;          ///< Time of the move.
+  double Loss = 0.1;          ///< Loss of reports.
+  int Reporters = 4;          ///< Admission nodes; half for each version.
+  int DriverChange = -1;      ///< Second at which a new driver takes over.
+};
+
+/** What became of the move. */
+struct outcome {
+  config::move_state State; ///< At the end.
+  std::optional<move_alarm> Alarm;
+  int Second = 0;             ///< Of the verdict.
+  std::uint64_t NewCalls = 0; ///< Calls on the new version while it was bad.
+};
+
+inline auto normal(random_source &Random) -> double {
+  auto Angle = 2 * 3.14159265358979 * randomUnit(Random);
+  return std::sqrt(-2 * std::log(1 - randomUnit(Random))) * std::cos(Angle);
+}
+
+inline auto sampleOf(const scenario &S, random_source &Random, bool IsNew,
+                     bool IsBad, double Load, int Second) -> call_sample {
+  auto Failures = S.OldFailures + (IsBad ? S.AddedFailures : 0);
+  if (S.SharedOutage > 0 && Second >= 60 && Second < 70) {
+    Failures = S.SharedOutage;
+  }
+  auto Ms = 12 * Load * std::exp(S.Spread * normal(Random));
+  Ms *= IsBad ? S.Slowdown : 1;
+  auto Sample = call_sample{};
+  if (IsNew && randomUnit(Random) < S.ColdCalls) {
+    Sample.Cold = true;
+    Ms *= 10;
+  }
+  if (randomUnit(Random) < Failures) {
+    Sample.Outcome = call_outcome::Failed;
+  } else if (Ms > S.GiveUpMs) {
+    Sample.Outcome = call_outcome::Cancelled;
+    Ms = S.GiveUpMs;
+  }
+  Sample.Latency = micros(std::int64_t(Ms * 1000));
+  return Sample;
+}
+
+inline auto startState(const scenario &S, std::int64_t Start)
+    -> config::move_state {
+  auto State = config::move_state{};
+  State.Move.Id = move_id{"m1"};
+  State.Move.By = wall_ms{Start + S.Seconds * 1000};
+  State.Move.MaxEarlyShare = share_ppm{50'000};
+  State.Share = State.Move.MaxEarlyShare;
+  State.StartedAt = wall_ms{Start};
+  return State;
+}
+
+/** Applies a decision as replay does. */
+inline void applyDecision(config::move_state &State,
+                          const move_decision &Decision) {
+  if (const auto *Step = std::get_if<move_step>(&Decision)) {
+    if (!checkStep(State, *Step)) {
+      State.Step = Step->Number;
+      State.Share = Step->Share;
+    }
+  } else if (const auto *Verdict = std::get_if<move_verdict>(&Decision)) {
+    if (!checkVerdict(State, *Verdict)) {
+      State.Phase = Verdict->Phase;
+      State.Reason = Verdict->Reason;
+    }
+  }
+}
+
+/** Runs one move. */
+inline auto run(const scenario &S, std::uint64_t Seed) -> outcome {
+  constexpr auto Start = std::int64_t{1'700'000'000'000};
+  auto Random = random_source(Seed);
+  auto Result = outcome{startState(S, Start), {}, 0, 0};
+  auto &State = Result.State;
+  auto Locals = std::vector<local_evidence>(std::size_t(S.Reporters));
+  for (auto &Local : Locals) {
+    Local.Move = State.Move.Id;
+  }
+  auto Merged = merged_evidence{};
+  Merged.Move = State.Move.Id;
+  auto Test = test_state{};
+  auto Memory = driver_memory{};
+  auto Plan = test_plan{State.StartedAt, State.Move.By, std::size_t(S.Routes)};
+  auto FullSince = -1;
+  for (auto Second = 0; Second <= S.Seconds + 30; ++Second) {
+    if (Second == S.DriverChange) {
+      Merged = merged_evidence{};
+      Merged.Move = State.Move.Id;
+      Test = test_state{};
+      Memory = driver_memory{};
+    }
+    auto Share = State.Share.Value / 1e6;
+    FullSince = FullSince < 0 && Share >= 1 ? Second : FullSince;
+    auto Load = 1 + S.LoadSwing * std::sin(Second / 25.0);
+    auto Calls = S.CallsPerSecond * Load;
+    auto Count = int(Calls) + (randomUnit(Random) < Calls - int(Calls) ? 1 : 0);
+    for (auto Call = 0; Call < Count; ++Call) {
+      auto IsNew = randomUnit(Random) < Share;
+      auto Route = int(randomBelow(Random, std::uint32_t(S.Routes)));
+      auto IsBad =
+          IsNew && (S.BadRoute < 0 || S.BadRoute == Route) &&
+          Share >= S.BadAboveShare && Second >= S.BadFromSecond &&
+          (S.BadFromFullSecond < 0 ||
+           (FullSince >= 0 && Second >= FullSince + S.BadFromFullSecond));
+      Result.NewCalls += IsBad ? 1 : 0;
+      auto Half = std::uint32_t(S.Reporters / 2);
+      auto Node = randomBelow(Random, Half) + (IsNew ? Half : 0);
+      auto Now = wall_ms{Start + Second * 1000 + Call * 1000 / Count};
+      recordCall(Locals[Node], route_id{"r" + std::to_string(Route)},
+                 IsNew ? move_side::New : move_side::Old,
+                 sampleOf(S, Random, IsNew, IsBad, Load, Second), Now);
+    }
+    auto Now = wall_ms{Start + (Second + 1) * 1000 + 20};
+    for (auto Node = std::size_t{0}; Node < Locals.size(); ++Node) {
+      for (const auto &Report :
+           takeReport(Locals[Node], node_id{"n" + std::to_string(Node)},
+                      incarnation{1}, Now)) {
+        if (randomUnit(Random) >= S.Loss) {
+          mergeReport(Merged, Report, Now);
+        }
+      }
+    }
+    advanceTest(Test, Merged, Plan, State.Step, Now);
+    auto Input = inputOf(Test, Merged);
+    Input.Capacity = {24, 24, 10};
+    applyDecision(State, advance(State, Memory, Input, Now));
+    Result.Second = Second;
+    if (State.Phase != config::move_phase::Running) {
+      break;
+    }
+  }
+  Result.Alarm = Test.Alarm;
+  return Result;
+}
+
+} // namespace sycamorelb::moves::sim
