--- a/include/sycamorelb/inner/rpc_loop.h
+++ b/include/sycamorelb/inner/rpc_loop.h
@@ -18,8 +18,8 @@
   millis HandshakeTime{5000};       ///< For connections of addWatchedListener.
   millis IdleTime{120'000};         ///< For connections of addWatchedListener.
   std::size_t MaxConnections = 512; ///< Accepted connections at most.
-  std::uint64_t MessageWords = 256 * 1024; ///< Size of an incoming message at
-                                           ///< most, in 8-byte words.
+  std::uint64_t MessageWords = 256U << 10U; ///< Size of an incoming message at
+                                            ///< most, in 8-byte words.
 };
 
 /** What a bootstrap tells the loop about its connection. */
--- a/src/inner/rpc_client.cpp
+++ b/src/inner/rpc_client.cpp
@@ -17,7 +17,7 @@
 using vat_id = capnp::rpc::twoparty::VatId;
 
 /** Size of an incoming message at most, in words. */
-constexpr std::uint64_t MessageWords = 256 * 1024;
+constexpr std::uint64_t MessageWords = 256U << 10U;
 
 /** A connection to one peer. Members are destroyed in reverse order, so the
  * promise and the capability go before the connection they use. */
--- a/src/membership/tick.cpp
+++ b/src/membership/tick.cpp
@@ -220,8 +220,9 @@
   auto Excess =
       Tombstones.size() - std::min(Tombstones.size(), Options.MaxTombstones);
   for (auto Index = std::size_t{0}; Index < Tombstones.size(); ++Index) {
-    const auto &[DiedAt, Id] = Tombstones[Index];
-    if (Index < Excess || Now.Steady - DiedAt >= Options.TombstoneTime) {
+    const auto &Id = Tombstones[Index].second;
+    auto Age = Now.Steady - Tombstones[Index].first;
+    if (Index < Excess || Age >= Options.TombstoneTime) {
       Table.Entries.erase(Id);
       std::erase_if(Table.Queue,
                     [&](const auto &Queued) { return Queued.Id == Id; });
