Fix: [Config] A malformed record left its request without an outcome

Cause: the property on repeated requests failed: a record with a readable request id but an invalid body was rejected without noting the id, so its writer would wait for an outcome that never comes. Change: replay notes the rejection when the id can be read, and returns the first outcome when it was seen before. Before: config_replay::repeated_requests_get_the_first_outcome failed.

--- a/include/sycamorelb/config/checkpoint_func.h
+++ b/include/sycamorelb/config/checkpoint_func.h
@@ -13,7 +13,7 @@
 namespace sycamorelb::config {
 
 /** Largest encoded record of a checkpoint part. */
-inline constexpr std::size_t MaxPartBytes = 64 * 1024;
+inline constexpr std::size_t MaxPartBytes = 65536;
 
 /** @return the state with an integrity check, for transfer between peers. */
 auto encodeState(const config_state &State) -> std::string;
--- a/include/sycamorelb/config/record_type.h
+++ b/include/sycamorelb/config/record_type.h
@@ -4,6 +4,7 @@
 #include "sycamorelb/config/state_type.h"
 #include "sycamorelb/core/result_type.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 #include <variant>
@@ -84,6 +85,10 @@
  */
 auto decodeRecord(std::string_view Bytes) -> result<record>;
 
+/** @return the request id of a record whose remaining members may be invalid;
+ * nothing when even the id cannot be read. */
+auto decodeRequestId(std::string_view Bytes) -> std::optional<request_id>;
+
 /**
  * Makes the record that turns the declaration of a state into another one.
  * @param Current state that the operator saw; its Version becomes the base.
--- a/src/config/checkpoint.cpp
+++ b/src/config/checkpoint.cpp
@@ -11,7 +11,7 @@
 
 /** State bytes of one part: in base64 they stay within MaxPartBytes, with some
  * 1,300 bytes left for the other members. */
-static constexpr std::size_t PartDataBytes = 47 * 1024;
+static constexpr std::size_t PartDataBytes = 48128;
 
 auto encodeCheckpoint(const config_state &State, const std::string &Id,
                       wall_ms At) -> std::vector<std::string> {
--- a/src/config/declaration.cpp
+++ b/src/config/declaration.cpp
@@ -3,7 +3,7 @@
 #include "config/json_text.h"
 
 #include <map>
-#include <set>
+#include <utility>
 
 namespace sycamorelb::config {
 
@@ -11,13 +11,12 @@
 
 auto parseDeclaration(std::string_view Text, const std::string &File)
     -> parse_result {
-  auto Parsed = parseJson(Text);
-  if (auto *Fault = std::get_if<json_fault>(&Parsed)) {
+  auto Document = json_document();
+  if (auto Fault = parseJson(Text, Document)) {
     auto Found = "line " + std::to_string(Fault->Line) + ", column " +
                  std::to_string(Fault->Column) + ": " + Fault->Message;
     return std::vector<declaration_error>{{File, "", Found, "JSON"}};
   }
-  const auto &Document = std::get<json_document>(Parsed);
   auto Errors = std::vector<declaration_error>();
   for (const auto &Duplicate : Document.Duplicates) {
     Errors.push_back({File,
@@ -67,8 +66,10 @@
                         const json &After, std::vector<std::string> &Lines) {
   for (const auto &[Key, Value] : After.items()) {
     if (Before.at(Key) != Value) {
-      Lines.push_back("~ " + Title + ": " + Key + " " + Before.at(Key).dump() +
-                      " -> " + Value.dump());
+      auto Line = "~ " + Title;
+      Line.append(": ").append(Key).append(" ").append(Before.at(Key).dump());
+      Line.append(" -> ").append(Value.dump());
+      Lines.push_back(std::move(Line));
     }
   }
 }
@@ -78,17 +79,22 @@
                      std::vector<std::string> &Lines) {
   auto Old = byName(Before, Key);
   auto New = byName(After, Key);
+  auto Title = [&Kind](const std::string &Name) {
+    auto Text = Kind + " ";
+    return Text.append(Name);
+  };
   for (const auto &[Name, Element] : Old) {
     if (!New.contains(Name)) {
-      Lines.push_back("- " + Kind + " " + Name);
+      Lines.push_back("- " + Title(Name));
     }
   }
   for (const auto &[Name, Element] : New) {
     auto Found = Old.find(Name);
     if (Found == Old.end()) {
-      Lines.push_back("+ " + Kind + " " + Name + " " + Element.dump());
+      auto Line = "+ " + Title(Name);
+      Lines.push_back(Line.append(" ").append(Element.dump()));
     } else {
-      diffElement(Kind + " " + Name, Found->second, Element, Lines);
+      diffElement(Title(Name), Found->second, Element, Lines);
     }
   }
 }
--- a/src/config/json_text.cpp
+++ b/src/config/json_text.cpp
@@ -101,14 +101,13 @@
   std::vector<level> Levels;
 };
 
-auto parseJson(std::string_view Text)
-    -> std::variant<json_document, json_fault> {
+auto parseJson(std::string_view Text, json_document &Document)
+    -> std::optional<json_fault> {
   if (auto Byte = tooDeepAt(Text)) {
     return faultAt(Text, *Byte,
                    "nested deeper than " + std::to_string(MaxJsonDepth) +
                        " levels");
   }
-  auto Document = json_document();
   auto Finder = duplicate_finder(Document.Duplicates);
   try {
     Document.Root = json::parse(
@@ -121,7 +120,7 @@
   } catch (const json::exception &Error) {
     return faultAt(Text, 0, Error.what());
   }
-  return Document;
+  return std::nullopt;
 }
 
 auto escapeToken(std::string_view Key) -> std::string {
--- a/src/config/json_text.h
+++ b/src/config/json_text.h
@@ -2,9 +2,10 @@
 #pragma once
 
 #include <nlohmann/json.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
-#include <variant>
+#include <utility>
 #include <vector>
 
 namespace sycamorelb::config {
@@ -30,11 +31,18 @@
 struct json_document {
   nlohmann::json Root;                   ///< The value.
   std::vector<duplicate_key> Duplicates; ///< Keys given twice.
+
+  // Not implicit: the library's null value counts as throwing, an implicit
+  // constructor would be noexcept.
+  json_document() : Root(nullptr) {}
 };
 
-/** @return the document, or where it is not JSON. */
-auto parseJson(std::string_view Text)
-    -> std::variant<json_document, json_fault>;
+/**
+ * Parses text into an empty document.
+ * @return where the text is not JSON; nothing on success.
+ */
+auto parseJson(std::string_view Text, json_document &Document)
+    -> std::optional<json_fault>;
 
 /** @return Key escaped as one JSON pointer token. */
 auto escapeToken(std::string_view Key) -> std::string;
--- a/src/config/record_codec.cpp
+++ b/src/config/record_codec.cpp
@@ -81,11 +81,12 @@
   Part.Position = {Reader.number("position")};
   Part.Hash = Reader.number("hash");
   auto Data = decodeBase64(Reader.text("data", MaxPartBytes));
-  Part.Data = std::move(Data).value_or("");
   if (Part.Index >= Part.Count) {
     Reader.fail("index");
   }
-  if (!Data) {
+  if (Data) {
+    Part.Data = std::move(*Data);
+  } else {
     Reader.fail("data");
   }
   return Part;
@@ -158,12 +159,11 @@
   if (Bytes.size() > MaxRecordBytes) {
     return corrupt("longer than " + std::to_string(MaxRecordBytes) + " bytes");
   }
-  auto Parsed = parseJson(Bytes);
-  auto *Document = std::get_if<json_document>(&Parsed);
-  if (Document == nullptr || !Document->Duplicates.empty()) {
+  auto Document = json_document();
+  if (parseJson(Bytes, Document) || !Document.Duplicates.empty()) {
     return corrupt("not JSON with unique keys");
   }
-  auto Reader = json_reader(Document->Root);
+  auto Reader = json_reader(Document.Root);
   auto Record = record();
   auto Type = Reader.text("type", MaxIdBytes);
   Record.At = {Reader.integer("at_ms")};
@@ -182,6 +182,22 @@
   return Record;
 }
 
+auto decodeRequestId(std::string_view Bytes) -> std::optional<request_id> {
+  if (Bytes.size() > MaxRecordBytes) {
+    return std::nullopt;
+  }
+  auto Document = json_document();
+  if (parseJson(Bytes, Document) || !Document.Duplicates.empty()) {
+    return std::nullopt;
+  }
+  auto Reader = json_reader(Document.Root);
+  auto Id = request_id{Reader.text("request", MaxRequestIdBytes)};
+  if (Id.Value.empty()) {
+    return std::nullopt;
+  }
+  return Id;
+}
+
 auto makeApply(const config_state &Current, const declaration &Target,
                const request_id &Request, wall_ms At) -> record {
   auto Patch = json::diff(declarationToJson(Current.Declared),
--- a/src/config/replay.cpp
+++ b/src/config/replay.cpp
@@ -65,26 +65,47 @@
       Record.Body);
 }
 
-/** Executes a mutation that was not seen before and notes its outcome. */
+/** Notes the outcome of a request id that was not seen before. */
+static auto conclude(config_state &State, const request_id &Request,
+                     refusal Refusal) -> replay_outcome {
+  auto Accepted = Refusal.empty();
+  auto Outcome = request_outcome{
+      Request, Accepted ? outcome_kind::Accepted : outcome_kind::Rejected,
+      State.Position, boundedReason(std::move(Refusal))};
+  State.Outcomes.push_back(Outcome);
+  if (State.Outcomes.size() > MaxRequestOutcomes) {
+    State.Outcomes.pop_front();
+  }
+  return {Accepted ? replay_kind::Accepted : replay_kind::Rejected,
+          std::move(Outcome)};
+}
+
+/** Executes a mutation that was not seen before. */
 static auto decide(config_state &State, const record &Record)
     -> replay_outcome {
   auto Refusal = runCommand(State, Record);
-  auto Kind = Refusal.empty() ? outcome_kind::Accepted : outcome_kind::Rejected;
-  if (Kind == outcome_kind::Accepted) {
+  if (Refusal.empty()) {
     State.Version = State.Position;
     if (changesDeclaration(Record)) {
       State.DeclaredAt = State.Position;
     }
   }
-  auto Outcome = request_outcome{Record.Request, Kind, State.Position,
-                                 boundedReason(std::move(Refusal))};
-  State.Outcomes.push_back(Outcome);
-  if (State.Outcomes.size() > MaxRequestOutcomes) {
-    State.Outcomes.pop_front();
+  return conclude(State, Record.Request, std::move(Refusal));
+}
+
+/** Rejects a record that does not decode. When its request id can be read, the
+ * outcome is noted, so that the writer learns it. */
+static auto rejectMalformed(config_state &State, std::string_view Bytes,
+                            const error &Error) -> replay_outcome {
+  auto Request = decodeRequestId(Bytes);
+  if (!Request) {
+    return {replay_kind::Rejected,
+            {{}, outcome_kind::Rejected, State.Position, Error.Message}};
   }
-  return {Kind == outcome_kind::Accepted ? replay_kind::Accepted
-                                         : replay_kind::Rejected,
-          std::move(Outcome)};
+  if (auto First = findOutcome(State, *Request)) {
+    return {replay_kind::Duplicate, *First};
+  }
+  return conclude(State, *Request, Error.Message);
 }
 
 auto replayInto(config_state &State, log_offset Offset, std::string_view Bytes)
@@ -97,8 +118,7 @@
   State.Position = Offset;
   auto Decoded = decodeRecord(Bytes);
   if (!isOk(Decoded)) {
-    return {replay_kind::Rejected,
-            {{}, outcome_kind::Rejected, Offset, errorOf(Decoded).Message}};
+    return rejectMalformed(State, Bytes, errorOf(Decoded));
   }
   const auto &Record = valueOf(Decoded);
   if (std::holds_alternative<checkpoint_part>(Record.Body)) {
--- a/src/config/state_codec.cpp
+++ b/src/config/state_codec.cpp
@@ -175,12 +175,11 @@
       hexOf(hash64(Body)) + "\n") {
     return Corrupt("the hash does not fit");
   }
-  auto Parsed = parseJson(Body);
-  auto *Document = std::get_if<json_document>(&Parsed);
-  if (Document == nullptr) {
+  auto Document = json_document();
+  if (parseJson(Body, Document)) {
     return Corrupt("not JSON");
   }
-  auto Reader = json_reader(Document->Root);
+  auto Reader = json_reader(Document.Root);
   auto State = stateFromJson(Reader);
   if (Reader.fault()) {
     return Corrupt("member \"" + *Reader.fault() + "\" is missing or invalid");
--- a/src/platform/log_client.cpp
+++ b/src/platform/log_client.cpp
@@ -150,9 +150,8 @@
 }
 
 static auto parseBody(const std::string &Body) -> json {
-  auto Parsed = config::parseJson(Body);
-  auto *Document = std::get_if<config::json_document>(&Parsed);
-  return Document == nullptr ? json() : std::move(Document->Root);
+  auto Document = config::json_document();
+  return config::parseJson(Body, Document) ? json() : std::move(Document.Root);
 }
 
 static auto saysNotTaken(const std::string &Body) -> bool {
--- a/standin/log_service_main.cpp
+++ b/standin/log_service_main.cpp
@@ -9,7 +9,7 @@
 DEFINE_uint32(retention_s, 0, "age at which records expire; 0 for never");
 DEFINE_uint32(threads, 256, "connections served at once");
 
-int main(int Count, char **Arguments) {
+auto main(int Count, char **Arguments) -> int {
   gflags::ParseCommandLineFlags(&Count, &Arguments, true);
   // Blocked before any thread starts, so that sigwait receives them.
   auto Signals = sigset_t();
