--- /dev/null
+++ b/test/config_replay_test.cpp
@@ -0,0 +1,340 @@
+/** @file config_replay_test.cpp Tests of replay and checkpoints. */
+#include "config_fixture.h"
+#include "sycamorelb/config/checkpoint_func.h"
+
+#include <criterion/criterion.h>
+#include <set>
+
+using namespace sycamorelb;
+using namespace sycamorelb::config;
+
+/** Appends records by hand and keeps the state. */
+struct scenario {
+  config_state State;
+
+  auto run(const record &Record) -> replay_outcome {
+    return replayInto(State, {State.Position.Value + 1}, encodeRecord(Record));
+  }
+  auto apply(const declaration &Target, const std::string &Id)
+      -> replay_outcome {
+    return run(makeApply(State, Target, {Id}, wall_ms{0}));
+  }
+  auto run(const std::string &Id, decltype(record::Body) Body)
+      -> replay_outcome {
+    return run({{Id}, wall_ms{0}, std::move(Body)});
+  }
+  auto active() const -> const std::string & {
+    return State.Declared.Services.at({"roster"}).ActiveVersion.Value;
+  }
+};
+
+static auto accepted(const replay_outcome &Outcome) -> bool {
+  return Outcome.Kind == replay_kind::Accepted;
+}
+
+// Guards against a record that is applied in part, a position or hash that
+// does not advance, and unresolved references in any reachable state.
+Test(config_replay, refused_records_leave_the_rest_untouched) {
+  cr_assert(rc::check("refused records", [] {
+    auto History = randomHistory(40);
+    auto State = config_state();
+    for (const auto &[Offset, Bytes] : History.Records) {
+      auto [Next, Outcome] = replay(State, Offset, Bytes);
+      RC_ASSERT(Next.Position == Offset);
+      RC_ASSERT(Next.ChainHash != State.ChainHash);
+      RC_ASSERT(!checkState(Next).has_value());
+      if (Outcome.Kind != replay_kind::Accepted) {
+        RC_ASSERT(Next.Declared == State.Declared);
+        RC_ASSERT(Next.Moves == State.Moves);
+        RC_ASSERT(Next.ZonesOut == State.ZonesOut);
+        RC_ASSERT(Next.Version == State.Version);
+      }
+      RC_CLASSIFY(Outcome.Kind == replay_kind::Accepted, "accepted");
+      State = Next;
+    }
+  }));
+}
+
+// Guards against crashes and unsound states on arbitrary and damaged bytes.
+Test(config_replay, arbitrary_bytes_are_rejected_as_a_whole) {
+  cr_assert(rc::check("fuzz", [] {
+    auto History = randomHistory(5);
+    const auto &State = History.States.back();
+    auto Bytes = *rc::gen::arbitrary<bool>()
+                     ? *rc::gen::arbitrary<std::string>()
+                     : damage(encodeRecord(randomBody(State)));
+    auto Next = replay(State, {State.Position.Value + 1}, Bytes).Next;
+    RC_ASSERT(!checkState(Next).has_value());
+    RC_ASSERT(Next.Position.Value == State.Position.Value + 1);
+  }));
+}
+
+// Guards against patches that stop the program: the library asserts on an
+// added value below a string.
+Test(config_replay, hostile_patches_are_rejected) {
+  auto Scenario = scenario();
+  Scenario.apply(sampleDeclaration(), "a");
+  for (const char *Patch :
+       {R"([{"op":"add","path":"/zones/patan/region/x","value":1}])",
+        R"([{"op":"add","path":"/routes/99","value":1}])",
+        R"([{"op":"remove","path":""}])", R"([{"op":"move","path":"/x"}])",
+        R"([{"op":"replace","path":"","value":null}])",
+        R"([{"op":"copy","from":"","path":"/zones/self"}])",
+        R"([{"op":"add","path":"no slash","value":1}])", R"([1])",
+        R"([{"op":"add","path":5,"value":1}])", R"([{}])",
+        R"([{"op":"remove","path":"/services/roster"}])",
+        R"([{"op":"move","from":"/zones","path":"/zones/patan/x"}])"}) {
+    auto Before = Scenario.State.Declared;
+    auto Outcome = Scenario.run(std::string("id") + Patch,
+                                apply_record{Scenario.State.Version, Patch});
+    cr_expect(Outcome.Kind == replay_kind::Rejected, "%s", Patch);
+    cr_expect(Scenario.State.Declared == Before, "%s", Patch);
+  }
+}
+
+// Guards against a repeated request that takes effect twice or gets another
+// answer than the first one.
+Test(config_replay, repeated_requests_get_the_first_outcome) {
+  cr_assert(rc::check("repeats", [] {
+    auto History = randomHistory(20);
+    auto State = History.States.back();
+    RC_PRE(!State.Outcomes.empty());
+    auto Index = *rc::gen::inRange<std::size_t>(0, State.Outcomes.size());
+    auto First = State.Outcomes[Index];
+    auto Record = randomBody(State);
+    Record.Request = First.Id;
+    auto Next = replay(State, {State.Position.Value + 1}, encodeRecord(Record));
+    RC_ASSERT(Next.Outcome.Kind == replay_kind::Duplicate);
+    RC_ASSERT(Next.Outcome.Outcome == First);
+    RC_ASSERT(Next.Next.Declared == State.Declared);
+    RC_ASSERT(Next.Next.Moves == State.Moves);
+  }));
+}
+
+// Guards against a writer that never learns the outcome of its request because
+// only the envelope of its record is valid.
+Test(config_replay, malformed_records_have_an_outcome_when_they_have_an_id) {
+  auto Scenario = scenario();
+  auto Outcome = replayInto(Scenario.State, {1},
+                            R"({"type":"zone","request":"z","at_ms":0})");
+  cr_assert(Outcome.Kind == replay_kind::Rejected);
+  auto Found = findOutcome(Scenario.State, {"z"});
+  cr_assert(Found && Found->Kind == outcome_kind::Rejected);
+}
+
+// Guards against an unbounded table of outcomes.
+Test(config_replay, outcomes_are_bounded) {
+  auto Scenario = scenario();
+  for (auto Index = std::size_t{0}; Index < MaxRequestOutcomes + 10; ++Index) {
+    Scenario.run("r" + std::to_string(Index), zone_record{{"none"}, true});
+  }
+  cr_assert_eq(Scenario.State.Outcomes.size(), MaxRequestOutcomes);
+  cr_assert_str_eq(Scenario.State.Outcomes.front().Id.Value.c_str(), "r10");
+}
+
+// Guards against two racing operators who both win, and against operators who
+// are refused because a move stepped meanwhile.
+Test(config_replay, an_apply_needs_the_current_declaration) {
+  auto Scenario = scenario();
+  Scenario.apply(sampleDeclaration(), "a");
+  auto Stale = makeApply(Scenario.State, sampleDeclaration(4), {"b"}, {});
+  cr_assert(accepted(Scenario.apply(sampleDeclaration(3), "c")));
+  cr_assert(Scenario.run(Stale).Kind == replay_kind::Rejected);
+  auto Current = makeApply(Scenario.State, sampleDeclaration(4), {"d"}, {});
+  Scenario.run("e", move_start_record{sampleMove("m", "v1", "v2")});
+  cr_assert(accepted(Scenario.run("f", move_step_record{{"m"}, 1, {200'000}})));
+  cr_assert(accepted(Scenario.run(Current)));
+  cr_assert(Scenario.run("g", apply_record{{999}, "[]"}).Kind ==
+            replay_kind::Rejected);
+}
+
+// Guards against a routine apply that puts a zone back into service which an
+// operator took out.
+Test(config_replay, a_zone_taken_out_stays_out_over_applies) {
+  auto Scenario = scenario();
+  Scenario.apply(sampleDeclaration(), "a");
+  cr_assert(accepted(Scenario.run("out", zone_record{{"patan"}, false})));
+  cr_assert(accepted(Scenario.apply(sampleDeclaration(3), "b")));
+  cr_assert_not(Scenario.State.Declared.Zones.at({"patan"}).InService);
+  cr_assert(accepted(Scenario.run("in", zone_record{{"patan"}, true})));
+  cr_assert(Scenario.State.Declared.Zones.at({"patan"}).InService);
+  cr_assert(Scenario.run("no", zone_record{{"xela"}, false}).Kind ==
+            replay_kind::Rejected);
+}
+
+// Guards against several moves at once on a service, steps out of order, a
+// second verdict, and versions removed under a running move.
+Test(config_replay, moves_run_one_at_a_time_to_one_verdict) {
+  auto Scenario = scenario();
+  Scenario.apply(sampleDeclaration(), "a");
+  auto Refused = [&Scenario](const char *Id, decltype(record::Body) Body) {
+    return Scenario.run(Id, std::move(Body)).Kind == replay_kind::Rejected;
+  };
+  cr_assert(Refused("x1", move_start_record{sampleMove("m", "v2", "v3")}));
+  cr_assert(accepted(
+      Scenario.run("s", move_start_record{sampleMove("m", "v1", "v2")})));
+  cr_assert(Refused("x2", move_start_record{sampleMove("n", "v1", "v3")}));
+  cr_assert(Refused("x3", move_step_record{{"m"}, 2, {1}}));
+  cr_assert(accepted(Scenario.run("t", move_step_record{{"m"}, 1, {1}})));
+  cr_assert(Refused("x4", move_step_record{{"m"}, 1, {2}}));
+  for (auto Target : {sampleDeclaration(), sampleDeclaration()}) {
+    static auto Round = 0;
+    auto &Roster = Target.Services.at({"roster"});
+    Round == 0 ? Roster.Versions.erase(Roster.Versions.begin() + 1)
+               : (Roster.ActiveVersion = {"v3"}, Roster.Versions.begin());
+    auto Id = "y" + std::to_string(Round++);
+    cr_assert(Scenario.apply(Target, Id).Kind == replay_kind::Rejected);
+  }
+  cr_assert(accepted(
+      Scenario.run("d", move_verdict_record{{"m"}, move_phase::Done, ""})));
+  cr_assert_str_eq(Scenario.active().c_str(), "v2");
+  cr_assert(
+      Refused("x5", move_verdict_record{{"m"}, move_phase::TakenBack, "late"}));
+  cr_assert_str_eq(Scenario.active().c_str(), "v2");
+}
+
+// Guards against an unchanged file that undoes or repeats its completed move.
+Test(config_replay, a_declared_move_runs_once) {
+  auto Scenario = scenario();
+  auto Target = sampleDeclaration();
+  Target.Moves.push_back(sampleMove("m", "v1", "v2"));
+  cr_assert(accepted(Scenario.apply(Target, "a")));
+  cr_assert(runningMove(Scenario.State, {"roster"}) != nullptr);
+  cr_assert(accepted(Scenario.apply(Target, "b")));
+  Scenario.run("d", move_verdict_record{{"m"}, move_phase::Done, ""});
+  cr_assert(accepted(Scenario.apply(Target, "c")));
+  cr_assert_str_eq(Scenario.active().c_str(), "v2");
+  cr_assert(runningMove(Scenario.State, {"roster"}) == nullptr);
+  Target.Moves.clear();
+  cr_assert(accepted(Scenario.apply(Target, "back")));
+  cr_assert_str_eq(Scenario.active().c_str(), "v1");
+}
+
+// Guards against a state that changes in transfer, and damage that passes.
+Test(config_codec, states_round_trip_and_damage_is_found) {
+  cr_assert(rc::check("state codec", [] {
+    auto History = randomHistory(20);
+    const auto &State = History.States.back();
+    auto Bytes = encodeState(State);
+    auto Decoded = decodeState(Bytes);
+    RC_ASSERT(isOk(Decoded));
+    RC_ASSERT(valueOf(Decoded) == State);
+    auto Damaged = damage(Bytes);
+    RC_ASSERT(Damaged == Bytes || !isOk(decodeState(Damaged)));
+    RC_ASSERT(!isOk(decodeState(*rc::gen::arbitrary<std::string>())));
+  }));
+}
+
+// Guards against a record that decodes to something else than was encoded.
+Test(config_codec, records_round_trip) {
+  cr_assert(rc::check("record codec", [] {
+    auto Record = randomBody(config_state());
+    auto Decoded = decodeRecord(encodeRecord(Record));
+    // A move between equal versions is refused by the decoder.
+    auto *Start = std::get_if<move_start_record>(&Record.Body);
+    auto Valid = Start == nullptr || Start->Move.From != Start->Move.To;
+    RC_ASSERT(isOk(Decoded) == Valid);
+    if (Valid) {
+      RC_ASSERT(valueOf(Decoded) == Record);
+    }
+  }));
+}
+
+/** Appends the parts of checkpoints of several writers in random order of
+ * writers; a writer may die before its last part. */
+static void appendCheckpoints(history &History,
+                              std::set<std::uint64_t> &Whole) {
+  auto Writers = std::vector<std::vector<std::string>>();
+  auto Positions = std::vector<std::uint64_t>();
+  for (auto Count = *rc::gen::inRange(1, 3); Count > 0; --Count) {
+    auto Position = *rc::gen::inRange<std::size_t>(0, History.States.size());
+    // Writers that share an id must not mix their parts either.
+    auto Id = "c" + std::to_string(*rc::gen::inRange(0, 2));
+    Writers.push_back(
+        encodeCheckpoint(History.States[Position], Id, wall_ms{0}));
+    Positions.push_back(Position);
+    if (*rc::gen::inRange(0, 3) == 0) {
+      Writers.back().pop_back();
+    } else {
+      Whole.insert(Position);
+    }
+  }
+  auto Sent = std::vector<std::size_t>(Writers.size());
+  for (auto Left = true; Left;) {
+    Left = false;
+    for (auto Index = std::size_t{0}; Index < Writers.size(); ++Index) {
+      auto &Next = Sent[Index];
+      if (Next < Writers[Index].size()) {
+        Left = true;
+        if (*rc::gen::arbitrary<bool>()) {
+          History.append(Writers[Index][Next++]);
+        }
+      }
+    }
+  }
+}
+
+// Guards against checkpoints assembled from parts of different writers, against
+// a restore that differs from the replay of the whole log, and against an
+// expired log whose newest complete checkpoint is missed.
+Test(config_checkpoint, restoring_equals_replaying_from_the_start) {
+  cr_assert(rc::check("checkpoints", [] {
+    auto History = randomHistory(6);
+    auto Whole = std::set<std::uint64_t>();
+    for (auto Round = 0; Round < 3; ++Round) {
+      appendCheckpoints(History, Whole);
+      History.append(encodeRecord(randomBody(History.States.back())));
+    }
+    auto First = *rc::gen::inRange<std::size_t>(0, History.Records.size());
+    auto Kept = std::vector<raw_record>(History.Records.begin() + First,
+                                        History.Records.end());
+    auto Restored = restoreFromLog(Kept);
+    RC_CLASSIFY(isOk(Restored), "restored");
+    if (isOk(Restored)) {
+      RC_ASSERT(valueOf(Restored) == History.States.back());
+    } else {
+      RC_ASSERT(First > 0U);
+    }
+    auto Newest = newestCheckpoint(History.Records);
+    RC_ASSERT(Newest.has_value() == !Whole.empty());
+    if (Newest) {
+      RC_ASSERT(Newest->Position.Value == *Whole.rbegin());
+      RC_ASSERT(*Newest == History.States[Newest->Position.Value]);
+    }
+  }));
+}
+
+// Guards against parts beyond 64 KiB and against states that need several.
+Test(config_checkpoint, large_states_are_cut_into_bounded_parts) {
+  auto Scenario = scenario();
+  auto Id = std::string(120, 'r');
+  for (auto Index = 0; Index < 1000; ++Index) {
+    Scenario.run(Id + std::to_string(Index), zone_record{{"none"}, true});
+  }
+  auto Parts = encodeCheckpoint(Scenario.State, std::string(120, 'c'), {});
+  cr_assert_gt(Parts.size(), 2U);
+  auto Records = std::vector<raw_record>();
+  for (const auto &Part : Parts) {
+    cr_assert_leq(Part.size(), MaxPartBytes);
+    Records.push_back(
+        {{Scenario.State.Position.Value + 1 + Records.size()}, Part});
+  }
+  cr_assert(newestCheckpoint(Records) == Scenario.State);
+}
+
+// Guards against a checkpoint written by a node with a damaged state: when the
+// log contradicts it, it is not used.
+Test(config_checkpoint, contradicted_checkpoints_are_not_used) {
+  auto History = history{{}, {config_state()}};
+  History.append(encodeRecord(
+      makeApply(config_state(), sampleDeclaration(), {"a"}, wall_ms{0})));
+  auto Forked = History.States.back();
+  Forked.ChainHash ^= 1;
+  Forked.Declared.Zones.clear();
+  for (const auto &Part : encodeCheckpoint(Forked, "bad", {})) {
+    History.append(Part);
+  }
+  auto Restored = restoreFromLog(History.Records);
+  cr_assert(isOk(Restored));
+  cr_assert(valueOf(Restored) == History.States.back());
+}
