--- a/src/limits/cold_start.cpp
+++ b/src/limits/cold_start.cpp
@@ -19,16 +19,17 @@
 constexpr double SlowRatioGain = 0.01;
 /// Parts of the threshold that one refusal or stall adds.
 constexpr double RefusalParts = 4;
-/// A window median below this part of the previous one still falls.
-constexpr double StillFalling = 0.8;
+/// A window median below this part of the recent ones still falls.
+constexpr double StillFalling = 0.75;
+/// Weight of a window in the EWMA of the medians.
+constexpr double RecentGain = 0.5;
 
 enum class signal : std::uint8_t { None, AsUsual, Slow, Refused };
 
 auto classify(const cold_start_config &Config, call_outcome Outcome,
               micros Latency, micros Reference) -> signal {
   auto Slow = Reference > micros{0} &&
-              static_cast<double>(Latency.count()) >
-                  Config.SlowFactor * static_cast<double>(Reference.count());
+              toDouble(Latency) > Config.SlowFactor * toDouble(Reference);
   switch (Outcome) {
   case call_outcome::Success:
     return Slow ? signal::Slow : signal::AsUsual;
@@ -66,25 +67,29 @@
 /** @return whether the closed window is evidence for a raise. */
 auto isEvidence(const cold_state &State, const cold_start_config &Config,
                 micros Median, micros Typical) -> bool {
-  auto Latency = static_cast<double>(Median.count());
+  auto Latency = toDouble(Median);
   if (Typical > micros{0})
-    return Latency <= Config.NearFactor * static_cast<double>(Typical.count());
+    return Latency <= Config.NearFactor * toDouble(Typical);
   // Without a known warm latency the upstream counts as warming up as long as
-  // its latency falls.
-  return State.Previous > micros{0} &&
-         Latency >= StillFalling * State.Previous.count() &&
-         Latency <= Config.NearFactor * State.Best.count();
+  // its latency falls. The comparison is with recent windows, not with the
+  // lowest: the lowest median of a few noisy samples is hardly met again.
+  return State.Recent > micros{0} &&
+         Latency >= StillFalling * toDouble(State.Recent) &&
+         Latency <= Config.NearFactor * toDouble(State.Recent);
 }
 
 auto closeWindow(cold_state &State, const cold_start_config &Config,
                  micros Typical, std::uint32_t WarmLimit) -> cold_event {
   auto Median = std::max(medianLatency(State.Window), micros{1});
   State.Window = latency_window{};
-  State.Best = State.Best == micros{0} ? Median : std::min(State.Best, Median);
   auto Evidence = isEvidence(State, Config, Median, Typical);
-  State.Previous = Median;
+  State.Recent =
+      State.Recent == micros{0}
+          ? Median
+          : micros(std::llround(toDouble(State.Recent) * (1 - RecentGain) +
+                                toDouble(Median) * RecentGain));
   if (!Evidence)
-    return cold_event::None;
+    return cold_event::Held;
   State.Limit = std::min(State.Limit * 2, WarmLimit);
   if (State.Limit < WarmLimit)
     return cold_event::Raised;
@@ -105,15 +110,14 @@
   State.Cold = true;
   State.Limit = std::max(1U, Config.ColdLimit);
   State.Alarm = 0;
-  State.Previous = micros{0};
-  State.Best = micros{0};
+  State.Recent = micros{0};
   State.Window = latency_window{};
 }
 
 auto observeCall(cold_state &State, const cold_start_config &Config,
                  call_outcome Outcome, micros Latency, micros Typical,
                  std::uint32_t WarmLimit, steady_time Now) -> cold_event {
-  auto Reference = Typical > micros{0} ? Typical : State.Best;
+  auto Reference = Typical > micros{0} ? Typical : State.Recent;
   auto Signal = classify(Config, Outcome, Latency, Reference);
   accumulate(State, Config, Signal);
   auto AtColdLimit = State.Cold && State.Limit <= Config.ColdLimit;
