--- a/include/sycamorelb/admin/admin_type.h
+++ b/include/sycamorelb/admin/admin_type.h
@@ -30,16 +30,16 @@
 /** Upstream in a status. */
 struct upstream_status {
   std::string Service, Version, Address, State; ///< As announced.
-  std::uint32_t Limit = 0;    ///< Concurrency limit.
-  std::uint32_t InFlight = 0; ///< Calls admitted.
-  std::uint32_t Slots = 0;    ///< Slots announced.
+  std::uint32_t Limit = 0;                      ///< Concurrency limit.
+  std::uint32_t InFlight = 0;                   ///< Calls admitted.
+  std::uint32_t Slots = 0;                      ///< Slots announced.
 };
 
 /** Node in a status. */
 struct node_status {
-  std::string Id, Zone, Region, State; ///< As known by membership.
-  log_offset ConfigPosition;           ///< Position last heard of.
-  std::string AdminAddress;            ///< Where operators reach it.
+  std::string Id, Zone, Region, State;    ///< As known by membership.
+  log_offset ConfigPosition;              ///< Position last heard of.
+  std::string AdminAddress;               ///< Where operators reach it.
   std::vector<upstream_status> Upstreams; ///< Upstreams beside it.
 };
 
@@ -60,20 +60,20 @@
 
 /** State of the mesh as one node knows it. */
 struct status {
-  std::string Node;                ///< Answering node.
-  log_offset ConfigVersion;        ///< Version in force there.
-  log_offset ConfigPosition;       ///< Position replayed there.
-  std::vector<node_status> Nodes;  ///< Live members.
-  std::vector<move_status> Moves;  ///< Running and ended moves.
-  std::vector<zone_status> Zones;  ///< Declared zones.
+  std::string Node;               ///< Answering node.
+  log_offset ConfigVersion;       ///< Version in force there.
+  log_offset ConfigPosition;      ///< Position replayed there.
+  std::vector<node_status> Nodes; ///< Live members.
+  std::vector<move_status> Moves; ///< Running and ended moves.
+  std::vector<zone_status> Zones; ///< Declared zones.
 };
 
 /** Order to move the traffic of a service. */
 struct move_request {
-  service_id Service;  ///< Service.
-  version_id From;     ///< Old version; empty for the active one.
-  version_id To;       ///< New version.
-  wall_ms By;          ///< Time by which the move is decided.
+  service_id Service;              ///< Service.
+  version_id From;                 ///< Old version; empty for the active one.
+  version_id To;                   ///< New version.
+  wall_ms By;                      ///< Time by which the move is decided.
   share_ppm MaxEarlyShare{50'000}; ///< Largest share before evidence exists.
 };
 
--- a/include/sycamorelb/core/id_type.h
+++ b/include/sycamorelb/core/id_type.h
@@ -17,7 +17,7 @@
 template <class Tag, class Rep> struct strong_id {
   Rep Value{}; ///< The plain representation.
 
-  auto operator<=>(const strong_id &) const = default;
+  auto operator<=>(const strong_id &) const = default; // NOLINT: clang-tidy 14.
 };
 
 template <class Tag, class Rep>
--- a/include/sycamorelb/core/unit_type.h
+++ b/include/sycamorelb/core/unit_type.h
@@ -22,13 +22,13 @@
 /** Wall time in milliseconds since the Unix epoch. */
 struct wall_ms {
   std::int64_t Value = 0; ///< Milliseconds since the Unix epoch.
-  auto operator<=>(const wall_ms &) const = default;
+  auto operator<=>(const wall_ms &) const = default; // NOLINT: clang-tidy 14.
 };
 
 /** Share of traffic in parts per million, 0 to 1,000,000. */
 struct share_ppm {
-  std::uint32_t Value = 0; ///< Parts per million.
-  auto operator<=>(const share_ppm &) const = default;
+  std::uint32_t Value = 0;                             ///< Parts per million.
+  auto operator<=>(const share_ppm &) const = default; // NOLINT: clang-tidy 14.
 };
 
 inline constexpr share_ppm FullShare{1'000'000};
--- a/include/sycamorelb/inner/peer_type.h
+++ b/include/sycamorelb/inner/peer_type.h
@@ -55,7 +55,7 @@
   node_id HeldByNode{};                        ///< Winner; only when held.
   incarnation HeldByIncarnation{}; ///< Its generation; only when held.
   std::string HeldByAttempt{};     ///< Its attempt; only when held.
-  std::uint16_t HeldStatus = 0;  ///< HTTP status of its call; 0 if unknown.
+  std::uint16_t HeldStatus = 0;    ///< HTTP status of its call; 0 if unknown.
   std::string Reason{};            ///< Reason; only when refused.
   auto operator==(const claim_verdict &) const -> bool = default;
 };
--- a/include/sycamorelb/settings/settings_type.h
+++ b/include/sycamorelb/settings/settings_type.h
@@ -12,7 +12,7 @@
 /** Shared secret for message authentication. */
 struct secret_key {
   std::uint32_t Id = 0; ///< Number of the key, sent along with each message.
-  std::string Secret; ///< At least 16 bytes.
+  std::string Secret;   ///< At least 16 bytes.
 };
 
 /** Addresses the node listens on. */
--- a/src/admin/admin_client.cpp
+++ b/src/admin/admin_client.cpp
@@ -47,7 +47,7 @@
       Stream = withTimeout(Parsed->connect());
       Rpc = kj::heap<capnp::TwoPartyClient>(*Stream);
     });
-    KJ_IF_MAYBE(Exception, Failure) {
+    KJ_IF_MAYBE (Exception, Failure) {
       return makeError(error_code::Unreachable, "admin.connect", *Exception);
     }
     return done();
@@ -67,15 +67,14 @@
           Request.send());
       Handshake.ServerNonce = toBytes(Answer.getNonce());
       Handshake.Server = {Answer.getServer().cStr()};
-      Proven = inner::verifyMac(Keys, Answer.getKeyId(),
-                                inner::auth_purpose::AdminServer,
-                                inner::handshakeBytes(Handshake),
-                                toBytes(Answer.getProof()));
+      Proven = inner::verifyMac(
+          Keys, Answer.getKeyId(), inner::auth_purpose::AdminServer,
+          inner::handshakeBytes(Handshake), toBytes(Answer.getProof()));
       if (Proven) {
         prove(Gate, Keys.front(), Handshake);
       }
     });
-    KJ_IF_MAYBE(Exception, Failure) {
+    KJ_IF_MAYBE (Exception, Failure) {
       return makeError(error_code::Unauthorized, "admin.authenticate",
                        *Exception);
     }
@@ -109,14 +108,16 @@
       auto Response = withTimeout<capnp::Response<R>>(Request.send());
       Value = Read(static_cast<typename R::Reader>(Response));
     });
-    KJ_IF_MAYBE(Exception, Failure) {
+    KJ_IF_MAYBE (Exception, Failure) {
       return makeError(error_code::Timeout, Step, *Exception);
     }
     return Value;
   }
 
   auto client() -> wire::Admin::Client & {
-    KJ_IF_MAYBE(Client, Admin) { return *Client; }
+    KJ_IF_MAYBE (Client, Admin) {
+      return *Client;
+    }
     KJ_FAIL_REQUIRE("not connected");
   }
 };
@@ -180,10 +181,10 @@
 }
 
 auto admin_client::readStatus() -> result<status> {
-  return Impl->call(
-      "admin.status", Impl->client().statusRequest(), [](auto Results) {
-        return sycamorelb::admin::readStatus(Results.getStatus());
-      });
+  return Impl->call("admin.status", Impl->client().statusRequest(),
+                    [](auto Results) {
+                      return sycamorelb::admin::readStatus(Results.getStatus());
+                    });
 }
 
 auto admin_client::readDeclaration() -> result<declaration_text> {
@@ -195,10 +196,9 @@
 }
 
 auto admin_client::dump() -> result<std::string> {
-  return Impl->call("admin.dump", Impl->client().dumpRequest(),
-                    [](auto Results) {
-                      return std::string(Results.getJson().cStr());
-                    });
+  return Impl->call(
+      "admin.dump", Impl->client().dumpRequest(),
+      [](auto Results) { return std::string(Results.getJson().cStr()); });
 }
 
 auto admin_client::drain() -> result<done> {
--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -75,8 +75,8 @@
   auto outcome(OutcomeContext Context) -> kj::Promise<void> override {
     auto Request =
         request_id{toText(Context.getParams().getRequestId(), MaxIdBytes)};
-    return mutate(
-        Context, [this, Request] { return State->Handlers.Outcome(Request); });
+    return mutate(Context,
+                  [this, Request] { return State->Handlers.Outcome(Request); });
   }
 
   auto status(StatusContext Context) -> kj::Promise<void> override {
@@ -153,10 +153,11 @@
     auto Params = Context.getParams();
     // A nonce serves for one attempt.
     auto Handshake = std::exchange(Pending, std::nullopt);
-    KJ_REQUIRE(Handshake.has_value() && inner::verifyMac(State->Keys, Params.getKeyId(),
-                                             inner::auth_purpose::AdminClient,
-                                             inner::handshakeBytes(*Handshake),
-                                             toBytes(Params.getProof())),
+    KJ_REQUIRE(Handshake.has_value() &&
+                   inner::verifyMac(State->Keys, Params.getKeyId(),
+                                    inner::auth_purpose::AdminClient,
+                                    inner::handshakeBytes(*Handshake),
+                                    toBytes(Params.getProof())),
                "unauthorized");
     Watch->Trusted = true;
     Watch->LastUse = steadyNow();
--- a/src/admin/admin_wire.cpp
+++ b/src/admin/admin_wire.cpp
@@ -74,9 +74,12 @@
 }
 
 static auto readUpstream(wire::UpstreamStatus::Reader In) -> upstream_status {
-  return {toText(In.getService()), toText(In.getVersion()),
-          toText(In.getAddress()), toText(In.getState()),
-          In.getLimit(),           In.getInFlight(),
+  return {toText(In.getService()),
+          toText(In.getVersion()),
+          toText(In.getAddress()),
+          toText(In.getState()),
+          In.getLimit(),
+          In.getInFlight(),
           In.getSlots()};
 }
 
@@ -121,11 +124,9 @@
 }
 
 static auto readMoveStatus(wire::MoveStatus::Reader In) -> move_status {
-  return {toText(In.getId()),     toText(In.getService()),
-          toText(In.getFrom()),   toText(In.getTo()),
-          toText(In.getPhase()),  {In.getSharePpm()},
-          {In.getByMs()},         toText(In.getReason()),
-          In.getStep()};
+  return {toText(In.getId()), toText(In.getService()), toText(In.getFrom()),
+          toText(In.getTo()), toText(In.getPhase()),   {In.getSharePpm()},
+          {In.getByMs()},     toText(In.getReason()),  In.getStep()};
 }
 
 void writeStatus(wire::Status::Builder Out, const status &Status) {
--- a/src/cli/cli_type.h
+++ b/src/cli/cli_type.h
@@ -20,12 +20,12 @@
 
 /** One verb of the command line. */
 struct verb {
-  const char *Name;               ///< First word of the command line.
-  const char *Usage;              ///< Arguments, for the help text.
-  const char *Help;               ///< What it does.
+  const char *Name;                ///< First word of the command line.
+  const char *Usage;               ///< Arguments, for the help text.
+  const char *Help;                ///< What it does.
   std::vector<const char *> Flags; ///< Flags that it accepts.
-  std::size_t Positional;         ///< Number of positional arguments.
-  auto (*Run)(const arguments &Arguments) -> exit_code; ///< Carries it out.
+  std::size_t Positional;          ///< Number of positional arguments.
+  auto(*Run)(const arguments &Arguments) -> exit_code; ///< Carries it out.
 };
 
 } // namespace sycamorelb::cli
--- a/src/cli/client.cpp
+++ b/src/cli/client.cpp
@@ -160,8 +160,8 @@
 static void awaitSpread(admin_client &Client, const request_id &Request,
                         outcome &Outcome, steady_time Deadline) {
   while (Outcome.NodesInForce < Outcome.NodesTotal && steadyNow() < Deadline) {
-    std::cerr << "\rin force on " << Outcome.NodesInForce << " of "
-              << Outcome.NodesTotal << " nodes " << std::flush;
+    std::cerr << "in force on " << Outcome.NodesInForce << " of "
+              << Outcome.NodesTotal << " nodes\n";
     std::this_thread::sleep_for(PollPeriod);
     auto Answer = Client.findOutcome(Request);
     if (!isOk(Answer)) {
@@ -169,8 +169,6 @@
     }
     Outcome = valueOf(Answer);
   }
-  std::cerr << "\rin force on " << Outcome.NodesInForce << " of "
-            << Outcome.NodesTotal << " nodes\n";
 }
 
 auto runMutation(const request_id &Request, const send_function &Send,
--- a/src/cli/client_func.h
+++ b/src/cli/client_func.h
@@ -11,8 +11,8 @@
 
 /** Where and as whom a client connects. */
 struct client_access {
-  std::string Address;    ///< Admin address of a node.
-  inner::auth_keys Keys;  ///< Admin keys.
+  std::string Address;   ///< Admin address of a node.
+  inner::auth_keys Keys; ///< Admin keys.
 };
 
 /** @return address and keys from --node and --settings, or from the settings
--- a/src/cli/main.cpp
+++ b/src/cli/main.cpp
@@ -98,8 +98,9 @@
   }
   const auto &Table = verbTable();
   auto Found =
-      std::find_if(Table.begin(), Table.end(),
-                   [&Words](const verb &Verb) { return Words[0] == Verb.Name; });
+      std::find_if(Table.begin(), Table.end(), [&Words](const verb &Verb) {
+        return Words[0] == Verb.Name;
+      });
   if (Found == Table.end()) {
     printOverview(std::cerr);
     return usageError("unknown verb \"" + Words[0] + "\"");
--- a/src/cli/verb_change.cpp
+++ b/src/cli/verb_change.cpp
@@ -143,10 +143,22 @@
   return wall_ms{wallNow().Value + Count * Scale};
 }
 
+/** Prints a line when the progress of a move changed. */
+static void showProgress(const admin::move_status &State, std::string &Shown) {
+  auto Line = State.Phase + ", share " +
+              std::to_string(State.Share.Value / 10'000) + " %, step " +
+              std::to_string(State.Step);
+  if (Line != Shown) {
+    std::cerr << Line << "\n";
+    Shown = Line;
+  }
+}
+
 /** Waits for the verdict of a move; shows progress. */
 static auto awaitVerdict(const request_id &Move, wall_ms By) -> exit_code {
   // The verdict may be recorded a little after the time of the move.
   auto Deadline = wall_ms{By.Value + 30'000};
+  auto Shown = std::string();
   while (wallNow() < Deadline) {
     auto Client = connectClient();
     auto Status = isOk(Client) ? valueOf(Client)->readStatus()
@@ -156,11 +168,8 @@
         if (State.Id != Move.Value) {
           continue;
         }
-        std::cerr << "\r" << State.Phase << ", share "
-                  << State.Share.Value / 10'000.0 << " %, step " << State.Step
-                  << "    " << std::flush;
+        showProgress(State, Shown);
         if (State.Phase != "running") {
-          std::cerr << "\n";
           std::cout << "move " << State.Id << ": " << State.Phase
                     << (State.Reason.empty() ? "" : ", " + State.Reason)
                     << "\n";
@@ -170,7 +179,7 @@
     }
     std::this_thread::sleep_for(millis(500));
   }
-  std::cerr << "\nno verdict in time\n";
+  std::cerr << "no verdict in time\n";
   return exit_code::Unknown;
 }
 
--- a/src/cli/verb_table.cpp
+++ b/src/cli/verb_table.cpp
@@ -77,7 +77,11 @@
        {"json", "node", "settings", "timeout_ms"},
        0,
        runDrain},
-      {"version", "", "Prints the version of the program.", {"json"}, 0,
+      {"version",
+       "",
+       "Prints the version of the program.",
+       {"json"},
+       0,
        runVersion},
   };
   return Table;
--- a/src/cli/verb_view.cpp
+++ b/src/cli/verb_view.cpp
@@ -73,8 +73,9 @@
   std::cout << "version " << Status.ConfigVersion.Value << ", position "
             << Status.ConfigPosition.Value << ", seen by " << Status.Node
             << "\n\n";
-  auto Nodes = text_table({"node", "zone", "state", "position", "service",
-                           "version", "upstream", "load", "limit", "in flight"});
+  auto Nodes =
+      text_table({"node", "zone", "state", "position", "service", "version",
+                  "upstream", "load", "limit", "in flight"});
   for (const auto &Node : Status.Nodes) {
     auto Start = text_row{Node.Id, Node.Zone, Node.State,
                           std::to_string(Node.ConfigPosition.Value)};
@@ -99,8 +100,8 @@
   if (Status.Moves.empty()) {
     return;
   }
-  auto Moves =
-      text_table({"move", "service", "from", "to", "phase", "share", "by", "reason"});
+  auto Moves = text_table(
+      {"move", "service", "from", "to", "phase", "share", "by", "reason"});
   for (const auto &Move : Status.Moves) {
     Moves.add({Move.Id, Move.Service, Move.From, Move.To, Move.Phase,
                percent(Move.Share), config::formatTime(Move.By), Move.Reason});
@@ -153,8 +154,8 @@
   auto Document = json::parse(valueOf(Dump), nullptr, false);
   auto Table = text_table({"member", "value"});
   for (const auto &[Name, Value] : Document.flatten().items()) {
-    Table.add({Name.substr(1), Value.is_string() ? Value.get<std::string>()
-                                                 : Value.dump()});
+    Table.add({Name.substr(1),
+               Value.is_string() ? Value.get<std::string>() : Value.dump()});
   }
   std::cout << Table.render();
   return exit_code::Done;
--- a/src/node/admission_control.cpp
+++ b/src/node/admission_control.cpp
@@ -26,17 +26,17 @@
 /** State of a call that waits in the queue. */
 struct waiter {
   enum class state { Waiting, Run, Refused };
-  state State = state::Waiting;               ///< Decision so far.
-  limits::refuse_reason Reason{};             ///< Why refused.
-  std::condition_variable_any Decided;        ///< Signals a decision.
+  state State = state::Waiting;        ///< Decision so far.
+  limits::refuse_reason Reason{};      ///< Why refused.
+  std::condition_variable_any Decided; ///< Signals a decision.
 };
 
 /** An announced upstream. */
 struct local_upstream {
-  upstream_info Info;                   ///< As announced.
-  std::string Instance;                 ///< Process of the upstream.
-  steady_time LeaseUntil{};             ///< End of the announcement's lease.
-  limits::upstream_limiter Limiter;     ///< Limits and queue.
+  upstream_info Info;                    ///< As announced.
+  std::string Instance;                  ///< Process of the upstream.
+  steady_time LeaseUntil{};              ///< End of the announcement's lease.
+  limits::upstream_limiter Limiter;      ///< Limits and queue.
   std::map<ticket_id, waiter *> Waiting; ///< Queued calls.
 };
 
@@ -242,9 +242,8 @@
       }
       Call = std::move(Found->second);
       Running.erase(Found);
-      settle(*Call.Upstream,
-             limits::onFinish(Call.Upstream->Limiter, Observed, Outcome.Latency,
-                              steadyNow()));
+      settle(*Call.Upstream, limits::onFinish(Call.Upstream->Limiter, Observed,
+                                              Outcome.Latency, steadyNow()));
     }
     report(Request, Call, Observed, Outcome.Latency);
   }
@@ -286,11 +285,10 @@
       Upstream->Info = Info;
       Upstream->Instance = Announcement.Instance;
       Upstreams.push_back(Upstream);
-      telemetry::logLine(telemetry::log_level::Info,
-                         {"upstream.announce", Info.Address, ""},
-                         "upstream announced",
-                         {{"service", Info.Service.Value},
-                          {"version", Info.Version.Value}});
+      telemetry::logLine(
+          telemetry::log_level::Info, {"upstream.announce", Info.Address, ""},
+          "upstream announced",
+          {{"service", Info.Service.Value}, {"version", Info.Version.Value}});
     } else if (Upstream->Instance != Announcement.Instance ||
                Upstream->Info.Version != Info.Version) {
       limits::onRestart(Upstream->Limiter,
@@ -331,7 +329,7 @@
     Info.Limit = limits::currentLimit(Upstream.Limiter, Now);
     Info.InFlight = Upstream.Limiter.Queue.InFlight;
     if (Info.State != upstream_state::Draining) {
-      Info.State = Upstream.LeaseUntil < Now ? upstream_state::Draining
+      Info.State = Upstream.LeaseUntil < Now          ? upstream_state::Draining
                    : limits::isCold(Upstream.Limiter) ? upstream_state::Cold
                                                       : upstream_state::Warm;
     }
@@ -395,18 +393,17 @@
   auto Lock = std::lock_guard(Impl->Mutex);
   for (const auto &Upstream : Impl->Upstreams) {
     auto Info = implementation::publishedInfo(*Upstream, Now);
-    List.push_back(
-        {{"service", Info.Service.Value},
-         {"version", Info.Version.Value},
-         {"address", Info.Address},
-         {"state", membership::upstreamStateName(Info.State)},
-         {"slots", Info.Slots},
-         {"connections", Info.Connections},
-         {"limit", Info.Limit},
-         {"in_flight", Info.InFlight},
-         {"queued", Upstream->Limiter.Queue.Queued.size()},
-         {"service_time_us",
-          limits::expectedServiceTime(Upstream->Limiter).count()}});
+    List.push_back({{"service", Info.Service.Value},
+                    {"version", Info.Version.Value},
+                    {"address", Info.Address},
+                    {"state", membership::upstreamStateName(Info.State)},
+                    {"slots", Info.Slots},
+                    {"connections", Info.Connections},
+                    {"limit", Info.Limit},
+                    {"in_flight", Info.InFlight},
+                    {"queued", Upstream->Limiter.Queue.Queued.size()},
+                    {"service_time_us",
+                     limits::expectedServiceTime(Upstream->Limiter).count()}});
   }
   return List;
 }
--- a/src/node/admission_control.h
+++ b/src/node/admission_control.h
@@ -15,15 +15,15 @@
 /** Announcement of an upstream. */
 struct announcement {
   membership::upstream_info Info; ///< What it says of itself.
-  std::string Instance; ///< Changes with each start; may be empty.
+  std::string Instance;           ///< Changes with each start; may be empty.
 };
 
 /** A finished call, as evidence about the version that answered. */
 struct finished_call {
-  service_id Service;         ///< Service.
-  version_id Version;         ///< Version that ran it.
-  route_id Route;             ///< Route of the call.
-  moves::call_sample Sample;  ///< Outcome and latency.
+  service_id Service;        ///< Service.
+  version_id Version;        ///< Version that ran it.
+  route_id Route;            ///< Route of the call.
+  moves::call_sample Sample; ///< Outcome and latency.
 };
 
 /** Owns the announced upstreams, their limits and queues. Thread safe. */
--- a/src/node/call_policy.cpp
+++ b/src/node/call_policy.cpp
@@ -124,10 +124,10 @@
         ExcludedIds.push_back(Group.Candidates[*Index].Id);
       }
     }
-    auto Request = routing::pick_request{
-        chooseVersion(Table, Route.Service, Group),
-        {Context.Self.Zone, Context.Self.Region},
-        ExcludedIds};
+    auto Request =
+        routing::pick_request{chooseVersion(Table, Route.Service, Group),
+                              {Context.Self.Zone, Context.Self.Region},
+                              ExcludedIds};
     auto Picked = routing::pickUpstream(Group.Candidates, Request, PickConfig,
                                         Random, Now);
     const auto *Found = std::get_if<routing::picked>(&Picked);
@@ -148,13 +148,11 @@
       return {};
     }
     auto Running = Snapshot.RunningMoves.find(Service);
-    const auto *Move = Running == Snapshot.RunningMoves.end()
-                           ? nullptr
-                           : &Running->second;
-    return routing::chooseVersion(Declared->second, Move,
-                                  Brakes.braked(Snapshot, Service),
-                                  routing::eligibleVersions(Group.Candidates),
-                                  Random)
+    const auto *Move =
+        Running == Snapshot.RunningMoves.end() ? nullptr : &Running->second;
+    return routing::chooseVersion(
+               Declared->second, Move, Brakes.braked(Snapshot, Service),
+               routing::eligibleVersions(Group.Candidates), Random)
         .Version;
   }
 
@@ -226,8 +224,7 @@
   /** The mutex must be held. */
   auto budgetConfigs(const route_id &Name)
       -> std::pair<limits::budget_config, limits::budget_config> {
-    auto Configs =
-        std::pair<limits::budget_config, limits::budget_config>();
+    auto Configs = std::pair<limits::budget_config, limits::budget_config>();
     auto Snapshot = Context.Store.current();
     for (const auto &Route : Snapshot->State.Declared.Routes) {
       if (Route.Name == Name) {
--- a/src/node/call_policy.h
+++ b/src/node/call_policy.h
@@ -30,5 +30,4 @@
   std::unique_ptr<implementation> Impl;
 };
 
-
 } // namespace sycamorelb::node
--- a/src/node/checkpoint_writer.cpp
+++ b/src/node/checkpoint_writer.cpp
@@ -15,11 +15,11 @@
 void checkpoint_writer::observe(const config::delivery &Delivery,
                                 log_offset Position) {
   auto Lock = std::lock_guard(Mutex);
-  auto HadCheckpoint = std::any_of(
-      Delivery.Outcomes.begin(), Delivery.Outcomes.end(),
-      [](const config::replay_outcome &Outcome) {
-        return Outcome.Kind == config::replay_kind::Checkpoint;
-      });
+  auto HadCheckpoint =
+      std::any_of(Delivery.Outcomes.begin(), Delivery.Outcomes.end(),
+                  [](const config::replay_outcome &Outcome) {
+                    return Outcome.Kind == config::replay_kind::Checkpoint;
+                  });
   // A node that adopted a whole state does not know the newest checkpoint; it
   // starts to count there, so that a rejoining fleet does not write many.
   auto Adopted = Delivery.Outcomes.empty();
@@ -57,19 +57,20 @@
                                      Context.Settings.Log.AppendTimeout);
     if (!std::holds_alternative<platform::append_done>(Result)) {
       // The parts written so far are ignored by readers without the rest.
-      telemetry::logLine(telemetry::log_level::Warning,
-                         {"checkpoint.append", Context.Settings.Log.Address, ""},
-                         "checkpoint not completed; it is written again later");
+      telemetry::logLine(
+          telemetry::log_level::Warning,
+          {"checkpoint.append", Context.Settings.Log.Address, ""},
+          "checkpoint not completed; it is written again later");
       return;
     }
   }
   auto Lock = std::lock_guard(Mutex);
   LastCheckpoint = Snapshot->State.Position;
   LastSeen = steadyNow();
-  telemetry::logLine(telemetry::log_level::Info, {"checkpoint.append", "", ""},
-                     "checkpoint written",
-                     {{"position", LastCheckpoint.Value},
-                      {"parts", Parts.size()}});
+  telemetry::logLine(
+      telemetry::log_level::Info, {"checkpoint.append", "", ""},
+      "checkpoint written",
+      {{"position", LastCheckpoint.Value}, {"parts", Parts.size()}});
 }
 
 } // namespace sycamorelb::node
--- a/src/node/claim_service.cpp
+++ b/src/node/claim_service.cpp
@@ -65,14 +65,13 @@
 
   explicit implementation(node_context &NodeContext)
       : Context(NodeContext),
-        Writer(
-            {[this](std::uint32_t Partition, const std::string &Bytes) {
-               return appendTo(Context, Partition, Bytes);
-             },
-             [this](std::uint32_t Partition, log_offset From) {
-               return readFrom(Context, Partition, From);
-             }},
-            {}) {}
+        Writer({[this](std::uint32_t Partition, const std::string &Bytes) {
+                  return appendTo(Context, Partition, Bytes);
+                },
+                [this](std::uint32_t Partition, log_offset From) {
+                  return readFrom(Context, Partition, From);
+                }},
+               {}) {}
 
   auto makeRequest(std::uint64_t KeyHash,
                    const proxy::admission_request &Request,
@@ -129,8 +128,8 @@
       return valueOf(Answer).front();
     }
     auto Refused = inner::claim_verdict();
-    Refused.Reason = isOk(Answer) ? "the writer sent no verdict"
-                                  : describe(errorOf(Answer));
+    Refused.Reason =
+        isOk(Answer) ? "the writer sent no verdict" : describe(errorOf(Answer));
     return Refused;
   }
 
@@ -202,8 +201,7 @@
   }
   static constexpr const char *Results[] = {"granted", "held", "refused"};
   Context.Metrics.increment(
-      metric::Claims,
-      {{"result", Results[static_cast<int>(Decision.Kind)]}});
+      metric::Claims, {{"result", Results[static_cast<int>(Decision.Kind)]}});
   return Decision;
 }
 
--- a/src/node/config_loop.cpp
+++ b/src/node/config_loop.cpp
@@ -282,8 +282,8 @@
     auto Peers = live().size();
     auto Lock = std::lock_guard(Mutex);
     auto Now = steadyNow();
-    auto Input = config::direct_read_input{
-        false, Peers == 0 ? 0 : Peers - 1, BehindSince, LastHelp, NextDirect};
+    auto Input = config::direct_read_input{false, Peers == 0 ? 0 : Peers - 1,
+                                           BehindSince, LastHelp, NextDirect};
     if (!config::shouldReadLog(Input, Now)) {
       return false;
     }
@@ -293,8 +293,8 @@
 
   auto readLog(millis Wait) -> bool {
     auto Before = Context.Store.point();
-    auto Result = Context.Log.read(
-        ConfigStream, {Before.Position.Value + 1}, ReadBatch, Wait);
+    auto Result = Context.Log.read(ConfigStream, {Before.Position.Value + 1},
+                                   ReadBatch, Wait);
     auto Answered = !std::holds_alternative<error>(Result);
     Context.Metrics.increment(metric::LogReads,
                               {{"result", Answered ? "ok" : "failed"}});
@@ -380,14 +380,13 @@
 void config_loop::onNotice(const node_id &From, const std::string &Address,
                            const inner::config_notice &Notice) {
   auto Own = Impl->Context.Store.point();
-  auto Point =
-      chain_point{Notice.Config.Position, Notice.Config.ChainHash};
+  auto Point = chain_point{Notice.Config.Position, Notice.Config.ChainHash};
   if (!Notice.Records.empty() && Notice.Base.Position == Own.Position &&
       Notice.Base.ChainHash == Own.Hash) {
-    Impl->take(Own,
-               Impl->Context.Store.apply(
-                   config::record_batch{Notice.Records, Point}),
-               Address);
+    Impl->take(
+        Own,
+        Impl->Context.Store.apply(config::record_batch{Notice.Records, Point}),
+        Address);
   }
   Impl->offer(From, Address, Point);
 }
--- a/src/node/gossip_loop.cpp
+++ b/src/node/gossip_loop.cpp
@@ -79,8 +79,7 @@
     queueExchanges(Effects.Exchanges);
   }
 
-  void
-  queueExchanges(const std::vector<membership::exchange_target> &Targets) {
+  void queueExchanges(const std::vector<membership::exchange_target> &Targets) {
     if (Targets.empty()) {
       return;
     }
@@ -110,9 +109,8 @@
         noteContact(Context);
         handle(*Received);
       }
-      changeTable([](auto &Table) {
-        return membership::onTick(Table, instantNow());
-      });
+      changeTable(
+          [](auto &Table) { return membership::onTick(Table, instantNow()); });
       rebuildView();
     }
   }
@@ -204,8 +202,8 @@
 void gossip_loop::setOwnUpstreams(
     std::vector<membership::upstream_info> Upstreams) {
   auto Lock = std::lock_guard(Impl->Context.MemberMutex);
-  auto Raised = membership::setOwnUpstreams(Impl->Context.Members,
-                                            std::move(Upstreams));
+  auto Raised =
+      membership::setOwnUpstreams(Impl->Context.Members, std::move(Upstreams));
   if (!isOk(Raised)) {
     telemetry::logError(log_level::Error, errorOf(Raised));
   } else if (valueOf(Raised)) {
--- a/src/node/move_loop.cpp
+++ b/src/node/move_loop.cpp
@@ -28,13 +28,56 @@
 /** Time to publish one step or verdict. */
 static constexpr auto PublishTimeout = millis(3000);
 
+/** Shortest time over which the load of a service is measured. */
+static constexpr auto LoadPeriod = millis(3000);
+
+/** Mean number of calls in flight, measured from the evidence. */
+struct load_meter {
+  wall_ms Since;       ///< Begin of the current measurement.
+  double BusyUs = 0;   ///< Sum of all latencies at that time.
+  double InFlight = 0; ///< Last result.
+};
+
+/** @return the sum of the latencies of all calls, by the upper ends of their
+ * buckets. */
+static auto busyTime(const moves::merged_evidence &Evidence) -> double {
+  auto Sum = 0.0;
+  for (const auto &[Route, Total] : Evidence.Totals) {
+    for (const auto &Side : Total) {
+      for (auto Bucket = std::size_t{0}; Bucket + 1 < Side.Latency.size();
+           ++Bucket) {
+        Sum += static_cast<double>(Side.Latency[Bucket]) *
+               static_cast<double>(moves::bucketEnd(Bucket).count());
+      }
+    }
+  }
+  return Sum;
+}
+
+/** Updates the meter. @return the mean number of calls in flight. */
+static auto measureLoad(load_meter &Meter,
+                        const moves::merged_evidence &Evidence, wall_ms Now)
+    -> double {
+  auto Elapsed = Now.Value - Meter.Since.Value;
+  if (Elapsed >= LoadPeriod.count()) {
+    auto Busy = busyTime(Evidence);
+    if (Meter.Since.Value > 0) {
+      Meter.InFlight = std::max(0.0, Busy - Meter.BusyUs) /
+                       (static_cast<double>(Elapsed) * 1000.0);
+    }
+    Meter = {Now, Busy, Meter.InFlight};
+  }
+  return Meter.InFlight;
+}
+
 /** What a node holds of one running move. */
 struct move_work {
-  moves::local_evidence Local;    ///< From the upstreams of this node.
-  moves::merged_evidence Merged;  ///< From all reporters; for the driver.
-  moves::test_state Test;         ///< Sequential test of the driver.
-  moves::driver_memory Memory;    ///< Memory of the driver.
-  std::string LastDecision;       ///< For the state dump.
+  moves::local_evidence Local;   ///< From the upstreams of this node.
+  moves::merged_evidence Merged; ///< From all reporters; for the driver.
+  moves::test_state Test;        ///< Sequential test of the driver.
+  moves::driver_memory Memory;   ///< Memory of the driver.
+  load_meter Load;               ///< Load of the service.
+  std::string LastDecision;      ///< For the state dump.
 };
 
 struct move_loop::implementation {
@@ -140,16 +183,15 @@
     }
   }
 
+  /** @return what the upstreams can take now. A cold upstream counts with its
+   * cold-start limit: without any calls it would never become warm. */
   auto capacityOf(const config::move &Move) const -> moves::move_capacity {
     auto Capacity = moves::move_capacity();
     auto View = Context.View.load();
     for (const auto &Member : View->Members) {
       for (const auto &Upstream : Member.Upstreams) {
-        if (Upstream.Service != Move.Service) {
-          continue;
-        }
-        Capacity.InFlight += Upstream.InFlight;
-        if (Upstream.State != membership::upstream_state::Warm) {
+        if (Upstream.Service != Move.Service ||
+            Upstream.State == membership::upstream_state::Draining) {
           continue;
         }
         if (Upstream.Version == Move.To) {
@@ -174,7 +216,7 @@
 
   void drive(const move_state &State) {
     auto Decision = moves::move_decision();
-    auto NewAlarm = std::optional<moves::alarm>();
+    auto NewAlarm = std::optional<moves::move_alarm>();
     {
       auto Lock = std::lock_guard(Mutex);
       auto &Work = workOf(State.Move.Id);
@@ -187,6 +229,7 @@
       auto Input = moves::inputOf(Work.Test, Work.Merged);
       Input.Brake = Brakes.reason(State.Move.Id);
       Input.Capacity = capacityOf(State.Move);
+      Input.Capacity.InFlight = measureLoad(Work.Load, Work.Merged, wallNow());
       Input.LogAvailable = Config.logAvailable();
       Decision = moves::advance(State, Work.Memory, Input, wallNow());
       Work.LastDecision = describeDecision(Decision);
@@ -212,7 +255,7 @@
                : "taken back: " + Verdict.Reason;
   }
 
-  void brake(const move_state &State, const moves::alarm &Alarm) {
+  void brake(const move_state &State, const moves::move_alarm &Alarm) {
     auto Reason = Alarm.Reason;
     if (!Alarm.Route.Value.empty()) {
       Reason += " on route " + Alarm.Route.Value;
@@ -237,8 +280,8 @@
     auto Name = std::string();
     if (const auto *Step = std::get_if<moves::move_step>(&Decision)) {
       Name = "step-" + std::to_string(Step->Number);
-      Record.Body = config::move_step_record{State.Move.Id, Step->Number,
-                                             Step->Share};
+      Record.Body =
+          config::move_step_record{State.Move.Id, Step->Number, Step->Share};
     } else {
       const auto &Verdict = std::get<moves::move_verdict>(Decision);
       Name = "verdict";
@@ -291,8 +334,8 @@
   if (Call.Version != Move.From && Call.Version != Move.To) {
     return;
   }
-  auto Side = Call.Version == Move.To ? moves::move_side::New
-                                      : moves::move_side::Old;
+  auto Side =
+      Call.Version == Move.To ? moves::move_side::New : moves::move_side::Old;
   auto Lock = std::lock_guard(Impl->Mutex);
   moves::recordCall(Impl->workOf(Move.Id).Local, Call.Route, Side, Call.Sample,
                     wallNow());
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -75,16 +75,15 @@
         OpsServer(serverOptions(Settings, Settings.Listen.OpsPort, 2)) {}
 
   auto gossipHandlers() -> gossip_handlers {
-    return {[this](const auto &From, const auto &Address, const auto &Point) {
-              Config.onPeerPoint(From, Address, Point);
-            },
-            [this](const auto &From, const auto &Address, const auto &Notice) {
-              Config.onNotice(From, Address, Notice);
-            },
-            [this](const auto &Brake) { Moves.takeBrake(Brake); },
-            [this](const auto &, const auto &Bytes) {
-              Moves.takeReport(Bytes);
-            }};
+    return {
+        [this](const auto &From, const auto &Address, const auto &Point) {
+          Config.onPeerPoint(From, Address, Point);
+        },
+        [this](const auto &From, const auto &Address, const auto &Notice) {
+          Config.onNotice(From, Address, Notice);
+        },
+        [this](const auto &Brake) { Moves.takeBrake(Brake); },
+        [this](const auto &, const auto &Bytes) { Moves.takeReport(Bytes); }};
   }
 
   auto admissionHooks() -> proxy::admission_hooks {
@@ -200,9 +199,9 @@
       return errorOf(Udp);
     }
     Context.Udp = std::move(valueOf(Udp));
-    auto Peers = inner::servePeers(
-        Context.Loop, {InnerAddress, Context.Self.Id, InnerKeys},
-        peerHandlers());
+    auto Peers = inner::servePeers(Context.Loop,
+                                   {InnerAddress, Context.Self.Id, InnerKeys},
+                                   peerHandlers());
     if (!isOk(Peers)) {
       return errorOf(Peers);
     }
--- a/src/node/node_context.cpp
+++ b/src/node/node_context.cpp
@@ -45,20 +45,19 @@
 /** Seeds random choices so that nodes started at once differ. */
 static auto choiceSeed(const settings::node_settings &Settings)
     -> std::uint64_t {
-  return hash64(Settings.Id.Value,
-                static_cast<std::uint64_t>(wallNow().Value) +
-                    static_cast<std::uint64_t>(getpid()));
+  return hash64(Settings.Id.Value, static_cast<std::uint64_t>(wallNow().Value) +
+                                       static_cast<std::uint64_t>(getpid()));
 }
 
 node_context::node_context(settings::node_settings NodeSettings)
-    : Settings(std::move(NodeSettings)),
-      Self{Settings.Id, Settings.Zone, Settings.Region},
+    : Settings(std::move(NodeSettings)), Self{Settings.Id, Settings.Zone,
+                                              Settings.Region},
       Incarnation{static_cast<std::uint64_t>(wallNow().Value)},
       Log(logClientSettings(Settings.Log)),
-      Members(membership::makeTable(
-          ownMember(Settings, Incarnation), Settings.Seeds,
-          membershipOptions(Settings.Timing), choiceSeed(Settings),
-          steadyNow())),
+      Members(membership::makeTable(ownMember(Settings, Incarnation),
+                                    Settings.Seeds,
+                                    membershipOptions(Settings.Timing),
+                                    choiceSeed(Settings), steadyNow())),
       Rpc(Loop, {Settings.Id, toAuthKeys(Settings.InnerKeys)}) {
   auto Subset = routing::subset_config();
   Subset.Size = Settings.Proxy.SubsetSize;
--- a/src/node/operations_cmd.cpp
+++ b/src/node/operations_cmd.cpp
@@ -187,10 +187,14 @@
 static auto moveStatus(const config::move_state &State) -> admin::move_status {
   static constexpr const char *Phases[] = {"running", "done", "taken_back"};
   const auto &Move = State.Move;
-  return {Move.Id.Value,   Move.Service.Value,
-          Move.From.Value, Move.To.Value,
-          Phases[static_cast<int>(State.Phase)], State.Share,
-          Move.By,         State.Reason,
+  return {Move.Id.Value,
+          Move.Service.Value,
+          Move.From.Value,
+          Move.To.Value,
+          Phases[static_cast<int>(State.Phase)],
+          State.Share,
+          Move.By,
+          State.Reason,
           State.Step};
 }
 
--- a/src/node/ops_endpoints.cpp
+++ b/src/node/ops_endpoints.cpp
@@ -81,8 +81,8 @@
                      admission_control &Admission) {
   Server.handle("GET", "/metrics", [Sources](const local_request &) {
     updateMetrics(Sources);
-    return local_response{200, "text/plain; version=0.0.4",
-                          Sources.Context.Metrics.render(), {}};
+    return local_response{
+        200, "text/plain; version=0.0.4", Sources.Context.Metrics.render(), {}};
   });
   Server.handle("GET", "/healthz", [](const local_request &) {
     return local_response{200, "text/plain", "ok\n", {}};
@@ -94,13 +94,12 @@
                : local_response{503, "text/plain", Reason + "\n", {}};
   });
   Server.handle("GET", "/dump", [Sources](const local_request &) {
-    return local_response{200, "application/json",
-                          dumpState(Sources).dump(2) + "\n", {}};
+    return local_response{
+        200, "application/json", dumpState(Sources).dump(2) + "\n", {}};
+  });
+  Server.handle("PUT", "/announce", [&Admission](const local_request &Request) {
+    return announce(Admission, Request);
   });
-  Server.handle("PUT", "/announce",
-                [&Admission](const local_request &Request) {
-                  return announce(Admission, Request);
-                });
   Server.handle("DELETE", "/announce",
                 [&Admission](const local_request &Request) {
                   return withdraw(Admission, Request);
--- a/src/node/publisher.cpp
+++ b/src/node/publisher.cpp
@@ -64,7 +64,8 @@
   if (Unknown != nullptr) {
     return {publish_kind::Unknown, {}, describe(Unknown->Error)};
   }
-  return {publish_kind::Unknown, std::get<platform::append_done>(Appended).Offset,
+  return {publish_kind::Unknown,
+          std::get<platform::append_done>(Appended).Offset,
           "the record is durable but was not read back in time"};
 }
 
--- a/src/node/route_table.cpp
+++ b/src/node/route_table.cpp
@@ -76,9 +76,9 @@
 static void takeGossipReport(routing::upstream_stats &Stats,
                              const membership::upstream_info &Info,
                              steady_time Now) {
-  auto Report = routing::load_report{
-      Info.Limit, Info.InFlight,
-      Info.State == membership::upstream_state::Cold};
+  auto Report =
+      routing::load_report{Info.Limit, Info.InFlight,
+                           Info.State == membership::upstream_state::Cold};
   if (!Stats.HasReport) {
     routing::onReport(Stats, Report, Now);
   }
--- a/src/node/route_table.h
+++ b/src/node/route_table.h
@@ -52,9 +52,8 @@
 };
 
 /** Observations by upstream; entries have stable addresses. */
-using stats_map =
-    std::unordered_map<routing::upstream_id,
-                       std::unique_ptr<routing::upstream_stats>>;
+using stats_map = std::unordered_map<routing::upstream_id,
+                                     std::unique_ptr<routing::upstream_stats>>;
 
 /**
  * Builds the candidates.
--- a/src/node/state_dump.cpp
+++ b/src/node/state_dump.cpp
@@ -73,27 +73,24 @@
 }
 
 static auto dumpServer(const proxy::server_stats &Stats) -> json {
-  return {{"accepted", Stats.Accepted},
-          {"requests", Stats.Requests},
-          {"bad_requests", Stats.BadRequests},
-          {"overloaded", Stats.Overloaded},
-          {"connections", Stats.Connections},
-          {"in_flight", Stats.Busy}};
+  return {{"accepted", Stats.Accepted},        {"requests", Stats.Requests},
+          {"bad_requests", Stats.BadRequests}, {"overloaded", Stats.Overloaded},
+          {"connections", Stats.Connections},  {"in_flight", Stats.Busy}};
 }
 
 static auto dumpProxy(const proxy::proxy_stats &Stats) -> json {
-  return {{"opened", Stats.Opened},       {"reused", Stats.Reused},
-          {"dropped", Stats.Dropped},     {"retries", Stats.Retries},
-          {"hedges", Stats.Hedges},       {"cancelled", Stats.Cancelled},
-          {"silent", Stats.Silent},       {"truncated", Stats.Truncated}};
+  return {{"opened", Stats.Opened},   {"reused", Stats.Reused},
+          {"dropped", Stats.Dropped}, {"retries", Stats.Retries},
+          {"hedges", Stats.Hedges},   {"cancelled", Stats.Cancelled},
+          {"silent", Stats.Silent},   {"truncated", Stats.Truncated}};
 }
 
 auto dumpState(const dump_sources &Sources) -> json {
   auto &Context = Sources.Context;
   auto Snapshot = Context.Store.current();
   auto View = Context.View.load();
-  auto Contact = steadyNow() -
-                 steady_time(micros(Context.LastContactUs.load()));
+  auto Contact =
+      steadyNow() - steady_time(micros(Context.LastContactUs.load()));
   return {{"node", Context.Self.Id.Value},
           {"zone", Context.Self.Zone.Value},
           {"region", Context.Self.Region.Value},
@@ -139,9 +136,8 @@
   Metrics.set(metric::Members, {{"state", "live"}},
               static_cast<double>(Context.View.load()->Members.size()));
   for (const auto &Upstream : Sources.Admission.upstreams()) {
-    auto Labels = telemetry::metric_labels{
-        {"service", Upstream.Service.Value},
-        {"version", Upstream.Version.Value}};
+    auto Labels = telemetry::metric_labels{{"service", Upstream.Service.Value},
+                                           {"version", Upstream.Version.Value}};
     Metrics.set(metric::UpstreamLimit, Labels, Upstream.Limit);
     Metrics.set(metric::UpstreamInFlight, Labels, Upstream.InFlight);
   }
--- a/src/node/state_dump.h
+++ b/src/node/state_dump.h
@@ -11,14 +11,14 @@
 
 /** Parts of the node that the dump reads. */
 struct dump_sources {
-  node_context &Context;                    ///< Shared state.
-  const config_loop &Config;                ///< Distribution.
-  const admission_control &Admission;       ///< Local upstreams.
-  const call_policy &Policy;                ///< Observations.
-  const move_loop &Moves;                   ///< Traffic moves.
-  const proxy::proxy_handler &Proxy;        ///< Connections.
-  const proxy::http_server &CallerServer;   ///< Calls of callers.
-  const proxy::http_server &PeerServer;     ///< Calls of nodes.
+  node_context &Context;                  ///< Shared state.
+  const config_loop &Config;              ///< Distribution.
+  const admission_control &Admission;     ///< Local upstreams.
+  const call_policy &Policy;              ///< Observations.
+  const move_loop &Moves;                 ///< Traffic moves.
+  const proxy::proxy_handler &Proxy;      ///< Connections.
+  const proxy::http_server &CallerServer; ///< Calls of callers.
+  const proxy::http_server &PeerServer;   ///< Calls of nodes.
 };
 
 /** @return the state of the node. */
