--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -13,10 +13,10 @@
 
 namespace sycamorelb::proxy {
 
-static constexpr auto MaxAnswerHead = std::size_t{64 * 1024};
+static constexpr auto MaxAnswerHead = std::size_t{64} * 1024;
 // An answer that is not passed on is read only if it is small; otherwise a new
 // connection is cheaper.
-static constexpr auto MaxDiscard = std::uint64_t{16 * 1024};
+static constexpr auto MaxDiscard = std::uint64_t{16} * 1024;
 
 attempt::attempt(proxy_core &Core, exchange &Exchange, call_body &Body,
                  attempt_plan Plan)
--- a/src/proxy/connection.cpp
+++ b/src/proxy/connection.cpp
@@ -18,7 +18,7 @@
 namespace sycamorelb::proxy {
 
 // One read takes at most this much, which bounds the memory per direction.
-static constexpr auto ReadBytes = std::size_t{32 * 1024};
+static constexpr auto ReadBytes = std::size_t{32} * 1024;
 
 auto statusName(io_status Status) -> const char * {
   switch (Status) {
--- a/src/proxy/exchange.cpp
+++ b/src/proxy/exchange.cpp
@@ -12,7 +12,7 @@
 
 // Larger pieces are written directly, since copying them costs more than a
 // further segment.
-static constexpr auto CollectBytes = std::size_t{16 * 1024};
+static constexpr auto CollectBytes = std::size_t{16} * 1024;
 
 exchange::exchange(connection &Caller, request_head TheHead,
                    exchange_limits Limits, bool Draining)
--- a/src/proxy/local_endpoint.cpp
+++ b/src/proxy/local_endpoint.cpp
@@ -10,7 +10,7 @@
 
 // The library's backlog of 5 delays a storm of new connections by seconds.
 static constexpr auto Backlog = 1024;
-static constexpr auto MaxLocalBody = std::size_t{1024 * 1024};
+static constexpr auto MaxLocalBody = std::size_t{1024} * 1024;
 static constexpr auto LocalTimeout = millis{10'000};
 
 /** Runs accepted sockets on the accepting thread; they are only handed over. */
--- a/src/proxy/message_head.h
+++ b/src/proxy/message_head.h
@@ -57,9 +57,9 @@
 
 /** Limits of a head. */
 struct head_limits {
-  std::size_t MaxBytes = 16 * 1024;        ///< Start line and headers.
-  std::size_t MaxHeaders = 100;            ///< Header fields.
-  std::uint64_t MaxBodyBytes = 1ULL << 30; ///< Content-Length.
+  std::size_t MaxBytes = std::size_t{16} * 1024; ///< Start line and headers.
+  std::size_t MaxHeaders = 100;                  ///< Header fields.
+  std::uint64_t MaxBodyBytes = 1ULL << 30;       ///< Content-Length.
 };
 
 /** Result of looking for the end of a head. */
--- a/standin/upstream_server.cpp
+++ b/standin/upstream_server.cpp
@@ -53,6 +53,7 @@
   auto reportCounters() -> nlohmann::json;
   auto control(const nlohmann::json &Change) -> std::string;
   void announceLoop();
+  auto endAnnouncements() -> bool;
   void announce(bool Leaving);
   void registerEndpoints();
 
@@ -400,10 +401,26 @@
   }
 }
 
+auto upstream_server::implementation::endAnnouncements() -> bool {
+  {
+    auto Lock = std::lock_guard(Mutex);
+    Stopping = true;
+    Changed.notify_all();
+  }
+  if (!Announcer.joinable()) {
+    return false;
+  }
+  Announcer.join();
+  return true;
+}
+
 upstream_server::upstream_server(upstream_options Options)
     : Impl(std::make_unique<implementation>(std::move(Options))) {}
 
-upstream_server::~upstream_server() { stop(millis(0)); }
+upstream_server::~upstream_server() {
+  Impl->endAnnouncements();
+  Impl->Server.stop();
+}
 
 auto upstream_server::start() -> result<std::uint16_t> {
   auto Started = Impl->Server.start();
@@ -417,13 +434,7 @@
 }
 
 void upstream_server::stop(millis Drain) {
-  {
-    auto Lock = std::lock_guard(Impl->Mutex);
-    Impl->Stopping = true;
-    Impl->Changed.notify_all();
-  }
-  if (Impl->Announcer.joinable()) {
-    Impl->Announcer.join();
+  if (Impl->endAnnouncements()) {
     Impl->announce(true);
   }
   if (Drain.count() > 0) {
