Fix: [Standin] The upstream executable ended at its start

Seen by a run by hand: announce, call, control, counters and withdrawal on SIGTERM work, exit code 0. No automatic test starts the executable.

--- a/standin/upstream_main.cpp
+++ b/standin/upstream_main.cpp
@@ -4,11 +4,14 @@
 #include <csignal>
 #include <cstdio>
 #include <gflags/gflags.h>
+#include <string>
+#include <vector>
 
 DEFINE_string(host, "127.0.0.1", "address to listen on");
 DEFINE_uint32(port, 0, "port to listen on; 0 for any free one");
 DEFINE_string(service, "service", "service to announce");
-DEFINE_string(version, "v1", "version to announce");
+DEFINE_string(service_version, "v1",
+              "version to announce; may be written as --version=NAME");
 DEFINE_uint32(slots, 10, "calls worked on at once");
 DEFINE_uint32(connections, 120, "connections accepted");
 DEFINE_double(service_ms, 5, "time of a call on a warm host, in ms");
@@ -19,8 +22,28 @@
 DEFINE_string(announce, "", "http://ip:port of the node beside it");
 DEFINE_int64(drain_ms, 5000, "longest time for calls in progress at the end");
 
+/** Renames --version=NAME: gflags defines a flag of that name itself, and a
+ * second definition ends the program at its start. */
+static auto renameVersion(int Count, char **Arguments)
+    -> std::vector<std::string> {
+  auto Renamed = std::vector<std::string>(Arguments, Arguments + Count);
+  for (auto &Argument : Renamed) {
+    if (Argument.starts_with("--version=")) {
+      Argument = "--service_" + Argument.substr(2);
+    }
+  }
+  return Renamed;
+}
+
 auto main(int Count, char **Arguments) -> int {
   using namespace sycamorelb;
+  auto Texts = renameVersion(Count, Arguments);
+  auto Pointers = std::vector<char *>();
+  for (auto &Text : Texts) {
+    Pointers.push_back(Text.data());
+  }
+  Pointers.push_back(nullptr);
+  Arguments = Pointers.data();
   gflags::ParseCommandLineFlags(&Count, &Arguments, true);
   // The signals are blocked in all threads and taken by sigwait below.
   auto Signals = sigset_t();
@@ -32,7 +55,7 @@
   Options.Host = FLAGS_host;
   Options.Port = static_cast<std::uint16_t>(FLAGS_port);
   Options.Service = FLAGS_service;
-  Options.Version = FLAGS_version;
+  Options.Version = FLAGS_service_version;
   Options.Connections = FLAGS_connections;
   Options.Announce = FLAGS_announce;
   Options.Behaviour.ServiceMs = FLAGS_service_ms;
