--- a/demo/deployment.py
+++ b/demo/deployment.py
@@ -92,7 +92,7 @@
         port = node.upstream_port if version == "v1" else node.upstream_v2_port
         return self.spawn(f"{node.name}-upstream-{version}", [
             f"{self.build}/upstream", f"--port={port}", f"--service={node.service}",
-            f"--service_version={version}", f"--slots={self.topology['slots']}",
+            f"--version={version}", f"--slots={self.topology['slots']}",
             f"--connections={self.topology['connections']}",
             f"--service_ms={self.topology['service_ms']}", f"--warm_ms={warm_ms}",
             f"--announce=http://{IP}:{node.ports['ops_port']}"])
