--- a/include/sycamorelb/core/id_type.h
+++ b/include/sycamorelb/core/id_type.h
@@ -17,6 +17,8 @@
 template <class Tag, class Rep> struct strong_id {
   Rep Value{}; ///< The plain representation.
 
+  // clang-tidy reports the code that the compiler writes for the comparison.
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   auto operator<=>(const strong_id &) const = default;
 };
 
