Codechange: [Membership] Fuller datagrams and a second flood of urgent news

Cause: size estimates were up to twice the real size, and each message reserved 256 bytes for a target that only a PingRequest has; the largest datagram of a cold start of 100 nodes with small records had 443 bytes. One flood to four members leaves about 2 % of them to piggybacking, so a departure missed a node for more than 1 s under one order of random choices. Change: estimates count the bytes that are not zero, empty texts are not written, urgent updates are flooded twice.

--- a/include/sycamorelb/membership/membership_func.h
+++ b/include/sycamorelb/membership/membership_func.h
@@ -2,6 +2,12 @@
  *
  * The functions change only the table they are given. They read no clock and
  * send nothing; the caller carries out the returned effects.
+ *
+ * Cost per node at 880 members, each with one upstream: an idle node sends one
+ * ping and one ack of 74 bytes per second, 148 bytes/s. In the 20 s after a
+ * death it sends 542 bytes/s on average. Both come from the test
+ * membership_protocol/traffic_at_target_size_is_within_bounds (seed 31); RPC
+ * exchanges and IP headers are not included.
  */
 #pragma once
 
--- a/include/sycamorelb/membership/table_type.h
+++ b/include/sycamorelb/membership/table_type.h
@@ -38,6 +38,11 @@
   std::size_t MaxBrakes = 64;       ///< Brakes remembered at most.
 };
 
+/** Times that each node floods an urgent update. One flood to four members
+ * leaves about 2 % of the members to the slower piggybacking, two leave less
+ * than 0.1 %. */
+inline constexpr std::uint32_t UrgentFloods = 2;
+
 /** A member as one node knows it. */
 struct member_entry {
   member Member{}; ///< Merged record.
@@ -51,17 +56,17 @@
 
 /** An update waiting to be piggybacked. */
 struct queued_update {
-  node_id Id{};           ///< Member whose current record is sent.
-  std::uint32_t Sent = 0; ///< Times it was sent.
-  bool Urgent = false;    ///< Whether it is still to be flooded.
+  node_id Id{};             ///< Member whose current record is sent.
+  std::uint32_t Sent = 0;   ///< Times it was sent.
+  std::uint32_t Floods = 0; ///< Times it is still to be flooded.
 };
 
 /** A brake known to this node. */
 struct brake_entry {
-  brake_notice Notice{};   ///< The brake.
-  steady_time LearnedAt{}; ///< When this node learned of it.
-  std::uint32_t Sent = 0;  ///< Times it was sent.
-  bool Urgent = true;      ///< Whether it is still to be flooded.
+  brake_notice Notice{};               ///< The brake.
+  steady_time LearnedAt{};             ///< When this node learned of it.
+  std::uint32_t Sent = 0;              ///< Times it was sent.
+  std::uint32_t Floods = UrgentFloods; ///< Times it is still to be flooded.
 };
 
 /** A probe that has not been answered. */
--- a/src/inner/wire.cpp
+++ b/src/inner/wire.cpp
@@ -11,10 +11,20 @@
 
 namespace {
 
+/** Sets a text field unless the text is empty, which is the default and takes
+ * fewer bytes when it is not written. */
+template <class Builder>
+void setText(Builder &Out, void (Builder::*Set)(capnp::Text::Reader),
+             const std::string &Text) {
+  if (!Text.empty()) {
+    (Out.*Set)(asText(Text));
+  }
+}
+
 void writeUpstream(wire::Upstream::Builder Out, const upstream_info &Upstream) {
-  Out.setService(asText(Upstream.Service.Value));
-  Out.setVersion(asText(Upstream.Version.Value));
-  Out.setAddress(asText(Upstream.Address));
+  setText(Out, &wire::Upstream::Builder::setService, Upstream.Service.Value);
+  setText(Out, &wire::Upstream::Builder::setVersion, Upstream.Version.Value);
+  setText(Out, &wire::Upstream::Builder::setAddress, Upstream.Address);
   Out.setSlots(Upstream.Slots);
   Out.setConnections(Upstream.Connections);
   Out.setState(static_cast<std::uint16_t>(Upstream.State));
@@ -48,14 +58,18 @@
 
 void writeUpdate(wire::MemberUpdate::Builder Out, const member_update &Update) {
   const auto &Member = Update.Member;
-  Out.setId(asText(Member.Id.Value));
+  setText(Out, &wire::MemberUpdate::Builder::setId, Member.Id.Value);
   Out.setIncarnation(Member.Incarnation.Value);
-  Out.setInnerAddress(asText(Member.Addresses.Inner));
-  Out.setPeerAddress(asText(Member.Addresses.Peer));
-  Out.setCallerAddress(asText(Member.Addresses.Caller));
-  Out.setAdminAddress(asText(Member.Addresses.Admin));
-  Out.setZone(asText(Member.Zone.Value));
-  Out.setRegion(asText(Member.Region.Value));
+  setText(Out, &wire::MemberUpdate::Builder::setInnerAddress,
+          Member.Addresses.Inner);
+  setText(Out, &wire::MemberUpdate::Builder::setPeerAddress,
+          Member.Addresses.Peer);
+  setText(Out, &wire::MemberUpdate::Builder::setCallerAddress,
+          Member.Addresses.Caller);
+  setText(Out, &wire::MemberUpdate::Builder::setAdminAddress,
+          Member.Addresses.Admin);
+  setText(Out, &wire::MemberUpdate::Builder::setZone, Member.Zone.Value);
+  setText(Out, &wire::MemberUpdate::Builder::setRegion, Member.Region.Value);
   Out.setState(static_cast<std::uint16_t>(Member.State));
   Out.setRevision(Member.Revision);
   Out.setConfigPosition(Member.ConfigPosition.Value);
--- a/src/membership/gossip.cpp
+++ b/src/membership/gossip.cpp
@@ -83,21 +83,23 @@
 }
 
 auto hasUrgent(const member_table &Table) -> bool {
-  auto IsUrgent = [](const auto &Item) { return Item.Urgent; };
+  auto IsUrgent = [](const auto &Item) { return Item.Floods > 0; };
   return std::any_of(Table.Queue.begin(), Table.Queue.end(), IsUrgent) ||
          std::any_of(Table.Brakes.begin(), Table.Brakes.end(), IsUrgent);
 }
 
-/** Marks what Message carries as flooded. */
-void clearUrgent(member_table &Table, const message &Message) {
+/** Counts a flood of what Message carries. */
+void countFlood(member_table &Table, const message &Message) {
   for (auto &Queued : Table.Queue) {
-    Queued.Urgent &= std::none_of(
+    auto IsSent = std::any_of(
         Message.Updates.begin(), Message.Updates.end(),
         [&](const auto &Update) { return Update.Member.Id == Queued.Id; });
+    Queued.Floods -= IsSent && Queued.Floods > 0 ? 1 : 0;
   }
   for (auto &Brake : Table.Brakes) {
-    Brake.Urgent &= std::find(Message.Brakes.begin(), Message.Brakes.end(),
-                              Brake.Notice) == Message.Brakes.end();
+    auto IsSent = std::find(Message.Brakes.begin(), Message.Brakes.end(),
+                            Brake.Notice) != Message.Brakes.end();
+    Brake.Floods -= IsSent && Brake.Floods > 0 ? 1 : 0;
   }
 }
 
@@ -129,7 +131,7 @@
     Table.Queue.erase(Found);
   }
   Table.Queue.insert(Table.Queue.begin(),
-                     queued_update{.Id = Id, .Urgent = true});
+                     queued_update{.Id = Id, .Floods = UrgentFloods});
 }
 
 auto buildMessage(member_table &Table, message_kind Kind,
@@ -140,8 +142,11 @@
                          .From = Table.Self,
                          .FromIncarnation = ownEntry(Table).Member.Incarnation,
                          .Config = Table.Config};
-  // The caller may set a target afterwards.
-  auto Base = estimateBaseBytes(Message) + 2 * (MaxIdBytes + MaxAddressBytes);
+  // The target of a request is set afterwards.
+  auto Target = Kind == message_kind::PingRequest
+                    ? 2 * (MaxIdBytes + MaxAddressBytes)
+                    : 0;
+  auto Base = estimateBaseBytes(Message) + Target;
   auto Room =
       Table.Options.DatagramBytes - std::min(Base, Table.Options.DatagramBytes);
   auto Added = addReceiverRecord(Table, Receiver, Now, Room, Message);
@@ -174,14 +179,16 @@
     return;
   }
   auto Count = std::min(Allowed, Table.Options.UrgentFanout);
+  auto Flooded = message{};
   for (const auto &Peer : randomPeers(Table, Count, node_id{})) {
     auto Message = buildMessage(Table, message_kind::Gossip, 0, Peer, Now);
     Table.UrgentTokens -= 1;
-    clearUrgent(Table, Message);
+    Flooded = Message;
     Effects.Messages.push_back(
         {.Address = Table.Entries.at(Peer).Member.Addresses.Inner,
          .Message = std::move(Message)});
   }
+  countFlood(Table, Flooded);
 }
 
 void mergeBrake(member_table &Table, const brake_notice &Brake, instant Now,
--- a/src/membership/join.cpp
+++ b/src/membership/join.cpp
@@ -38,12 +38,25 @@
  * length, as targets lie within one datagram. */
 constexpr std::size_t PointerBytes = 5;
 
-/** @return the size of a packed text at most, with its pointer. */
+/** @return the size of a packed text at most, with its pointer; an empty text
+ * is not written. */
 auto textBytes(const std::string &Text) -> std::size_t {
-  auto Length = Text.size() + 1;
-  return Length + 2 * ((Length + 7) / 8) + PointerBytes;
+  auto Length = Text.size();
+  return Length == 0 ? 2 : Length + 2 * (Length / 8) + 2 + PointerBytes;
 }
 
+/** @return the number of bytes of Value that are not zero. */
+auto numberBytes(std::uint64_t Value) -> std::size_t {
+  auto Bytes = std::size_t{0};
+  for (; Value != 0; Value >>= 8U) {
+    Bytes += (Value & 0xffU) != 0 ? 1 : 0;
+  }
+  return Bytes;
+}
+
+/** Size of a packed word without its bytes that are not zero, at most. */
+constexpr std::size_t TagBytes = 2;
+
 auto isShort(const std::string &Text, std::size_t Limit) -> bool {
   return Text.size() <= Limit;
 }
@@ -71,7 +84,10 @@
       textBytes(Member.Addresses.Caller) + textBytes(Member.Addresses.Admin) +
       textBytes(Member.Zone.Value) + textBytes(Member.Region.Value);
   for (const auto &Upstream : Member.Upstreams) {
-    Bytes += 3 * WordBytes + textBytes(Upstream.Service.Value) +
+    Bytes += 3 * TagBytes + numberBytes(Upstream.Slots) +
+             numberBytes(Upstream.Connections) + numberBytes(Upstream.Limit) +
+             numberBytes(Upstream.InFlight) + 1 +
+             textBytes(Upstream.Service.Value) +
              textBytes(Upstream.Version.Value) + textBytes(Upstream.Address);
   }
   return Bytes;
@@ -84,9 +100,14 @@
 }
 
 auto estimateBaseBytes(const message &Message) -> std::size_t {
-  // 21 bytes of authentication; segment table, envelope and message structs
-  // of 2 + 3 + 6 words; two lists with a tag each.
-  return 21 + 11 * WordBytes + 8 * PointerBytes +
+  // 21 bytes of authentication; the segment table; the envelope with a wall
+  // time of 6 bytes and the type of the body, but 8 bytes to be safe; the
+  // message with its numbers; two lists with a tag each.
+  return 21 + WordBytes + 2 * WordBytes + 5 * TagBytes + 1 +
+         numberBytes(Message.Sequence) +
+         numberBytes(Message.FromIncarnation.Value) +
+         numberBytes(Message.Config.Position.Value) +
+         numberBytes(Message.Config.ChainHash) + 6 * PointerBytes +
          textBytes(Message.From.Value) + textBytes(Message.Target.Value) +
          textBytes(Message.TargetAddress);
 }
--- a/test/membership_protocol_test.cpp
+++ b/test/membership_protocol_test.cpp
@@ -30,6 +30,23 @@
   return Limit;
 }
 
+/** Gives the nodes of a bus records of the size that is usual in operation. */
+void enlargeRecords(bus &Bus) {
+  for (auto &[Address, Node] : Bus.Nodes) {
+    auto &Own = ownEntry(Node.Table).Member;
+    Own.Addresses = {
+        .Inner = Address, .Peer = Address, .Caller = Address, .Admin = Address};
+    Own.Upstreams.push_back({.Service = {"service-41"},
+                             .Version = {"v1"},
+                             .Address = Address,
+                             .Slots = 10,
+                             .Connections = 120,
+                             .State = upstream_state::Warm,
+                             .Limit = 10,
+                             .InFlight = 3});
+  }
+}
+
 /** Applies one random fault to the bus. */
 void injectFault(bus &Bus, int Count, std::uint64_t &Incarnation) {
   auto Index = *rc::gen::inRange(0, Count);
@@ -248,29 +265,35 @@
   cr_assert_eq(Node.Table.Entries.size(), 1);
 }
 
+// Guards against datagrams that exceed the limit, or that stay more than half
+// empty, when far more updates are queued than fit: a fleet that starts from
+// nothing. Sizes are estimated from above, so the limit itself is not reached.
+Test(membership_protocol, cold_start_fills_datagrams_to_the_limit) {
+  auto Bus = makeBus(100, 37);
+  enlargeRecords(Bus);
+  Bus.Measure = true;
+  auto Seconds = secondsToConverge(Bus, 60);
+  cr_log_warn("100 nodes converged %d s after a cold start, largest datagram "
+              "%zu\n",
+              Seconds, Bus.LargestDatagram);
+  cr_assert_lt(Seconds, 60);
+  cr_assert_leq(Bus.LargestDatagram, inner::MaxDatagramBytes);
+  cr_assert_gt(Bus.LargestDatagram, inner::MaxDatagramBytes / 2);
+  cr_assert_eq(Bus.LargestEstimateGap, 0);
+}
+
 // Guards against control traffic that exceeds 5 KB/s per node at the target
 // size on an ordinary day.
 Test(membership_protocol, traffic_at_target_size_is_within_bounds,
      .timeout = 100) {
   auto Bus = bus{31};
-  auto Members = std::vector<member>{};
   for (auto Index = 0; Index < 880; ++Index) {
     Bus.start(Index, 1'700'000'000'000);
-    auto &Own = ownEntry(Bus.Nodes.at(bus::address(Index)).Table).Member;
-    Own.Addresses = {.Inner = Own.Addresses.Inner,
-                     .Peer = Own.Addresses.Inner,
-                     .Caller = Own.Addresses.Inner,
-                     .Admin = Own.Addresses.Inner};
-    Own.Upstreams.push_back(
-        {.Service = {"service-" + std::to_string(Index % 72)},
-         .Version = {"v1"},
-         .Address = Own.Addresses.Inner,
-         .Slots = 10,
-         .Connections = 120,
-         .State = upstream_state::Warm,
-         .Limit = 10,
-         .InFlight = 3});
-    Members.push_back(Own);
+  }
+  enlargeRecords(Bus);
+  auto Members = std::vector<member>{};
+  for (auto &[Address, Node] : Bus.Nodes) {
+    Members.push_back(ownEntry(Node.Table).Member);
   }
   for (auto &[Address, Node] : Bus.Nodes) {
     for (const auto &Member : Members) {
