Fix: [Config] The checkpoint test never cut a checkpoint into parts

Cause: in trials with single faults put into the code, a checkpoint assembled from the parts of two states passed: the states of the test fitted into one part. The loop that interleaves writers also never ended when shrunk, and the timeout of the test runner did not end it. Change: encodeCheckpoint takes the part size, the test uses 700 bytes; each round of the loop removes a part or a writer. A test for records that contradict those replayed is new, because a store without that check passed.

--- a/include/sycamorelb/config/checkpoint_func.h
+++ b/include/sycamorelb/config/checkpoint_func.h
@@ -26,11 +26,14 @@
  * @param Id unique for each written checkpoint: writers that share an id would
  * mix their parts.
  * @param At time at the writer.
+ * @param DataBytes bytes of the state in one part; the default fills
+ * MaxPartBytes in base64 with some 1,300 bytes left for the other members.
  * @return encoded records of at most MaxPartBytes each, to be appended in
  * order.
  */
 auto encodeCheckpoint(const config_state &State, const std::string &Id,
-                      wall_ms At) -> std::vector<std::string>;
+                      wall_ms At, std::size_t DataBytes = 48128)
+    -> std::vector<std::string>;
 
 /** Collects the parts of checkpoints from records in log order. Parts of
  * different checkpoints may be interleaved, repeated or missing. */
--- a/src/config/checkpoint.cpp
+++ b/src/config/checkpoint.cpp
@@ -9,14 +9,11 @@
 
 namespace sycamorelb::config {
 
-/** State bytes of one part: in base64 they stay within MaxPartBytes, with some
- * 1,300 bytes left for the other members. */
-static constexpr std::size_t PartDataBytes = 48128;
-
 auto encodeCheckpoint(const config_state &State, const std::string &Id,
-                      wall_ms At) -> std::vector<std::string> {
+                      wall_ms At, std::size_t DataBytes)
+    -> std::vector<std::string> {
   auto Bytes = encodeState(State);
-  auto Count = (Bytes.size() + PartDataBytes - 1) / PartDataBytes;
+  auto Count = (Bytes.size() + DataBytes - 1) / DataBytes;
   auto Records = std::vector<std::string>();
   for (auto Index = std::size_t{0}; Index < Count; ++Index) {
     auto Part = checkpoint_part();
@@ -25,7 +22,7 @@
     Part.Count = static_cast<std::uint32_t>(Count);
     Part.Position = State.Position;
     Part.Hash = hash64(Bytes);
-    Part.Data = Bytes.substr(Index * PartDataBytes, PartDataBytes);
+    Part.Data = Bytes.substr(Index * DataBytes, DataBytes);
     Records.push_back(encodeRecord({{}, At, std::move(Part)}));
   }
   return Records;
--- a/test/config_replay_test.cpp
+++ b/test/config_replay_test.cpp
@@ -2,6 +2,7 @@
 #include "config_fixture.h"
 #include "sycamorelb/config/checkpoint_func.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 #include <set>
 
@@ -245,31 +246,30 @@
 static void appendCheckpoints(history &History,
                               std::set<std::uint64_t> &Whole) {
   auto Writers = std::vector<std::vector<std::string>>();
-  auto Positions = std::vector<std::uint64_t>();
-  for (auto Count = *rc::gen::inRange(1, 3); Count > 0; --Count) {
+  for (auto Count = *rc::gen::inRange(1, 4); Count > 0; --Count) {
     auto Position = *rc::gen::inRange<std::size_t>(0, History.States.size());
-    // Writers that share an id must not mix their parts either.
+    // Writers that share an id must not mix their parts either. The parts are
+    // small, so that each checkpoint has several.
     auto Id = "c" + std::to_string(*rc::gen::inRange(0, 2));
-    Writers.push_back(
-        encodeCheckpoint(History.States[Position], Id, wall_ms{0}));
-    Positions.push_back(Position);
+    auto Parts =
+        encodeCheckpoint(History.States[Position], Id, wall_ms{0}, 700);
     if (*rc::gen::inRange(0, 3) == 0) {
-      Writers.back().pop_back();
+      Parts.pop_back();
     } else {
       Whole.insert(Position);
     }
+    std::reverse(Parts.begin(), Parts.end());
+    Writers.push_back(std::move(Parts));
   }
-  auto Sent = std::vector<std::size_t>(Writers.size());
-  for (auto Left = true; Left;) {
-    Left = false;
-    for (auto Index = std::size_t{0}; Index < Writers.size(); ++Index) {
-      auto &Next = Sent[Index];
-      if (Next < Writers[Index].size()) {
-        Left = true;
-        if (*rc::gen::arbitrary<bool>()) {
-          History.append(Writers[Index][Next++]);
-        }
-      }
+  // Each round removes one part or one writer, so the loop also ends when the
+  // random numbers are shrunk to zeros.
+  while (!Writers.empty()) {
+    auto Index = *rc::gen::inRange<std::size_t>(0, Writers.size());
+    if (Writers[Index].empty()) {
+      Writers.erase(Writers.begin() + static_cast<std::ptrdiff_t>(Index));
+    } else {
+      History.append(Writers[Index].back());
+      Writers[Index].pop_back();
     }
   }
 }
--- a/test/config_store_test.cpp
+++ b/test/config_store_test.cpp
@@ -172,6 +172,16 @@
   cr_assert(Store.current()->State == History.States[3]);
 }
 
+// Guards against a second log, or a peer of one, that goes unnoticed.
+Test(config_store, contradicting_records_are_reported) {
+  auto Store = config_store();
+  Store.apply({{{1}, "a"}, {{2}, "b"}});
+  auto Before = Store.point();
+  auto Delivery = Store.apply({{{2}, "other"}, {{3}, "c"}});
+  cr_assert(Delivery.Kind == delivery_kind::Forked);
+  cr_assert(Store.point() == Before);
+}
+
 // Guards against readers that see a torn or older snapshot while several
 // threads deliver the same records.
 Test(config_store, readers_see_whole_and_advancing_snapshots) {
