Feature: [Demo] The demo of the Kathmandu deployment holds each step

Cause: the counter of the upstream stand-in has another name, and the claim writer did not learn the retention of the log. Change: both.

--- a/demo/run_demo.py
+++ b/demo/run_demo.py
@@ -171,7 +171,7 @@
                 if node.service == self.d.topology["moved_service"]:
                     ports.append(node.upstream_v2_port)
                 for port in ports:
-                    total += json.loads(request(port, "GET", "/control/counters")[2])["executions"]
+                    total += json.loads(request(port, "GET", "/control/counters")[2])["started"]
         return total
 
     def zone_out_and_in(self):
--- a/src/node/claim_service.cpp
+++ b/src/node/claim_service.cpp
@@ -71,7 +71,14 @@
                 [this](std::uint32_t Partition, log_offset From) {
                   return readFrom(Context, Partition, From);
                 }},
-               {}) {}
+               writerOptions(NodeContext)) {}
+
+  static auto writerOptions(const node_context &NodeContext)
+      -> claims::claim_writer_options {
+    auto Options = claims::claim_writer_options();
+    Options.Retention = NodeContext.Settings.Log.Retention;
+    return Options;
+  }
 
   auto makeRequest(std::uint64_t KeyHash,
                    const proxy::admission_request &Request,
