--- a/include/sycamorelb/admin/admin_client.h
+++ b/include/sycamorelb/admin/admin_client.h
@@ -33,6 +33,8 @@
       -> result<outcome>;
   auto setZone(const request_id &Request, const zone_id &Zone, bool InService)
       -> result<outcome>;
+  auto takeBackMove(const request_id &Request, const service_id &Service)
+      -> result<outcome>;
   auto findOutcome(const request_id &Request) -> result<outcome>;
   auto readStatus() -> result<status>;
   auto readDeclaration() -> result<declaration_text>;
--- a/include/sycamorelb/admin/admin_server.h
+++ b/include/sycamorelb/admin/admin_server.h
@@ -19,6 +19,8 @@
       StartMove; ///< Starts a move whose id is the request id.
   std::function<outcome(const request_id &, const zone_id &, bool InService)>
       SetZone; ///< Takes a zone out or back in.
+  std::function<outcome(const request_id &, const service_id &)>
+      TakeBackMove; ///< Ends the running move of a service.
   std::function<outcome(const request_id &)> Outcome; ///< Fate of a request.
   std::function<status()> Status;                     ///< State of the mesh.
   std::function<declaration_text()> Declaration;      ///< Declaration in force.
--- a/include/sycamorelb/core/unit_type.h
+++ b/include/sycamorelb/core/unit_type.h
@@ -22,12 +22,14 @@
 /** Wall time in milliseconds since the Unix epoch. */
 struct wall_ms {
   std::int64_t Value = 0; ///< Milliseconds since the Unix epoch.
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   auto operator<=>(const wall_ms &) const = default;
 };
 
 /** Share of traffic in parts per million, 0 to 1,000,000. */
 struct share_ppm {
-  std::uint32_t Value = 0;                             ///< Parts per million.
+  std::uint32_t Value = 0; ///< Parts per million.
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   auto operator<=>(const share_ppm &) const = default;
 };
 
--- a/src/admin/admin.capnp
+++ b/src/admin/admin.capnp
@@ -99,4 +99,6 @@
   declaration @5 () -> (version :UInt64, text :Text);
   dump @6 () -> (json :Text);
   drain @7 () -> ();
+  takeBackMove @8 (requestId :Text, service :Text) -> (outcome :Outcome);
+  # Ends the running move of a service; all calls return to the old version.
 }
--- a/src/admin/admin_client.cpp
+++ b/src/admin/admin_client.cpp
@@ -161,6 +161,16 @@
   });
 }
 
+auto admin_client::takeBackMove(const request_id &Request,
+                                const service_id &Service) -> result<outcome> {
+  auto Call = Impl->client().takeBackMoveRequest();
+  Call.setRequestId(Request.Value.c_str());
+  Call.setService(Service.Value.c_str());
+  return Impl->call("admin.take_back_move", std::move(Call), [](auto Results) {
+    return readOutcome(Results.getOutcome());
+  });
+}
+
 auto admin_client::setZone(const request_id &Request, const zone_id &Zone,
                            bool InService) -> result<outcome> {
   auto Call = Impl->client().setZoneRequest();
--- a/src/admin/admin_server.cpp
+++ b/src/admin/admin_server.cpp
@@ -62,6 +62,15 @@
     });
   }
 
+  auto takeBackMove(TakeBackMoveContext Context) -> kj::Promise<void> override {
+    auto Params = Context.getParams();
+    auto Request = request_id{toText(Params.getRequestId(), MaxIdBytes)};
+    auto Service = service_id{toText(Params.getService(), MaxIdBytes)};
+    return mutate(Context, [this, Request, Service] {
+      return State->Handlers.TakeBackMove(Request, Service);
+    });
+  }
+
   auto setZone(SetZoneContext Context) -> kj::Promise<void> override {
     auto Params = Context.getParams();
     auto Request = request_id{toText(Params.getRequestId(), MaxIdBytes)};
--- a/src/cli/client.cpp
+++ b/src/cli/client.cpp
@@ -189,7 +189,9 @@
     awaitSpread(*valueOf(Client), Request, Outcome, Deadline);
   }
   printOutcome(Request, Outcome);
-  return exitCodeOf(Outcome);
+  auto Lagging = FLAGS_wait && Outcome.Kind == outcome_kind::Accepted &&
+                 Outcome.NodesInForce < Outcome.NodesTotal;
+  return Lagging ? exit_code::Unknown : exitCodeOf(Outcome);
 }
 
 } // namespace sycamorelb::cli
--- a/src/cli/flags.cpp
+++ b/src/cli/flags.cpp
@@ -14,6 +14,7 @@
 DEFINE_string(to, "", "new version");
 DEFINE_string(from, "", "old version; default is the active one");
 DEFINE_string(by, "", "time by which the move is decided");
+DEFINE_bool(back, false, "take the running move back");
 DEFINE_double(max_early_share_percent, 5.0,
               "largest share of the new version before there is evidence");
 DEFINE_int32(timeout_ms, 10000, "time for the whole command, in ms");
--- a/src/cli/flags.h
+++ b/src/cli/flags.h
@@ -13,6 +13,7 @@
 DECLARE_string(to);
 DECLARE_string(from);
 DECLARE_string(by);
+DECLARE_bool(back);
 DECLARE_double(max_early_share_percent);
 DECLARE_int32(timeout_ms);
 DECLARE_int32(interval_ms);
--- a/src/cli/verb_change.cpp
+++ b/src/cli/verb_change.cpp
@@ -183,7 +183,21 @@
   return exit_code::Unknown;
 }
 
+static auto takeBackMove(const service_id &Service) -> exit_code {
+  auto Request = chooseRequestId();
+  auto Outcome = outcome();
+  return runMutation(
+      Request,
+      [&](admin_client &Client) {
+        return Client.takeBackMove(Request, Service);
+      },
+      Outcome);
+}
+
 auto runMove(const arguments &Arguments) -> exit_code {
+  if (FLAGS_back) {
+    return takeBackMove({Arguments[0]});
+  }
   auto By = parseBy(FLAGS_by);
   if (FLAGS_to.empty() || !By) {
     std::cerr << "sycamorelb move: --to=VERSION and --by=TIME are needed\n";
--- a/src/cli/verb_table.cpp
+++ b/src/cli/verb_table.cpp
@@ -42,15 +42,16 @@
        0,
        runStatus},
       {"move",
-       "SERVICE --to=VERSION --by=TIME [--from=VERSION] [--wait]",
+       "SERVICE (--to=VERSION --by=TIME [--from=VERSION] [--wait] | --back)",
        "Moves the traffic of a service to another version.\n"
+       "  --back takes the running move back instead.\n"
        "  --by is ISO-8601 UTC (2026-12-31T06:00:00Z) or relative (+90s, "
        "+10m, +2h).\n"
        "  --max-early-share-percent bounds the share before there is "
        "evidence.\n"
        "  --wait waits for the verdict: 0 for done, 1 for taken back.",
-       {"json", "node", "settings", "to", "from", "by", "wait", "request_id",
-        "max_early_share_percent", "timeout_ms"},
+       {"json", "node", "settings", "to", "from", "by", "back", "wait",
+        "request_id", "max_early_share_percent", "timeout_ms"},
        1,
        runMove},
       {"zone",
--- a/src/node/move_loop.cpp
+++ b/src/node/move_loop.cpp
@@ -288,11 +288,12 @@
       Record.Body = config::move_verdict_record{State.Move.Id, Verdict.Phase,
                                                 Verdict.Reason};
     }
-    // The id of the process keeps the records of two drivers apart; replay
-    // decides between them by the step number.
+    // Each record has an id of its own, so that an outcome of an earlier one
+    // never answers for it; replay decides by step number and phase.
     Record.Request = {State.Move.Id.Value + "/" + Name + "/" +
                       Context.Self.Id.Value + "/" +
-                      std::to_string(Context.Incarnation.Value)};
+                      std::to_string(Context.Incarnation.Value) + "/" +
+                      std::to_string(Record.At.Value)};
     auto Result = Publisher.publish(Record, PublishTimeout);
     logLine(Result.Kind == publish_kind::Accepted ? log_level::Info
                                                   : log_level::Warning,
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -178,6 +178,9 @@
                               bool InService) {
       return Operations.setZone(Request, Zone, InService);
     };
+    Handlers.TakeBackMove = [this](const auto &Request, const auto &Service) {
+      return Operations.takeBackMove(Request, Service);
+    };
     Handlers.Outcome = [this](const auto &Request) {
       return Operations.findOutcome(Request);
     };
--- a/src/node/operations_cmd.cpp
+++ b/src/node/operations_cmd.cpp
@@ -113,6 +113,22 @@
   return publish(Record);
 }
 
+auto operations::takeBackMove(const request_id &Request,
+                              const service_id &Service) -> outcome {
+  auto Snapshot = Context.Store.current();
+  const auto *Move = config::runningMove(Snapshot->State, Service);
+  if (Move == nullptr && !config::findOutcome(Snapshot->State, Request)) {
+    return rejected({"service \"" + Service.Value + "\" has no running move"});
+  }
+  auto Record = config::record();
+  Record.Request = Request;
+  Record.At = wallNow();
+  auto Id = Move == nullptr ? move_id() : Move->Move.Id;
+  Record.Body = config::move_verdict_record{Id, config::move_phase::TakenBack,
+                                            "taken back by an operator"};
+  return publish(Record);
+}
+
 auto operations::setZone(const request_id &Request, const zone_id &Zone,
                          bool InService) -> outcome {
   auto Record = config::record();
--- a/src/node/operations_cmd.h
+++ b/src/node/operations_cmd.h
@@ -19,6 +19,10 @@
   /** Starts a traffic move; its id is the request id. */
   auto startMove(const request_id &Request, const admin::move_request &Move)
       -> admin::outcome;
+  /** Ends the running move of a service; all calls return to the old version.
+   */
+  auto takeBackMove(const request_id &Request, const service_id &Service)
+      -> admin::outcome;
   /** Takes a zone out of service or back in. */
   auto setZone(const request_id &Request, const zone_id &Zone, bool InService)
       -> admin::outcome;
