Fix: [Proxy] The sweeper closed new connections before their first request

Ruled out: upstreams and pooled connections, whose failures reset the connection or are answered. Change: the deadline is set when the connection is registered. Before: the new test proxy_registry/a_new_connection_is_not_swept_before_its_deadline cannot hold with the old interface.

--- a/src/proxy/http_server.cpp
+++ b/src/proxy/http_server.cpp
@@ -81,12 +81,11 @@
   ++Accepted;
   prepareSocket(Fd);
   // A refused connection is closed by the registry's own copy.
-  auto *Connection = Registry.add(Fd, Options.MaxConnections);
+  auto *Connection = Registry.add(Fd, Options.MaxConnections,
+                                  steadyNow() + Options.HeadTimeout);
   if (Connection == nullptr) {
     return;
   }
-  Connection->Deadline =
-      (steadyNow() + Options.HeadTimeout).time_since_epoch().count();
   auto Event =
       epoll_event{EPOLLIN | EPOLLRDHUP | EPOLLONESHOT, {.ptr = Connection}};
   ::epoll_ctl(Epoll, EPOLL_CTL_ADD, Fd, &Event);
--- a/src/proxy/server_connection.cpp
+++ b/src/proxy/server_connection.cpp
@@ -6,9 +6,11 @@
 
 namespace sycamorelb::proxy {
 
-auto connection_registry::add(int Fd, std::uint32_t Limit)
+auto connection_registry::add(int Fd, std::uint32_t Limit, steady_time Until)
     -> server_connection * {
-  auto Added = std::make_unique<server_connection>(Fd);
+  // The deadline is set before the connection is visible: the sweeper shuts a
+  // connection whose deadline has passed.
+  auto Added = std::make_unique<server_connection>(Fd, Until);
   auto *Connection = Added.get();
   auto Lock = std::lock_guard(Mutex);
   if (Connections.size() >= Limit) {
--- a/src/proxy/server_connection.h
+++ b/src/proxy/server_connection.h
@@ -22,18 +22,21 @@
 /** A caller's connection. Only the thread that received its event uses it,
  * except for the atomic members. */
 struct server_connection {
-  explicit server_connection(int Fd) : Socket(Fd) {}
+  server_connection(int Fd, steady_time Until)
+      : Socket(Fd), Deadline(Until.time_since_epoch().count()) {}
 
   connection Socket;                                           ///< The socket.
   std::atomic<connection_phase> Phase{connection_phase::Idle}; ///< Its wait.
-  std::atomic<std::int64_t> Deadline{0}; ///< End of the wait, steady µs.
+  std::atomic<std::int64_t> Deadline; ///< End of the wait, steady µs.
 };
 
 /** All connections of a server. */
 class connection_registry {
 public:
-  /** Adds a connection. @return null when Limit connections are open. */
-  auto add(int Fd, std::uint32_t Limit) -> server_connection *;
+  /** Adds a connection that waits for its first request until Until.
+   * @return null when Limit connections are open. */
+  auto add(int Fd, std::uint32_t Limit, steady_time Until)
+      -> server_connection *;
   /** Closes a connection; only by the thread that uses it. */
   void remove(server_connection &Connection);
   /** Shuts down the connections whose wait has ended, except busy ones; their
--- /dev/null
+++ b/test/proxy_registry_test.cpp
@@ -0,0 +1,36 @@
+/** @file proxy_registry_test.cpp Tests of the registry of connections. */
+#include "proxy/server_connection.h"
+#include "sycamorelb/core/clock_func.h"
+
+#include <array>
+#include <criterion/criterion.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace sycamorelb;
+using namespace sycamorelb::proxy;
+
+/** @return whether the other end of the connection still takes data. */
+static auto isOpen(int Fd) -> bool {
+  auto Byte = std::array<char, 1>{'x'};
+  return ::send(Fd, Byte.data(), 1, MSG_NOSIGNAL) == 1;
+}
+
+// Guards against a new connection that the sweeper closes before its first
+// request: its deadline used to be set only after it was registered, and in
+// between it counted as expired. A caller then saw its connection closed
+// without an answer.
+Test(proxy_registry, a_new_connection_is_not_swept_before_its_deadline) {
+  auto Ends = std::array<int, 2>{};
+  cr_assert(::socketpair(AF_UNIX, SOCK_STREAM, 0, Ends.data()) == 0);
+  auto Registry = connection_registry();
+  auto Now = steadyNow();
+  auto *Connection = Registry.add(Ends[0], 8, Now + millis(5000));
+  cr_assert(Connection != nullptr);
+  Registry.shutExpired(Now);
+  cr_assert(isOpen(Ends[1]));
+  Registry.shutExpired(Now + millis(5001));
+  cr_assert(!isOpen(Ends[1]));
+  Registry.remove(*Connection);
+  ::close(Ends[1]);
+}
