Fix: [Inner] RPC handlers outlived the parts of a node that they use

Cause: the event loop is a member of the shared context, which is destroyed after the loops and services whose methods its handlers call; and two workers served claims and operators' mutations, each of which may wait for seconds. Change: rpc_loop::stopServing closes listeners and connections and joins the workers while clients still work; a node has 16 workers. Conclusion: by review; no crash was seen before the change. node_ops/node_is_destroyed_while_operators_ask exercises the path.

--- a/include/sycamorelb/inner/rpc_loop.h
+++ b/include/sycamorelb/inner/rpc_loop.h
@@ -61,6 +61,10 @@
    */
   auto runOnWorker(std::function<void()> Job) -> kj::Promise<void>;
 
+  /** Closes all listeners and accepted connections and waits for running jobs;
+   * no handler runs afterwards. Clients on the loop still work. */
+  void stopServing();
+
   /** @return the executor of the event-loop thread. */
   auto executor() const -> const kj::Executor &;
   /** @return the network; only from the event-loop thread. */
--- a/src/inner/rpc_loop.cpp
+++ b/src/inner/rpc_loop.cpp
@@ -49,7 +49,7 @@
   kj::Own<kj::CrossThreadPromiseFulfiller<void>> Stop;
   // Set while the thread runs.
   kj::AsyncIoContext *Io = nullptr;
-  kj::TaskSet *Tasks = nullptr;
+  kj::Own<kj::TaskSet> Tasks;
   std::thread Thread;
 
   explicit impl(const rpc_loop_options &Given)
@@ -66,18 +66,24 @@
     Thread.join();
   }
 
+  void stopServing() {
+    Workers.stop();
+    // The old task set holds the listeners and connections; it must be
+    // destroyed on the thread of the loop.
+    Executor->executeSync([this]() { Tasks = kj::heap<kj::TaskSet>(*this); });
+  }
+
   /** Body of the event-loop thread. */
   void run(std::promise<void> &Started) {
     auto Context = kj::setupAsyncIo();
     auto Stopping = kj::newPromiseAndCrossThreadFulfiller<void>();
-    auto Running = kj::heap<kj::TaskSet>(*this);
     Executor = kj::getCurrentThreadExecutor().addRef();
     Stop = kj::mv(Stopping.fulfiller);
     Io = &Context;
-    Tasks = Running.get();
+    Tasks = kj::heap<kj::TaskSet>(*this);
     Started.set_value();
     Stopping.promise.wait(Context.waitScope);
-    Running = nullptr;
+    Tasks = nullptr;
   }
 
   /** A connection or a listener failed; the others go on. */
@@ -167,6 +173,8 @@
     : Impl(std::make_unique<impl>(Options)) {}
 rpc_loop::~rpc_loop() = default;
 
+void rpc_loop::stopServing() { Impl->stopServing(); }
+
 auto rpc_loop::addListener(
     const std::string &Address,
     std::function<capnp::Capability::Client()> MakeBootstrap)
--- a/src/node/node_context.cpp
+++ b/src/node/node_context.cpp
@@ -49,6 +49,16 @@
                                        static_cast<std::uint64_t>(getpid()));
 }
 
+/** Threads for claims and mutations, each of which may wait for the log service
+ * for some seconds; with few, slow mutations would hold up claims. */
+static constexpr auto RpcWorkers = std::size_t{16};
+
+static auto loopOptions() -> inner::rpc_loop_options {
+  auto Options = inner::rpc_loop_options();
+  Options.Workers = RpcWorkers;
+  return Options;
+}
+
 node_context::node_context(settings::node_settings NodeSettings)
     : Settings(std::move(NodeSettings)), Self{Settings.Id, Settings.Zone,
                                               Settings.Region},
@@ -58,6 +68,7 @@
                                     Settings.Seeds,
                                     membershipOptions(Settings.Timing),
                                     choiceSeed(Settings), steadyNow())),
+      Loop(loopOptions()),
       Rpc(Loop, {Settings.Id, toAuthKeys(Settings.InnerKeys)}) {
   auto Subset = routing::subset_config();
   Subset.Size = Settings.Proxy.SubsetSize;
