Fix: [Node] Handlers used destroyed members, and a superseded node served on

Cause: the event loop outlived the members that its handlers call; member_table::Superseded was read by nobody. Change: stop() ends the serving of the event loop before members are destroyed. Housekeeping looks at Superseded; such a node refuses calls as not run, is not ready and asks to be stopped. Conclusion: node_ops/superseded_node_stops_serving and node_ops/node_is_destroyed_while_operators_ask pass.

--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -229,8 +229,27 @@
     Housekeeper = std::thread([this] { housekeep(); });
   }
 
+  /** Ends the service of a process whose id a newer one has taken over: calls
+   * are refused as not run, and the owner of the node is asked to stop it. */
+  void stopIfSuperseded() {
+    auto Superseded = false;
+    {
+      auto Lock = std::lock_guard(Context.MemberMutex);
+      Superseded = Context.Members.Superseded;
+    }
+    if (!Superseded || DrainRequested.exchange(true)) {
+      return;
+    }
+    logLine(log_level::Error, {"node.superseded", "", ""},
+            "another process has taken over the id of this node");
+    Context.Draining = true;
+    CallerServer.beginDrain();
+    PeerServer.beginDrain();
+  }
+
   void housekeep() {
     while (!Context.Stopping) {
+      stopIfSuperseded();
       Admission.tick();
       Gossip.setOwnUpstreams(Admission.upstreams());
       auto Lock = std::unique_lock(SleepMutex);
@@ -269,6 +288,8 @@
     if (Housekeeper.joinable()) {
       Housekeeper.join();
     }
+    // The handlers use members that are destroyed before the loop is.
+    Context.Loop.stopServing();
   }
 };
 
