Fix: [Node] A withdrawal with fields of another type was not answered with 400

Cause: DELETE /announce read fields of any type, and the JSON library throws for a number. Change: both fields must be strings. Before: node_ops/malformed_announcements_are_refused failed for {"service":1,"address":2}. After: it passes.

--- a/src/node/ops_endpoints.cpp
+++ b/src/node/ops_endpoints.cpp
@@ -68,12 +68,15 @@
     -> local_response {
   auto Document =
       json::parse(Request.Body, nullptr, /*allow_exceptions=*/false);
-  if (!Document.is_object() || !Document.contains("service") ||
-      !Document.contains("address")) {
+  auto IsText = [&Document](const char *Name) {
+    auto Found = Document.find(Name);
+    return Found != Document.end() && Found->is_string();
+  };
+  if (!Document.is_object() || !IsText("service") || !IsText("address")) {
     return {400, "text/plain", "service and address are needed\n", {}};
   }
-  Admission.withdraw({Document.value("service", "")},
-                     Document.value("address", ""));
+  Admission.withdraw({Document["service"].get<std::string>()},
+                     Document["address"].get<std::string>());
   return {204, "text/plain", "", {}};
 }
 
