Fix: [Telemetry] Metrics without samples were missing from the endpoint

Cause: the registry leaves out families without samples. Change: their HELP and TYPE lines are appended. Before: node_ops/metrics_endpoint_names_every_metric failed, sycamorelb_calls_total missing. After: it passes.

--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -3,6 +3,7 @@
 
 #include "telemetry/table/metric_table.h"
 
+#include <algorithm>
 #include <prometheus/counter.h>
 #include <prometheus/gauge.h>
 #include <prometheus/histogram.h>
@@ -81,8 +82,33 @@
       .Observe(static_cast<double>(Duration.count()) / 1e6);
 }
 
+static auto kindName(metric_kind Kind) -> const char * {
+  switch (Kind) {
+  case metric_kind::Counter:
+    return "counter";
+  case metric_kind::Gauge:
+    return "gauge";
+  case metric_kind::Histogram:
+    return "histogram";
+  }
+  return "untyped";
+}
+
 auto metrics::render() const -> std::string {
-  return prometheus::TextSerializer().Serialize(Impl->Registry.Collect());
+  auto Families = Impl->Registry.Collect();
+  auto Text = prometheus::TextSerializer().Serialize(Families);
+  // The registry leaves out families without samples, which scrapers and
+  // dashboards could not tell from metrics that do not exist.
+  for (const auto &Row : MetricTable) {
+    auto HasSamples = std::any_of(
+        Families.begin(), Families.end(),
+        [&Row](const auto &Family) { return Family.name == Row.Name; });
+    if (!HasSamples) {
+      Text += std::string("# HELP ") + Row.Name + " " + Row.Help + "\n# TYPE " +
+              Row.Name + " " + kindName(Row.Kind) + "\n";
+    }
+  }
+  return Text;
 }
 
 } // namespace sycamorelb::telemetry
