Fix: [Node] A repeated request was denied although its first append was open

Cause: an append whose fate was unknown, then one that was refused, gave NotAccepted for the request id, which says that nothing changed. Change: the publisher remembers the last 1,024 request ids without a known fate and answers Unknown for them. A repeat through another node can still be denied. Before: node_config/unknown_request_is_not_denied_during_outage failed. After: it passes.

--- a/src/node/publisher.cpp
+++ b/src/node/publisher.cpp
@@ -4,6 +4,7 @@
 #include "sycamorelb/config/replay_func.h"
 #include "sycamorelb/telemetry/log_func.h"
 
+#include <algorithm>
 #include <thread>
 
 namespace sycamorelb::node {
@@ -12,6 +13,8 @@
 
 /** Pause between reads of the log while a decision is awaited. */
 static constexpr auto DecisionPoll = millis(20);
+/** Undecided request ids kept; the oldest are forgotten first. */
+static constexpr auto MaxUndecided = std::size_t{1024};
 
 publisher::publisher(node_context &NodeContext, config_loop &ConfigLoop)
     : Context(NodeContext), Config(ConfigLoop) {}
@@ -42,8 +45,39 @@
   return std::nullopt;
 }
 
+void publisher::noteUnknown(const request_id &Request) {
+  auto Lock = std::lock_guard(Mutex);
+  if (std::find(Undecided.begin(), Undecided.end(), Request) !=
+      Undecided.end()) {
+    return;
+  }
+  Undecided.push_back(Request);
+  if (Undecided.size() > MaxUndecided) {
+    Undecided.pop_front();
+  }
+}
+
+auto publisher::wasUnknown(const request_id &Request) -> bool {
+  auto Lock = std::lock_guard(Mutex);
+  return std::find(Undecided.begin(), Undecided.end(), Request) !=
+         Undecided.end();
+}
+
 auto publisher::publish(const config::record &Record, millis Timeout)
     -> publish_result {
+  auto Result = publishOnce(Record, Timeout);
+  if (Result.Kind == publish_kind::Unknown) {
+    noteUnknown(Record.Request);
+  } else if (Result.Kind == publish_kind::NotAccepted &&
+             wasUnknown(Record.Request)) {
+    Result.Kind = publish_kind::Unknown;
+    Result.Reason += "; an earlier append of this request may take effect";
+  }
+  return Result;
+}
+
+auto publisher::publishOnce(const config::record &Record, millis Timeout)
+    -> publish_result {
   if (auto Known = decided(Record.Request)) {
     return *Known;
   }
--- a/src/node/publisher.h
+++ b/src/node/publisher.h
@@ -4,6 +4,9 @@
 #include "node/config_loop.h"
 #include "sycamorelb/config/record_type.h"
 
+#include <deque>
+#include <mutex>
+
 namespace sycamorelb::node {
 
 /** What is known about the fate of a mutation. */
@@ -28,7 +31,9 @@
 
   /**
    * Appends a record and waits until replay has decided.
-   * A request id whose outcome is known is not appended again.
+   * A request id whose outcome is known is not appended again. A repeat is
+   * never answered NotAccepted while an earlier append of this node with the
+   * same request id may have taken effect.
    * @param Timeout time for append and decision.
    */
   auto publish(const config::record &Record, millis Timeout) -> publish_result;
@@ -42,8 +47,15 @@
   auto awaitDecision(const request_id &Request, steady_time Deadline)
       -> std::optional<publish_result>;
 
+  auto publishOnce(const config::record &Record, millis Timeout)
+      -> publish_result;
+  void noteUnknown(const request_id &Request);
+  auto wasUnknown(const request_id &Request) -> bool;
+
   node_context &Context;
   config_loop &Config;
+  std::mutex Mutex; // Guards Undecided; leaf lock.
+  std::deque<request_id> Undecided;
 };
 
 } // namespace sycamorelb::node
