Fix: [Node] An upstream whose lease had ended was given new work

Cause: the admission gate looked at the withdrawal only; an upstream with stuck calls stays listed after its lease. Change: the gate closes when the lease has ended. Conclusion: found by review; it has no test of its own yet. All other tests of nodes pass.

--- a/src/node/admission_control.cpp
+++ b/src/node/admission_control.cpp
@@ -131,7 +131,10 @@
     auto Snapshot = Context.Store.current();
     auto Gate = limits::admission_gate();
     Gate.NodeDraining = Context.Draining;
-    Gate.UpstreamDraining = Upstream.Info.State == upstream_state::Draining;
+    // An upstream whose lease ended is gone or frozen although its last calls
+    // may still hold slots.
+    Gate.UpstreamDraining = Upstream.Info.State == upstream_state::Draining ||
+                            Upstream.LeaseUntil < steadyNow();
     Gate.ZoneOutOfService = !isZoneInService(*Snapshot, Context.Self.Zone);
     Gate.VersionBraked = Brakes.braked(*Snapshot, Upstream.Info.Service)
                              .contains(Upstream.Info.Version);
