Fix: [Node] A peer that sent nothing new was asked again without a pause

Cause: an answer without new records counted as help and set no backoff, so the pull was repeated for as long as the peer's last offer stood. Conclusion: found by review; it has no test of its own yet. All other tests of nodes pass.

--- a/src/node/config_loop.cpp
+++ b/src/node/config_loop.cpp
@@ -168,7 +168,11 @@
         }
         Address = Addresses[Choice->From];
       }
-      settle(Choice->From, pull(Address));
+      auto Before = Context.Store.point().Position;
+      // A peer whose answer brings nothing new would otherwise be asked again
+      // at once, for as long as its last offer stands.
+      auto Helped = pull(Address) && Context.Store.point().Position > Before;
+      settle(Choice->From, Helped);
     }
   }
 
