Fix: [Node] The claim of a call that did not start was not released

Cause: claims were kept for every outcome but not-run and answered, also when the caller left before a byte was sent. Change: a claim is released unless a byte of the call was written. Conclusion: found by review.

--- a/src/node/claim_service.cpp
+++ b/src/node/claim_service.cpp
@@ -212,7 +212,7 @@
   auto Claim = Impl->makeRequest(KeyHash, Request, Ticket);
   if (Outcome.Kind == proxy::outcome_kind::Answered) {
     Claim.Status = static_cast<std::uint16_t>(Outcome.Status);
-  } else if (Outcome.Kind != proxy::outcome_kind::NotRun) {
+  } else if (Outcome.Started && Outcome.Kind != proxy::outcome_kind::NotRun) {
     return; // The call may have run: the key stays held.
   }
   Impl->endClaim(Claim);
