Fix: [Node] Load reports in gossip counted only once

Cause: the first report of an upstream was kept for ever; the response header x-sycamore-load was parsed but written by nobody. Conclusion: found by review; no test of its own yet.

--- a/src/node/call_policy.cpp
+++ b/src/node/call_policy.cpp
@@ -175,7 +175,7 @@
   }
 
   void finish(const route_info &Route, const call_target &Target,
-              const call_outcome &Outcome, const header_list &Headers) {
+              const call_outcome &Outcome) {
     auto Now = steadyNow();
     auto Observed = observedOutcome(Outcome);
     auto Lock = std::lock_guard(Mutex);
@@ -192,9 +192,6 @@
     auto &Observation = *Stats.at(Upstream.Id);
     routing::onFinish(Observation, Observed, Outcome.Latency,
                       Upstream.Info.Slots, Now);
-    if (auto Report = parseLoadReport(Headers)) {
-      routing::onReport(Observation, *Report, Now);
-    }
     if (routing::isSuspicious(Observation.Outlier, OutlierConfig)) {
       ejectOutliers(Service->second, Now);
     }
@@ -282,9 +279,8 @@
   };
   Hooks.OnAttemptFinished =
       [Policy](const route_info &Route, const call_target &Target,
-               const call_outcome &Outcome, const header_list &Headers) {
-        Policy->finish(Route, Target, Outcome, Headers);
-      };
+               const call_outcome &Outcome,
+               const header_list &) { Policy->finish(Route, Target, Outcome); };
   Hooks.MayRetry = [Policy](const route_info &Route) {
     return Policy->mayRetry(Route);
   };
--- a/src/node/route_table.cpp
+++ b/src/node/route_table.cpp
@@ -1,10 +1,8 @@
 /** @file route_table.cpp Tables derived from snapshot and view. */
 #include "node/route_table.h"
 
-#include "node/load_header.h"
 #include "sycamorelb/routing/stats_func.h"
 
-#include <charconv>
 #include <set>
 
 namespace sycamorelb::node {
@@ -79,7 +77,9 @@
   auto Report =
       routing::load_report{Info.Limit, Info.InFlight,
                            Info.State == membership::upstream_state::Cold};
-  if (!Stats.HasReport) {
+  const auto &Last = Stats.Report;
+  if (!Stats.HasReport || Last.Limit != Report.Limit ||
+      Last.InFlight != Report.InFlight || Last.Cold != Report.Cold) {
     routing::onReport(Stats, Report, Now);
   }
 }
@@ -112,23 +112,4 @@
   return Table;
 }
 
-auto parseLoadReport(const proxy::header_list &Headers)
-    -> std::optional<routing::load_report> {
-  auto Text = proxy::findHeader(Headers, LoadHeader);
-  if (!Text) {
-    return std::nullopt;
-  }
-  auto Values = std::array<std::uint32_t, 3>{};
-  const auto *At = Text->data();
-  const auto *End = At + Text->size();
-  for (auto &Value : Values) {
-    auto [Next, Error] = std::from_chars(At, End, Value);
-    if (Error != std::errc()) {
-      return std::nullopt;
-    }
-    At = Next == End ? End : Next + 1;
-  }
-  return routing::load_report{Values[0], Values[1], Values[2] != 0};
-}
-
 } // namespace sycamorelb::node
--- a/src/node/route_table.h
+++ b/src/node/route_table.h
@@ -65,8 +65,4 @@
                          stats_map &Stats, steady_time Now)
     -> std::shared_ptr<const candidate_table>;
 
-/** @return the load report in the headers of a response, if there is one. */
-auto parseLoadReport(const proxy::header_list &Headers)
-    -> std::optional<routing::load_report>;
-
 } // namespace sycamorelb::node
