Fix: [Node] No call with an idempotency key was ever run

Cause: the claims writer reads a new stream from offset 0, which the client of the log service refuses, so each partition stayed unread and every claim was refused. With that read mended, a stream that begins at offset 1 counted as trimmed, and the writer, which did not know the retention, would have waited for a time to live (1 h). Change: offset 0 is read from 1, an untrimmed stream is passed on as beginning at 0, and the writer is given the retention of the settings. Before: node_call/claim_of_call_that_did_not_start_is_released failed; every keyed call was answered 503, no answer by the deadline.

--- a/src/node/claim_service.cpp
+++ b/src/node/claim_service.cpp
@@ -34,10 +34,14 @@
 
 static auto readFrom(node_context &Context, std::uint32_t Partition,
                      log_offset From) -> claims::read_result {
-  auto Result = Context.Log.read(claims::streamName(Partition), From, ReadBatch,
-                                 millis(0));
+  // The log numbers its records from 1; the writer takes offset 0 for the
+  // beginning of a stream from which nothing has expired.
+  auto Result =
+      Context.Log.read(claims::streamName(Partition),
+                       std::max(From, log_offset{1}), ReadBatch, millis(0));
   if (auto *Batch = std::get_if<platform::read_batch>(&Result)) {
-    auto Records = claims::read_records{Batch->First, Batch->Next, {}};
+    auto First = Batch->First.Value <= 1 ? log_offset{0} : Batch->First;
+    auto Records = claims::read_records{First, Batch->Next, {}};
     for (auto &Record : Batch->Records) {
       Records.Records.push_back({Record.Offset, std::move(Record.Bytes)});
     }
@@ -59,6 +63,13 @@
           std::strtoull(Claim.AttemptId.c_str(), nullptr, 10)};
 }
 
+static auto writerOptions(const node_context &Context)
+    -> claims::claim_writer_options {
+  auto Options = claims::claim_writer_options();
+  Options.Retention = Context.Settings.Log.Retention;
+  return Options;
+}
+
 struct claim_service::implementation {
   node_context &Context;
   claims::claim_writer Writer;
@@ -71,7 +82,7 @@
                 [this](std::uint32_t Partition, log_offset From) {
                   return readFrom(Context, Partition, From);
                 }},
-               {}) {}
+               writerOptions(NodeContext)) {}
 
   auto makeRequest(std::uint64_t KeyHash,
                    const proxy::admission_request &Request,
