--- a/test/node_call_test.cpp
+++ b/test/node_call_test.cpp
@@ -19,7 +19,7 @@
 /** Runs Call again and again on several threads until it is destroyed. */
 class load {
 public:
-  load(std::size_t Count, std::function<void(std::size_t)> Call) {
+  load(std::size_t Count, const std::function<void(std::size_t)> &Call) {
     for (auto Index = std::size_t{0}; Index < Count; ++Index) {
       Threads.emplace_back([this, Index, Call] {
         while (!Ended) {
--- a/test/node_config_test.cpp
+++ b/test/node_config_test.cpp
@@ -120,3 +120,19 @@
   cr_assert((Outcomes[0].Kind == outcome_kind::Rejected) !=
             (Outcomes[1].Kind == outcome_kind::Rejected));
 }
+
+// Guards against a new node that cannot start because the record that it needs
+// has expired: it must start from the checkpoint.
+Test(node_config, new_node_starts_from_checkpoint) {
+  auto Mesh = mesh(1);
+  Mesh.destroy(0);
+  Mesh.Settings[0].Log.Retention = millis(4000);
+  Mesh.start(0);
+  auto Outcome = Mesh.apply(0, "first");
+  cr_assert(Outcome.Kind == outcome_kind::Accepted);
+  cr_assert(eventually([&] { return Mesh.Log.records("config").size() >= 2; }));
+  Mesh.destroy(0);
+  Mesh.Log.setFaults({.ExpireBefore = Outcome.Version.Value + 1});
+  Mesh.start(0);
+  cr_assert(Mesh.reaches(0, Outcome.Version.Value));
+}
