--- a/src/node/claim_service.cpp
+++ b/src/node/claim_service.cpp
@@ -34,10 +34,14 @@
 
 static auto readFrom(node_context &Context, std::uint32_t Partition,
                      log_offset From) -> claims::read_result {
-  auto Result = Context.Log.read(claims::streamName(Partition), From, ReadBatch,
-                                 millis(0));
+  // The log numbers its records from 1; the writer takes offset 0 for the
+  // beginning of a stream from which nothing has expired.
+  auto Result =
+      Context.Log.read(claims::streamName(Partition),
+                       std::max(From, log_offset{1}), ReadBatch, millis(0));
   if (auto *Batch = std::get_if<platform::read_batch>(&Result)) {
-    auto Records = claims::read_records{Batch->First, Batch->Next, {}};
+    auto First = Batch->First.Value <= 1 ? log_offset{0} : Batch->First;
+    auto Records = claims::read_records{First, Batch->Next, {}};
     for (auto &Record : Batch->Records) {
       Records.Records.push_back({Record.Offset, std::move(Record.Bytes)});
     }
@@ -59,6 +63,13 @@
           std::strtoull(Claim.AttemptId.c_str(), nullptr, 10)};
 }
 
+static auto writerOptions(const node_context &Context)
+    -> claims::claim_writer_options {
+  auto Options = claims::claim_writer_options();
+  Options.Retention = Context.Settings.Log.Retention;
+  return Options;
+}
+
 struct claim_service::implementation {
   node_context &Context;
   claims::claim_writer Writer;
@@ -73,13 +84,6 @@
                 }},
                writerOptions(NodeContext)) {}
 
-  static auto writerOptions(const node_context &NodeContext)
-      -> claims::claim_writer_options {
-    auto Options = claims::claim_writer_options();
-    Options.Retention = NodeContext.Settings.Log.Retention;
-    return Options;
-  }
-
   auto makeRequest(std::uint64_t KeyHash,
                    const proxy::admission_request &Request,
                    const proxy::admission_ticket &Ticket) const
@@ -219,7 +223,7 @@
   auto Claim = Impl->makeRequest(KeyHash, Request, Ticket);
   if (Outcome.Kind == proxy::outcome_kind::Answered) {
     Claim.Status = static_cast<std::uint16_t>(Outcome.Status);
-  } else if (Outcome.Kind != proxy::outcome_kind::NotRun) {
+  } else if (Outcome.Started && Outcome.Kind != proxy::outcome_kind::NotRun) {
     return; // The call may have run: the key stays held.
   }
   Impl->endClaim(Claim);
