--- /dev/null
+++ b/bench/experiments.py
@@ -0,0 +1,271 @@
+"""Runs the experiments; one JSON line per case. Usage: experiments.py BUILD_DIR [NAME...]
+
+Names: scale (convergence and control cost), latency, move, zone, outage; all of them by default.
+"""
+
+import json
+import statistics
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+
+from fleet import (IP, ZONES, Fleet, cpu_seconds, declaration, failed, finish, linear_fit,
+                   request, resident_kb)
+
+SEED = 42
+SIZES = [12, 24, 48, 96]
+TARGET_NODES = 880
+CHANGES = 20
+IDLE_SECONDS = 15
+BUILD = "build"
+
+
+def report(experiment, case, nodes, **figures):
+    print(json.dumps({"experiment": experiment, "case": case, "variant": "ours", "seed": SEED,
+                      "nodes": nodes, **figures}), flush=True)
+
+
+def note(text):
+    print(text, file=sys.stderr, flush=True)
+
+
+# Convergence and control cost ---------------------------------------------------------------
+
+def positions(fleet):
+    return [fleet.dump(node)["config"]["version"] for node in fleet.nodes]
+
+
+def change_once(fleet, number):
+    """Applies one change. Returns seconds from the start of the command to its report that the
+    version is in force on all nodes, which is when an operator learns of it, and the number of
+    nodes whose state dump shows another version right afterwards."""
+    fleet.declared["routes"][0]["timeout_ms"] = 2000 + number
+    begin = time.monotonic()
+    code, text = fleet.apply(fleet.declared)
+    seconds = time.monotonic() - begin
+    outcome = json.loads(text) if code == 0 else {}
+    if outcome.get("nodes_in_force") != len(fleet.nodes):
+        note(f"apply {number}: exit {code}: {text.strip()[:300]}")
+        return None, 0
+    return seconds, sum(version != outcome["version"] for version in positions(fleet))
+
+
+def convergence(fleet, size):
+    changes = [change_once(fleet, number) for number in range(CHANGES)]
+    good = [seconds for seconds, _ in changes if seconds is not None]
+    versions = set(positions(fleet))
+    report("convergence", "apply_until_in_force", size, changes=CHANGES,
+           not_confirmed=CHANGES - len(good), versions_at_end=len(versions),
+           nodes_wrongly_confirmed=sum(lagging for _, lagging in changes),
+           median_s=round(statistics.median(good), 4), max_s=round(max(good), 4))
+
+
+def control_cost(fleet, size):
+    """Costs of idle nodes; the state dump itself is read only before and after."""
+    def sample():
+        dumps = [fleet.dump(node)["datagrams"] for node in fleet.nodes]
+        return ([d["in_bytes"] + d["out_bytes"] for d in dumps], [d["in"] + d["out"] for d in dumps],
+                [cpu_seconds(node.process) for node in fleet.nodes], fleet.log_stats()["reads"],
+                time.monotonic())
+    first = sample()
+    time.sleep(IDLE_SECONDS)
+    last = sample()
+    seconds = last[4] - first[4]
+    bytes_per_s = [(b - a) / seconds for a, b in zip(first[0], last[0])]
+    messages = [(b - a) / seconds for a, b in zip(first[1], last[1])]
+    cpu = [(b - a) / seconds * 100 for a, b in zip(first[2], last[2])]
+    memory = [resident_kb(node.process) / 1024 for node in fleet.nodes]
+    figures = {"udp_bytes_per_s": statistics.mean(bytes_per_s), "udp_bytes_per_s_max": max(bytes_per_s),
+               "udp_datagrams_per_s": statistics.mean(messages),
+               "cpu_percent": statistics.mean(cpu), "cpu_percent_max": max(cpu),
+               "resident_mb": statistics.mean(memory), "resident_mb_max": max(memory),
+               "log_reads_per_s": (last[3] - first[3]) / seconds}
+    report("control_cost", "idle", size, seconds=round(seconds, 1),
+           **{key: round(value, 4) for key, value in figures.items()})
+    return figures
+
+
+def scale():
+    costs = {}
+    for size in SIZES:
+        services = {f"s{n}": [ZONES[(n + k) % 4] for k in range(4)] for n in range(size // 4)}
+        with Fleet(BUILD, 23001, services) as fleet:
+            joined = fleet.start(upstreams=False)
+            note(f"{size} nodes joined, last wait {joined:.2f} s")
+            fleet.apply(declaration(list(services)))
+            time.sleep(3)
+            costs[size] = control_cost(fleet, size)
+            convergence(fleet, size)
+    for figure in ["udp_bytes_per_s", "udp_datagrams_per_s", "cpu_percent", "resident_mb", "log_reads_per_s"]:
+        slope, intercept, residual = linear_fit(SIZES, [costs[size][figure] for size in SIZES])
+        report("control_cost", f"fit_{figure}", TARGET_NODES, slope_per_node=round(slope, 6),
+               intercept=round(intercept, 4), max_residual=round(residual, 4),
+               projected=round(slope * TARGET_NODES + intercept, 3))
+
+
+# Data path ----------------------------------------------------------------------------------
+
+def mesh(size=8, service_ms=4, base_port=25001, extra_routes=()):
+    """A fleet of one service with one upstream per node, warm and configured."""
+    fleet = Fleet(BUILD, base_port, {"shop": [ZONES[n % 4] for n in range(size)]}, service_ms)
+    fleet.start()
+    code, text = fleet.apply(declaration(["shop"], extra_routes))
+    assert code == 0, text
+    fleet.wait_for("calls succeed", lambda: all(request(
+        n.ports["caller_port"], "GET", "/shop/a")[0] == 200 for n in fleet.nodes))
+    finish(fleet.load(150, 5, ["/shop/a"], SEED))
+    return fleet
+
+
+def latency():
+    # Two services: the entry node of "one hop" is beside the only upstream of its service.
+    services = {"near": ["z1"], "far": ["z1"]}
+    with Fleet(BUILD, 25001, services, service_ms=1, slots=100) as fleet:
+        fleet.start()
+        fleet.apply(declaration(list(services)))
+        near, far = fleet.nodes
+        fleet.wait_for("calls succeed", lambda: all(request(
+            near.ports["caller_port"], "GET", f"/{s}/a")[0] == 200 for s in services))
+        cases = {"direct": (f"{IP}:{near.upstream_port}", "/near/a"),
+                 "one_hop": (f"{IP}:{near.ports['caller_port']}", "/near/a"),
+                 "two_hops": (f"{IP}:{near.ports['caller_port']}", "/far/a")}
+        for target, path in cases.values():
+            finish(fleet.load(500, 3, [path], SEED, targets=[target]))
+        direct = None
+        for case, (target, path) in cases.items():
+            result = finish(fleet.load(500, 12, [path], SEED, targets=[target]))
+            direct = direct or result
+            report("added_latency", case, 2, rate_per_s=500, calls=result["calls"],
+                   failed=failed(result), p50_us=result["p50_us"], p99_us=result["p99_us"],
+                   p999_us=result["p999_us"], added_p50_us=result["p50_us"] - direct["p50_us"],
+                   added_p99_us=result["p99_us"] - direct["p99_us"], target_us=750)
+
+
+FAULTS = {
+    "good": ({}, 45),
+    "fails_at_once": ({"fail_ratio": 1.0}, 45),
+    "fails_20_percent": ({"fail_ratio": 0.2}, 45),
+    "slow_x3": ({"slow_factor": 3.0}, 45),
+    "fails_on_one_route": ({"fail_ratio": 1.0, "fault_route": "/shop/b"}, 45),
+    "fails_late": ({"fail_ratio": 1.0, "fault_after_ms": 8000}, 60),
+}
+
+
+def move_phase(fleet):
+    moves = fleet.dump(fleet.nodes[0])["config"]["moves"]
+    return [(m["phase"], m["share_ppm"], m["reason"]) for m in moves.values()]
+
+
+def one_move(case, changes, by_s, number):
+    with mesh(size=6, base_port=25001 + 100 * number, extra_routes=[("shop", "b")]) as fleet:
+        for node in fleet.nodes:
+            fleet.start_upstream(node, "v2", warm_ms=0)
+        time.sleep(2.5)
+        for node in fleet.nodes:
+            fleet.control(node.upstream_v2_port, **changes)
+        load = fleet.load(200, 30, ["/shop/a", "/shop/b"], SEED)
+        begin = time.monotonic()
+        code, text = fleet.cli("move", "shop", "--to=v2", f"--by=+{by_s}s")
+        assert code == 0, text
+        try:
+            seconds = fleet.wait_for("verdict", lambda: any(
+                p in ("done", "taken_back") for p, _, _ in move_phase(fleet)), by_s + 10)
+        except AssertionError:
+            seconds = None
+        phase = move_phase(fleet)[0]
+        result = finish(load)
+        on_v2 = sum(fleet.counters(n.upstream_v2_port)["executions"] for n in fleet.nodes)
+        report("move", case, 6, phase=phase[0], reason=phase[2], by_s=by_s,
+               verdict_s=seconds and round(seconds, 2), load_calls=result["calls"],
+               failed_calls=failed(result), outcomes=result["outcomes"], run_on_new_version=on_v2,
+               p99_us=result["p99_us"], wall_s=round(time.monotonic() - begin, 1))
+
+
+def move():
+    """Runs three cases at a time, each with processes and ports of its own."""
+    with ThreadPoolExecutor(3) as pool:
+        runs = [pool.submit(one_move, case, changes, by_s, number)
+                for number, (case, (changes, by_s)) in enumerate(FAULTS.items())]
+    for run in runs:
+        run.result()
+
+
+def zone_executions(fleet, zone):
+    return sum(fleet.counters(n.upstream_port)["executions"] for n in fleet.nodes if n.zone == zone)
+
+
+def zone():
+    with mesh() as fleet:
+        phases = {"before": finish(fleet.load(200, 6, ["/shop/a"], SEED))}
+        load = fleet.load(200, 9, ["/shop/a"], SEED)
+        code, text = fleet.cli("zone", "out", "z2")
+        assert code == 0, text
+        time.sleep(3.0)
+        at_limit = zone_executions(fleet, "z2")
+        time.sleep(4.0)
+        late = zone_executions(fleet, "z2") - at_limit
+        phases["out"] = finish(load)
+        load = fleet.load(200, 9, ["/shop/a"], SEED)
+        code, text = fleet.cli("zone", "in", "z2")
+        assert code == 0, text
+        back = fleet.wait_for("work returns", lambda: zone_executions(fleet, "z2") > at_limit + late, 9)
+        phases["in"] = finish(load)
+        for case, result in phases.items():
+            extra = {"out": {"late_calls_after_3_s": late}, "in": {"first_call_s": round(back, 2)}}
+            report("zone", case, 8, calls=result["calls"], failed_calls=failed(result),
+                   outcomes=result["outcomes"], p50_us=result["p50_us"], p99_us=result["p99_us"],
+                   **extra.get(case, {}))
+
+
+def outage():
+    with mesh() as fleet:
+        phases = {"before": finish(fleet.load(200, 8, ["/shop/a"], SEED))}
+        load = fleet.load(200, 10, ["/shop/a"], SEED)
+        fleet.faults(down=True)
+        before = positions(fleet)
+        begin = time.monotonic()
+        fleet.declared["routes"][0]["timeout_ms"] = 2222
+        code, _ = fleet.apply(fleet.declared, wait=False)
+        answer_s = time.monotonic() - begin
+        time.sleep(max(0.0, 10 - answer_s))
+        unchanged = positions(fleet) == before
+        fleet.faults(down=False)
+        phases["during"] = finish(load)
+        load = fleet.load(200, 8, ["/shop/a"], SEED)
+        time.sleep(3.0)
+        later = positions(fleet)
+        # Exit code 1 claims "not accepted", which a version that appears later would disprove.
+        truthful = code == 3 or (code == 1 and later == before) or (code == 0 and later != before)
+        recover = time.monotonic()
+        code_after, _ = fleet.apply(fleet.declared)
+        recover = time.monotonic() - recover
+        phases["after"] = finish(load)
+        extra = {"during": {"mutation_exit_code": code, "mutation_answer_s": round(answer_s, 2),
+                            "mutation_truthful": truthful, "versions_unchanged": unchanged},
+                 "after": {"apply_exit_code": code_after, "apply_s": round(recover, 3)}}
+        for case, result in phases.items():
+            report("log_outage", case, 8, calls=result["calls"], failed_calls=failed(result),
+                   outcomes=result["outcomes"], p50_us=result["p50_us"], p99_us=result["p99_us"],
+                   **extra.get(case, {}))
+
+
+EXPERIMENTS = {"latency": latency, "zone": zone, "outage": outage, "move": move, "scale": scale}
+
+
+def main():
+    global BUILD
+    BUILD = sys.argv[1]
+    failures = 0
+    for name in sys.argv[2:] or EXPERIMENTS:
+        begin = time.monotonic()
+        try:
+            EXPERIMENTS[name]()
+        except Exception as error:  # The other experiments still run.
+            failures += 1
+            note(f"{name}: {error!r}")
+        note(f"{name}: {time.monotonic() - begin:.0f} s")
+    return 1 if failures else 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
