Codechange: [Bench] All sizes side by side, a key per fleet

Cause: fleets of successive trials shared the key of the demo; one with reused ports joined the other, and their logs disagreed. Change: each fleet has a key of its own, and a fleet that fails to start is stopped.

--- a/bench/experiments.py
+++ b/bench/experiments.py
@@ -8,6 +8,7 @@
 import sys
 import time
 from concurrent.futures import ThreadPoolExecutor
+from contextlib import ExitStack, contextmanager
 
 from fleet import (IP, ZONES, Fleet, cpu_seconds, declaration, failed, finish, linear_fit,
                    request, resident_kb)
@@ -17,6 +18,7 @@
 TARGET_NODES = 880
 CHANGES = 20
 IDLE_SECONDS = 15
+SETTLE_SECONDS = 80
 BUILD = "build"
 
 
@@ -60,61 +62,72 @@
            median_s=round(statistics.median(good), 4), max_s=round(max(good), 4))
 
 
-def control_cost(fleet, size):
+def sample(fleet):
+    dumps = [fleet.dump(node)["datagrams"] for node in fleet.nodes]
+    return {"time": time.monotonic(), "reads": fleet.log_stats()["reads"],
+            "bytes": [d["in_bytes"] + d["out_bytes"] for d in dumps],
+            "datagrams": [d["in"] + d["out"] for d in dumps],
+            "cpu": [cpu_seconds(node.process) for node in fleet.nodes]}
+
+
+def control_cost(case, fleets):
     """Costs of idle nodes; the state dump itself is read only before and after."""
-    def sample():
-        dumps = [fleet.dump(node)["datagrams"] for node in fleet.nodes]
-        return ([d["in_bytes"] + d["out_bytes"] for d in dumps], [d["in"] + d["out"] for d in dumps],
-                [cpu_seconds(node.process) for node in fleet.nodes], fleet.log_stats()["reads"],
-                time.monotonic())
-    first = sample()
+    first = {size: sample(fleet) for size, fleet in fleets.items()}
     time.sleep(IDLE_SECONDS)
-    last = sample()
-    seconds = last[4] - first[4]
-    bytes_per_s = [(b - a) / seconds for a, b in zip(first[0], last[0])]
-    messages = [(b - a) / seconds for a, b in zip(first[1], last[1])]
-    cpu = [(b - a) / seconds * 100 for a, b in zip(first[2], last[2])]
-    memory = [resident_kb(node.process) / 1024 for node in fleet.nodes]
-    figures = {"udp_bytes_per_s": statistics.mean(bytes_per_s), "udp_bytes_per_s_max": max(bytes_per_s),
-               "udp_datagrams_per_s": statistics.mean(messages),
-               "cpu_percent": statistics.mean(cpu), "cpu_percent_max": max(cpu),
-               "resident_mb": statistics.mean(memory), "resident_mb_max": max(memory),
-               "log_reads_per_s": (last[3] - first[3]) / seconds}
-    report("control_cost", "idle", size, seconds=round(seconds, 1),
-           **{key: round(value, 4) for key, value in figures.items()})
-    return figures
+    costs = {}
+    for size, fleet in fleets.items():
+        begin, last = first[size], sample(fleet)
+        seconds = last["time"] - begin["time"]
+
+        def rates(key, begin=begin, last=last, seconds=seconds):
+            return [(b - a) / seconds for a, b in zip(begin[key], last[key])]
+        memory = [resident_kb(node.process) / 1024 for node in fleet.nodes]
+        costs[size] = {
+            "udp_bytes_per_s": statistics.mean(rates("bytes")), "udp_bytes_per_s_max": max(rates("bytes")),
+            "udp_datagrams_per_s": statistics.mean(rates("datagrams")),
+            "cpu_percent": 100 * statistics.mean(rates("cpu")), "cpu_percent_max": 100 * max(rates("cpu")),
+            "resident_mb": statistics.mean(memory), "resident_mb_max": max(memory),
+            "log_reads_per_s": (last["reads"] - begin["reads"]) / seconds}
+        report("control_cost", case, size, seconds=round(seconds, 1),
+               **{key: round(value, 4) for key, value in costs[size].items()})
+    for figure in costs[SIZES[0]]:
+        slope, intercept, residual = linear_fit(SIZES, [costs[size][figure] for size in SIZES])
+        report("control_cost", f"{case}_fit_{figure}", TARGET_NODES, slope_per_node=round(slope, 6),
+               intercept=round(intercept, 4), max_residual=round(residual, 4),
+               projected=round(slope * TARGET_NODES + intercept, 3))
 
 
 def scale():
-    costs = {}
-    for size in SIZES:
-        services = {f"s{n}": [ZONES[(n + k) % 4] for k in range(4)] for n in range(size // 4)}
-        with Fleet(BUILD, 23001, services) as fleet:
-            joined = fleet.start(upstreams=False)
-            note(f"{size} nodes joined, last wait {joined:.2f} s")
+    """All sizes run side by side, because the membership records of a joint start take over a
+    minute to leave the datagrams."""
+    bases = dict(zip(SIZES, [24801, 24501, 24001, 23001]))
+    with ExitStack() as stack:
+        fleets = {}
+        for size in SIZES:
+            services = {f"s{n}": [ZONES[(n + k) % 4] for k in range(4)] for n in range(size // 4)}
+            fleet = fleets[size] = stack.enter_context(Fleet(BUILD, bases[size], services))
+            fleet.start(upstreams=False)
             fleet.apply(declaration(list(services)))
-            time.sleep(3)
-            costs[size] = control_cost(fleet, size)
+        control_cost("joining", fleets)
+        time.sleep(SETTLE_SECONDS)
+        control_cost("idle", fleets)
+        for size, fleet in fleets.items():
             convergence(fleet, size)
-    for figure in ["udp_bytes_per_s", "udp_datagrams_per_s", "cpu_percent", "resident_mb", "log_reads_per_s"]:
-        slope, intercept, residual = linear_fit(SIZES, [costs[size][figure] for size in SIZES])
-        report("control_cost", f"fit_{figure}", TARGET_NODES, slope_per_node=round(slope, 6),
-               intercept=round(intercept, 4), max_residual=round(residual, 4),
-               projected=round(slope * TARGET_NODES + intercept, 3))
 
 
 # Data path ----------------------------------------------------------------------------------
 
-def mesh(size=8, service_ms=4, base_port=25001, extra_routes=()):
+@contextmanager
+def mesh(size, base_port, extra_routes=(), service_ms=4):
     """A fleet of one service with one upstream per node, warm and configured."""
-    fleet = Fleet(BUILD, base_port, {"shop": [ZONES[n % 4] for n in range(size)]}, service_ms)
-    fleet.start()
-    code, text = fleet.apply(declaration(["shop"], extra_routes))
-    assert code == 0, text
-    fleet.wait_for("calls succeed", lambda: all(request(
-        n.ports["caller_port"], "GET", "/shop/a")[0] == 200 for n in fleet.nodes))
-    finish(fleet.load(150, 5, ["/shop/a"], SEED))
-    return fleet
+    with Fleet(BUILD, base_port, {"shop": [ZONES[n % 4] for n in range(size)]}, service_ms) as fleet:
+        fleet.start()
+        code, text = fleet.apply(declaration(["shop"], extra_routes))
+        assert code == 0, text
+        fleet.wait_for("calls succeed", lambda: all(request(
+            n.ports["caller_port"], "GET", "/shop/a")[0] == 200 for n in fleet.nodes))
+        finish(fleet.load(150, 5, ["/shop/a"], SEED))
+        yield fleet
 
 
 def latency():
@@ -157,7 +170,7 @@
 
 
 def one_move(case, changes, by_s, number):
-    with mesh(size=6, base_port=25001 + 100 * number, extra_routes=[("shop", "b")]) as fleet:
+    with mesh(6, 25401 + 100 * number, extra_routes=[("shop", "b")]) as fleet:
         for node in fleet.nodes:
             fleet.start_upstream(node, "v2", warm_ms=0)
         time.sleep(2.5)
@@ -174,7 +187,7 @@
             seconds = None
         phase = move_phase(fleet)[0]
         result = finish(load)
-        on_v2 = sum(fleet.counters(n.upstream_v2_port)["executions"] for n in fleet.nodes)
+        on_v2 = sum(fleet.counters(n.upstream_v2_port)["started"] for n in fleet.nodes)
         report("move", case, 6, phase=phase[0], reason=phase[2], by_s=by_s,
                verdict_s=seconds and round(seconds, 2), load_calls=result["calls"],
                failed_calls=failed(result), outcomes=result["outcomes"], run_on_new_version=on_v2,
@@ -191,11 +204,11 @@
 
 
 def zone_executions(fleet, zone):
-    return sum(fleet.counters(n.upstream_port)["executions"] for n in fleet.nodes if n.zone == zone)
+    return sum(fleet.counters(n.upstream_port)["started"] for n in fleet.nodes if n.zone == zone)
 
 
 def zone():
-    with mesh() as fleet:
+    with mesh(8, 25101) as fleet:
         phases = {"before": finish(fleet.load(200, 6, ["/shop/a"], SEED))}
         load = fleet.load(200, 9, ["/shop/a"], SEED)
         code, text = fleet.cli("zone", "out", "z2")
@@ -218,7 +231,7 @@
 
 
 def outage():
-    with mesh() as fleet:
+    with mesh(8, 25251) as fleet:
         phases = {"before": finish(fleet.load(200, 8, ["/shop/a"], SEED))}
         load = fleet.load(200, 10, ["/shop/a"], SEED)
         fleet.faults(down=True)
--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -42,7 +42,10 @@
         super().__init__(os.path.abspath(build), folder, folder)
         for node in self.nodes:
             with open(self.settings_file(node), "w", encoding="utf-8") as file:
-                json.dump(node_settings(topology, self.nodes, node), file)
+                settings = node_settings(topology, self.nodes, node)
+                # A key of its own keeps a fleet from joining another one that it can reach.
+                settings["inner_keys"] = [{"id": 1, "secret": os.path.basename(folder)}]
+                json.dump(settings, file)
         self.declared = None
 
     def __enter__(self):
