--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -121,6 +121,24 @@
         return next(int(line.split()[1]) for line in file if line.startswith("VmRSS"))
 
 
+def rpc_bytes(fleet):
+    """Bytes sent and received on the open connections accepted at the inner ports, by peer
+    address. The state dump does not count them. Connections closed meanwhile are missed."""
+    first, last = (fleet.nodes[index].ports["inner_port"] for index in (0, -1))
+    text = subprocess.run(["ss", "-tinOH", "state", "established",
+                           f"( sport >= :{first} and sport <= :{last} )"],
+                          capture_output=True, text=True, check=True).stdout
+    inner = {node.ports["inner_port"] for node in fleet.nodes}
+    found = {}
+    for line in text.splitlines():
+        words = line.split()
+        if int(words[2].rsplit(":", 1)[1]) in inner:
+            counts = dict(word.split(":", 1) for word in words[4:] if word.startswith("bytes_"))
+            found[words[2], words[3]] = sum(
+                int(counts.get(key, 0)) for key in ["bytes_sent", "bytes_received"])
+    return found
+
+
 def linear_fit(xs, ys):
     """Returns slope, intercept and the greatest residual of a least-squares line."""
     slope, intercept = statistics.linear_regression(xs, ys)
