--- a/bench/report.py
+++ b/bench/report.py
@@ -39,9 +39,9 @@
         blocks.append(f"$d{index} << E\n" + "\n".join(f"{x} {y}" for x, y in points) + "\nE")
         parts.append(f"$d{index} using 1:2 with linespoints lw 2 pt 7 title '{label}'")
     script = "\n".join(blocks + [
-        "set terminal pngcairo size 640,400 noenhanced", f"set output '{path}'",
+        "set terminal pngcairo size 760,440 noenhanced", f"set output '{path}'",
         f"set title '{title}'", f"set xlabel '{x_label}'", f"set ylabel '{y_label}'",
-        "set key top left", "set grid", "set yrange [0:*]", "set logscale x 2" if log_x else "",
+        "set key outside bottom center maxrows 2", "set grid", "set yrange [0:*]", "set logscale x 2" if log_x else "",
         "plot " + ", ".join(parts)])
     subprocess.run(["gnuplot"], input=script, text=True, check=True)
     return f"![{title}](plots/{name}.png)"
