--- a/bench/report.py
+++ b/bench/report.py
@@ -41,7 +41,8 @@
     script = "\n".join(blocks + [
         "set terminal pngcairo size 760,440 noenhanced", f"set output '{path}'",
         f"set title '{title}'", f"set xlabel '{x_label}'", f"set ylabel '{y_label}'",
-        "set key outside bottom center maxrows 2", "set grid", "set yrange [0:*]", "set logscale x 2" if log_x else "",
+        "set key outside bottom center vertical maxrows 4", "set grid", "set yrange [0:*]",
+        "set logscale x 2" if log_x else "set xtics 1",
         "plot " + ", ".join(parts)])
     subprocess.run(["gnuplot"], input=script, text=True, check=True)
     return f"![{title}](plots/{name}.png)"
@@ -80,7 +81,8 @@
              + ", ".join(sorted({str(row["seed"]) for row in rows})) + ". All processes run on one shared "
              "machine over loopback, so times include the load of other programs. Variant `ours` only; "
              "a naive variant was not made. Rows named `..._fit_...` give the least-squares line over the "
-             "four sizes and its value at 880 nodes."]
+             "four sizes and its value at 880 nodes. Round n of the latency cases uses the seed plus n; "
+             "added_ figures are medians over the rounds of the difference to the direct case."]
     for experiment, title in TITLES.items():
         chosen = [row for row in rows if row["experiment"] == experiment]
         if not chosen:
