Fix: [Demo] The upload began before the entry node knew the upstreams

Cause: the demo waited for the members but not for their upstreams, which spread by gossip after their announcement. Change: it waits until each node knows all upstreams.

--- a/demo/run_demo.py
+++ b/demo/run_demo.py
@@ -88,8 +88,8 @@
                 n.ports["ops_port"], "GET", "/healthz")[0] == 200)
             self.d.start_upstream(node)
         for node in self.d.nodes:
-            self.d.wait_for(f"{node.name} knows all members", lambda n=node: len(
-                self.d.dump(n)["members"]) == len(self.d.nodes))
+            self.d.wait_for(f"{node.name} knows all upstreams", lambda n=node: sum(
+                member["upstreams"] for member in self.d.dump(n)["members"]) == len(self.d.nodes))
         self.report("start", nodes=len(self.d.nodes), seconds=round(time.monotonic() - begin, 2))
 
     def refuse_bad(self):
