--- a/test/node_ops_test.cpp
+++ b/test/node_ops_test.cpp
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
 #include <thread>
 
 using namespace sycamorelb;
@@ -52,6 +53,23 @@
   cr_assert(Mesh.ops(0, "GET", "/healthz").Status == 200);
 }
 
+// Guards against a late announcement that brings a withdrawn upstream back.
+Test(node_ops, late_announcement_does_not_undo_a_withdrawal) {
+  auto Mesh = mesh(1);
+  const auto *Body = R"({"service":"s","version":"v1","address":"127.0.0.1:1",
+                         "slots":4,"connections":8,"instance":"i1"})";
+  auto State = [&Mesh] {
+    auto Dump = nlohmann::json::parse(Mesh.ops(0, "GET", "/dump").Body);
+    return Dump.at("local_upstreams").at(0).at("state").get<std::string>();
+  };
+  cr_assert(Mesh.ops(0, "PUT", "/announce", Body).Status == 204);
+  cr_assert(State() == "cold");
+  cr_assert(Mesh.ops(0, "DELETE", "/announce", Body).Status == 204);
+  cr_assert(State() == "draining");
+  cr_assert(Mesh.ops(0, "PUT", "/announce", Body).Status == 204);
+  cr_assert(State() == "draining");
+}
+
 /** @return the sum of the samples of a counter in a metrics text. */
 static auto sumOf(const std::string &Text, const std::string &Name) -> double {
   auto Sum = 0.0;
