--- a/src/config/state_codec.cpp
+++ b/src/config/state_codec.cpp
@@ -1,5 +1,6 @@
 /** @file state_codec.cpp Encoding of whole states with an integrity check. */
 #include "sycamorelb/config/checkpoint_func.h"
+#include "sycamorelb/config/name_func.h"
 
 #include "config/declaration_json.h"
 #include "config/json_read.h"
@@ -22,18 +23,6 @@
 /** Longest name in a state. */
 static constexpr std::size_t MaxTextBytes = 1024;
 
-static auto phaseName(move_phase Phase) -> const char * {
-  switch (Phase) {
-  case move_phase::Running:
-    return "running";
-  case move_phase::Done:
-    return "done";
-  case move_phase::TakenBack:
-    return "taken_back";
-  }
-  return "running";
-}
-
 static auto stateToJson(const config_state &State) -> json {
   auto Root = json{{"declaration", declarationToJson(State.Declared)},
                    {"zones_out", json::array()},
--- a/src/node/call_policy.cpp
+++ b/src/node/call_policy.cpp
@@ -52,7 +52,6 @@
 struct call_policy::implementation {
   node_context &Context;
   const brake_board &Brakes;
-  inner::auth_keys Keys;
   std::atomic<std::shared_ptr<const route_table>> Routes;
   mutable ranked_mutex<lock_rank::RoutingStats> Mutex; // Guards all below.
   std::unordered_map<routing::upstream_id, std::unique_ptr<upstream_stats>>
@@ -66,9 +65,8 @@
   routing::outlier_config OutlierConfig;
 
   implementation(node_context &NodeContext, const brake_board &Board)
-      : Context(NodeContext), Brakes(Board),
-        Keys(toAuthKeys(Context.Settings.InnerKeys)),
-        Random(Context.Incarnation.Value) {}
+      : Context(NodeContext), Brakes(Board), Random(Context.Incarnation.Value) {
+  }
 
   auto routes() -> std::shared_ptr<const route_table> {
     auto Snapshot = Context.Store.current();
@@ -174,8 +172,9 @@
     if (Target.Kind == proxy::target_kind::AdmissionNode) {
       Target.ExtraHeaders.push_back(
           {std::string(proxy::AuthHeader),
-           inner::makeRequestAuth(Keys, Route.Service.Value, Route.Name.Value,
-                                  Target.Version.Value, wallNow())});
+           inner::makeRequestAuth(Context.InnerKeys, Route.Service.Value,
+                                  Route.Name.Value, Target.Version.Value,
+                                  wallNow())});
     }
     return Target;
   }
@@ -234,12 +233,12 @@
   auto budgetConfigs(const route_id &Name)
       -> std::pair<limits::budget_config, limits::budget_config> {
     auto Configs = std::pair<limits::budget_config, limits::budget_config>();
-    auto Snapshot = Context.Store.current();
-    for (const auto &Route : Snapshot->State.Declared.Routes) {
-      if (Route.Name == Name) {
-        Configs.first.Percent = Route.RetryBudgetPercent;
-        Configs.second.Percent = Route.HedgeBudgetPercent;
-      }
+    auto Table = routes();
+    auto Found = Table->ByName.find(Name);
+    if (Found != Table->ByName.end()) {
+      const auto &Route = Table->Snapshot->State.Declared.Routes[Found->second];
+      Configs.first.Percent = Route.RetryBudgetPercent;
+      Configs.second.Percent = Route.HedgeBudgetPercent;
     }
     return Configs;
   }
--- a/src/node/node.cpp
+++ b/src/node/node.cpp
@@ -114,10 +114,10 @@
     auto Value = [&Headers](std::string_view Name) {
       return proxy::findHeader(Headers, Name).value_or("");
     };
-    return inner::checkRequestAuth(
-        toAuthKeys(Context.Settings.InnerKeys), Value(proxy::AuthHeader),
-        Value(proxy::ServiceHeader), Value(proxy::RouteHeader),
-        Value(proxy::VersionHeader), wallNow());
+    return inner::checkRequestAuth(Context.InnerKeys, Value(proxy::AuthHeader),
+                                   Value(proxy::ServiceHeader),
+                                   Value(proxy::RouteHeader),
+                                   Value(proxy::VersionHeader), wallNow());
   }
 
   auto fetchRecords(const membership::config_mark &Mark)
@@ -197,7 +197,7 @@
   auto listen() -> result<done> {
     const auto &Settings = Context.Settings;
     auto InnerAddress = ownAddress(Settings, Settings.Listen.InnerPort);
-    auto InnerKeys = toAuthKeys(Settings.InnerKeys);
+    const auto &InnerKeys = Context.InnerKeys;
     auto Udp =
         inner::udp_transport::open(InnerAddress, Context.Self.Id, InnerKeys);
     if (!isOk(Udp)) {
--- a/src/node/node_context.cpp
+++ b/src/node/node_context.cpp
@@ -63,13 +63,13 @@
     : Settings(std::move(NodeSettings)), Self{Settings.Id, Settings.Zone,
                                               Settings.Region},
       Incarnation{static_cast<std::uint64_t>(wallNow().Value)},
+      InnerKeys(toAuthKeys(Settings.InnerKeys)),
       Log(logClientSettings(Settings.Log)),
       Members(membership::makeTable(ownMember(Settings, Incarnation),
                                     Settings.Seeds,
                                     membershipOptions(Settings.Timing),
                                     choiceSeed(Settings), steadyNow())),
-      Loop(loopOptions()),
-      Rpc(Loop, {Settings.Id, toAuthKeys(Settings.InnerKeys)}) {
+      Loop(loopOptions()), Rpc(Loop, {Settings.Id, InnerKeys}) {
   auto Subset = routing::subset_config();
   Subset.Size = Settings.Proxy.SubsetSize;
   View = buildMeshView(Members, Subset, 1);
--- a/src/node/node_context.h
+++ b/src/node/node_context.h
@@ -24,6 +24,7 @@
   settings::node_settings Settings; ///< Settings, constant.
   config::peer Self;                ///< Id, zone and region of this node.
   incarnation Incarnation;          ///< Start time of this process.
+  inner::auth_keys InnerKeys;       ///< Keys between nodes, constant.
   telemetry::metrics Metrics;       ///< Metrics.
   config::config_store Store;       ///< Snapshot in force.
   platform::log_client Log;         ///< Log service.
--- a/src/node/operations_cmd.cpp
+++ b/src/node/operations_cmd.cpp
@@ -4,6 +4,7 @@
 
 #include "node/route_table.h"
 #include "sycamorelb/config/declaration_func.h"
+#include "sycamorelb/config/name_func.h"
 #include "sycamorelb/config/replay_func.h"
 #include "sycamorelb/membership/name_func.h"
 #include "sycamorelb/telemetry/log_func.h"
@@ -201,13 +202,12 @@
 }
 
 static auto moveStatus(const config::move_state &State) -> admin::move_status {
-  static constexpr const char *Phases[] = {"running", "done", "taken_back"};
   const auto &Move = State.Move;
   return {Move.Id.Value,
           Move.Service.Value,
           Move.From.Value,
           Move.To.Value,
-          Phases[static_cast<int>(State.Phase)],
+          config::phaseName(State.Phase),
           State.Share,
           Move.By,
           State.Reason,
--- a/src/node/route_table.cpp
+++ b/src/node/route_table.cpp
@@ -10,7 +10,11 @@
 auto buildRouteTable(config::snapshot_ptr Snapshot)
     -> std::shared_ptr<const route_table> {
   auto Table = std::make_shared<route_table>();
-  Table->Index = routing::buildRouteIndex(Snapshot->State.Declared.Routes);
+  const auto &Routes = Snapshot->State.Declared.Routes;
+  Table->Index = routing::buildRouteIndex(Routes);
+  for (auto Index = std::size_t{0}; Index < Routes.size(); ++Index) {
+    Table->ByName.emplace(Routes[Index].Name, Index);
+  }
   Table->Snapshot = std::move(Snapshot);
   return Table;
 }
--- a/src/node/route_table.h
+++ b/src/node/route_table.h
@@ -14,6 +14,7 @@
 struct route_table {
   config::snapshot_ptr Snapshot; ///< Snapshot it was built from.
   routing::route_index Index;    ///< Routes by prefix.
+  std::unordered_map<route_id, std::size_t> ByName; ///< Routes by name.
 };
 
 /** @return the route table of a snapshot. */
--- a/src/node/state_dump.cpp
+++ b/src/node/state_dump.cpp
@@ -3,6 +3,7 @@
 
 #include "node/route_table.h"
 #include "sycamorelb/config/declaration_func.h"
+#include "sycamorelb/config/name_func.h"
 #include "sycamorelb/membership/name_func.h"
 
 #include <algorithm>
@@ -23,12 +24,11 @@
   }
   auto Moves = json::object();
   for (const auto &[Id, Move] : State.Moves) {
-    static constexpr const char *Phases[] = {"running", "done", "taken_back"};
     Moves[Id.Value] = {{"service", Move.Move.Service.Value},
                        {"from", Move.Move.From.Value},
                        {"to", Move.Move.To.Value},
                        {"by", config::formatTime(Move.Move.By)},
-                       {"phase", Phases[static_cast<int>(Move.Phase)]},
+                       {"phase", config::phaseName(Move.Phase)},
                        {"share_ppm", Move.Share.Value},
                        {"step", Move.Step},
                        {"reason", Move.Reason}};
