--- /dev/null
+++ b/include/sycamorelb/dispatch/cold_rate.h
@@ -0,0 +1,31 @@
+/** @file cold_rate.h Rate of calls to a cold target.
+ *
+ * Answers the pattern of targets that come back cold under full load: a cold
+ * target bears a fixed number of calls a second and crashes well above it.
+ */
+#pragma once
+
+#include "sycamorelb/core/unit_type.h"
+
+#include <deque>
+
+namespace sycamorelb::dispatch {
+
+/** Calls of the last second, kept by the only node that reaches the target. */
+struct cold_rate {
+  std::deque<steady_time> Sent; ///< Times of the calls, oldest first.
+};
+
+/** Notes a call to the target, cold or not. */
+void noteCall(cold_rate &Rate, steady_time Now);
+
+/** Assumes that the window is full, for a node that doesn't know what an
+ * earlier process sent. */
+void assumeFull(cold_rate &Rate, double CallsPerSecond, steady_time Now);
+
+/** @return the time from which another call may be sent to a cold target, at
+ * most Now if one may be sent at once. */
+auto nextColdCall(const cold_rate &Rate, double CallsPerSecond,
+                  steady_time Now) -> steady_time;
+
+} // namespace sycamorelb::dispatch
--- /dev/null
+++ b/include/sycamorelb/event/loop.h
@@ -0,0 +1,62 @@
+/** @file loop.h Event loop of one thread: descriptors, timers, signals. */
+#pragma once
+
+#include "sycamorelb/core/id_type.h"
+#include "sycamorelb/core/unit_type.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+
+namespace sycamorelb::event {
+
+using timer_id = strong_id<struct timer_tag, std::uint64_t>;
+
+/** @return the time since boot. Unlike the monotonic clock it also counts the
+ * time for which the host was suspended. */
+auto bootTime() -> steady_time;
+
+/**
+ * Event loop. All methods and callbacks belong to the thread that calls run().
+ */
+class loop {
+public:
+  using callback = std::function<void()>;
+  using ready_callback = std::function<void(std::uint32_t)>;
+
+  loop();
+  ~loop();
+  loop(const loop &) = delete;
+  auto operator=(const loop &) -> loop & = delete;
+
+  /** @return the time since boot at which the current iteration began. */
+  auto now() const -> steady_time;
+  /** @return the time that passed between the last two iterations beyond the
+   * time that the loop meant to wait; large after a pause of the process. */
+  auto lastStall() const -> micros;
+
+  /** Calls Run once, at At or slightly later. */
+  auto addTimer(steady_time At, callback Run) -> timer_id;
+  /** Forgets a timer; unknown ids are ignored. */
+  void cancelTimer(timer_id Id);
+  /** Calls Run at the end of the current iteration. */
+  void defer(callback Run);
+
+  /** Calls Ready with the epoll events of the descriptor. */
+  void watch(int Descriptor, std::uint32_t Events, ready_callback Ready);
+  /** Changes the events of a watched descriptor. */
+  void rewatch(int Descriptor, std::uint32_t Events);
+  /** Forgets a descriptor; the caller closes it. */
+  void unwatch(int Descriptor);
+
+  /** Runs until stop() is called. */
+  void run();
+  /** Ends run() after the current iteration. */
+  void stop();
+
+private:
+  struct implementation;
+  std::unique_ptr<implementation> Impl;
+};
+
+} // namespace sycamorelb::event
--- /dev/null
+++ b/include/sycamorelb/event/stream.h
@@ -0,0 +1,102 @@
+/** @file stream.h Buffered TCP connections and listeners of an event loop. */
+#pragma once
+
+#include "sycamorelb/core/result_type.h"
+#include "sycamorelb/event/loop.h"
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace sycamorelb::event {
+
+/** Why a connection ended. */
+enum class close_reason : std::uint8_t {
+  EndOfStream,   ///< The peer closed in good order.
+  Reset,         ///< The connection broke.
+  ConnectFailed, ///< It was never established.
+};
+
+/** IPv4 address and port. */
+struct endpoint {
+  std::string Host;       ///< Dotted address.
+  std::uint16_t Port = 0; ///< TCP port.
+  auto operator==(const endpoint &) const -> bool = default;
+};
+
+/** @return the endpoint written as "IP:PORT", or InvalidArgument. */
+auto parseEndpoint(std::string_view Text) -> result<endpoint>;
+/** @return "IP:PORT". */
+auto formatEndpoint(const endpoint &Endpoint) -> std::string;
+
+/**
+ * TCP connection with buffers. Keep-alive probes find connections that went
+ * silent. Callbacks may close the stream.
+ */
+class stream : public std::enable_shared_from_this<stream> {
+public:
+  /** Called when bytes were added to input(). */
+  std::function<void()> OnData;
+  /** Called at most once, when the peer or the network ended the connection;
+   * not after close(). */
+  std::function<void(close_reason)> OnClosed;
+  /** Called once when an outgoing connection is established. */
+  std::function<void()> OnConnected;
+
+  /** Takes over an accepted descriptor. */
+  static auto adopt(loop &Loop, int Descriptor) -> std::shared_ptr<stream>;
+  /** Begins to connect. A failure is reported through OnClosed, from a later
+   * iteration of the loop. */
+  static auto connect(loop &Loop, const endpoint &Peer, millis Timeout)
+      -> std::shared_ptr<stream>;
+  ~stream();
+  stream(const stream &) = delete;
+  auto operator=(const stream &) -> stream & = delete;
+
+  /** @return the received bytes that were not consumed yet. */
+  auto input() const -> std::string_view;
+  /** Removes bytes from the front of input(). */
+  void consume(std::size_t Count);
+  /** Queues bytes and writes what the socket takes. */
+  void send(std::string_view Bytes);
+  /** @return bytes that wait to be written. */
+  auto pendingOutput() const -> std::size_t;
+  /** @return whether the connection is established and not closed. */
+  auto isOpen() const -> bool;
+  /** Stops or resumes reading, to bound the input of a busy peer. */
+  void pauseReading(bool Paused);
+  /** Closes at once; queued output is dropped. */
+  void close();
+  /** Closes once all output was written, or after a short time. */
+  void closeAfterOutput();
+
+private:
+  struct implementation;
+  explicit stream(std::unique_ptr<implementation> Impl);
+  void startWatching(std::uint32_t Events);
+  void handleReady(std::uint32_t Ready);
+  void finishConnecting();
+  std::unique_ptr<implementation> Impl;
+};
+
+/** Listening socket. */
+class listener {
+public:
+  using accept_callback = std::function<void(std::shared_ptr<stream>)>;
+
+  /** @return the listener, or Unreachable if the address can't be bound. */
+  static auto open(loop &Loop, const endpoint &Address, accept_callback Accept)
+      -> result<std::unique_ptr<listener>>;
+  ~listener();
+  listener(const listener &) = delete;
+  auto operator=(const listener &) -> listener & = delete;
+
+private:
+  struct implementation;
+  explicit listener(std::unique_ptr<implementation> Impl);
+  std::unique_ptr<implementation> Impl;
+};
+
+} // namespace sycamorelb::event
--- /dev/null
+++ b/include/sycamorelb/mesh/operator_table.h
@@ -0,0 +1,54 @@
+/** @file operator_table.h Newest record of each key that operators wrote. */
+#pragma once
+
+#include "sycamorelb/core/id_type.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sycamorelb::mesh {
+
+/** A record of the operators' topic. */
+struct operator_record {
+  std::string Key;          ///< What it is about.
+  log_offset Offset{0};     ///< Position in the topic.
+  bool Dropped = false;     ///< The key was removed.
+  std::string Value;        ///< Content, as the operator wrote it.
+  auto operator==(const operator_record &) const -> bool = default;
+};
+
+/**
+ * Newest record of each key, with dropped keys kept as markers, so that tables
+ * from several sources can be merged in any order.
+ */
+class operator_table {
+public:
+  /** Takes a record over if it is newer than what is held for its key.
+   * @return whether it was. */
+  auto merge(const operator_record &Record) -> bool;
+  /** Takes over a complete listing of the topic up to End: keys that it lacks
+   * and that were written before Begin were dropped.
+   * @param Begin end of the topic when the listing began.
+   * @return the keys that changed. */
+  auto mergeListing(const std::vector<operator_record> &Listing,
+                    log_offset Begin, log_offset End)
+      -> std::vector<std::string>;
+  /** Notes that all records before End were seen. */
+  void noteEnd(log_offset End);
+  /** @return the position up to which all records were seen. */
+  auto end() const -> log_offset { return End; }
+  /** @return the record of a key that was not dropped, or null. */
+  auto find(const std::string &Key) const -> const operator_record *;
+  /** @return all records, dropped ones included. */
+  auto records() const -> const std::map<std::string, operator_record> & {
+    return Records;
+  }
+
+private:
+  std::map<std::string, operator_record> Records;
+  log_offset End{0};
+};
+
+} // namespace sycamorelb::mesh
--- /dev/null
+++ b/src/cli/verb_sidecar.cpp
@@ -0,0 +1,36 @@
+/** @file verb_sidecar.cpp The verb that runs a node on the users' platform. */
+#include "cli/client_func.h"
+#include "cli/flags.h"
+#include "cli/verb_func.h"
+#include "platform/settings_file.h"
+#include "sycamorelb/sidecar/sidecar.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace sycamorelb::cli {
+
+auto runSidecar(const arguments & /*Arguments*/) -> exit_code {
+  auto Path =
+      FLAGS_settings.empty() ? platform::settingsPath() : FLAGS_settings;
+  auto File = std::ifstream(Path);
+  auto Text = std::stringstream();
+  if (!File || !(Text << File.rdbuf())) {
+    return reportError(
+        {error_code::NotFound, "read_settings", Path, "can't be read"});
+  }
+  auto Settings = platform::decodeSettings(Text.str());
+  if (!isOk(Settings)) {
+    auto Fault = errorOf(Settings);
+    Fault.Peer = Path;
+    return reportError(Fault);
+  }
+  auto Node = sidecar::sidecar::create(valueOf(Settings), Path);
+  if (!isOk(Node)) {
+    return reportError(errorOf(Node));
+  }
+  valueOf(Node)->run();
+  return exit_code::Done;
+}
+
+} // namespace sycamorelb::cli
--- a/src/cli/verb_table.cpp
+++ b/src/cli/verb_table.cpp
@@ -14,6 +14,14 @@
        {"settings", "print_settings"},
        0,
        runNode},
+      {"sidecar",
+       "[--settings=FILE]",
+       "Runs a node on the users' platform until SIGTERM or SIGINT.\n"
+       "  --settings is the platform's settings file; by default the path that\n"
+       "  the platform gives in the environment.",
+       {"settings"},
+       0,
+       runSidecar},
       {"check",
        "FILE",
        "Checks a declaration and lists all faults. Contacts no node.",
--- /dev/null
+++ b/src/dispatch/cold_rate.cpp
@@ -0,0 +1,38 @@
+/** @file cold_rate.cpp Sliding window over one second. */
+#include "sycamorelb/dispatch/cold_rate.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sycamorelb::dispatch {
+
+/** Window in which calls are counted: a second, and a margin for calls that
+ * reach the target earlier or later than they were sent. */
+static constexpr auto Window = micros(1'050'000);
+
+/** @return the calls that fit into a window. */
+static auto windowLimit(double CallsPerSecond) -> std::size_t {
+  return static_cast<std::size_t>(std::max(1.0, std::floor(CallsPerSecond)));
+}
+
+void noteCall(cold_rate &Rate, steady_time Now) {
+  Rate.Sent.push_back(Now);
+  while (Rate.Sent.front() + Window < Now) {
+    Rate.Sent.pop_front();
+  }
+}
+
+void assumeFull(cold_rate &Rate, double CallsPerSecond, steady_time Now) {
+  Rate.Sent.assign(windowLimit(CallsPerSecond), Now);
+}
+
+auto nextColdCall(const cold_rate &Rate, double CallsPerSecond,
+                  steady_time Now) -> steady_time {
+  auto Limit = windowLimit(CallsPerSecond);
+  if (Rate.Sent.size() < Limit) {
+    return Now;
+  }
+  return Rate.Sent[Rate.Sent.size() - Limit] + Window;
+}
+
+} // namespace sycamorelb::dispatch
--- /dev/null
+++ b/src/dispatch/pick.cpp
@@ -0,0 +1,115 @@
+/** @file pick.cpp Scores of targets. */
+#include "sycamorelb/dispatch/pick.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace sycamorelb::dispatch {
+
+/** Share of the spare time of a call that it may wait in its own zone before
+ * it goes to another one. */
+static constexpr auto ZoneShare = 0.6;
+/** Weight of a target's occupancy among targets with free slots. */
+static constexpr auto OccupancyWeight = 0.3;
+/** Cost of a certain failure in units of the time for an answer on time. */
+static constexpr auto FailureWeight = 1.5;
+/** Random part of a score, so that equal nodes choose different targets. */
+static constexpr auto Noise = 0.1;
+/** Time for which a reported failure share is believed in full. */
+static constexpr auto FailureFresh = micros(1'500'000);
+/** Time in which a failure share halves after that. */
+static constexpr auto FailureHalfLife = micros(1'500'000);
+/** Share of its time left that a caller waits for at most. */
+static constexpr auto LongestReturnShare = 0.3;
+/** Shortest time after which a refused caller returns. */
+static constexpr auto ShortestReturn = micros(25'000);
+
+/** @return calls at the target now, from the last report and what was sent
+ * since, less what should have finished. */
+static auto believedOccupancy(const target_view &View, steady_time Now)
+    -> double {
+  auto Reported = static_cast<double>(View.Load.Running + View.Load.Queued);
+  if (View.Load.MeanRun > micros(0) && View.Load.Slots > 0) {
+    auto Elapsed = static_cast<double>((Now - View.ReportedAt).count());
+    auto Finished = Elapsed * View.Load.Slots /
+                    static_cast<double>(View.Load.MeanRun.count());
+    // Half of it: others send to the target as well.
+    Reported = std::max(0.0, Reported - Finished / 2);
+  }
+  return std::max<double>(View.Outstanding, Reported + View.SinceReport);
+}
+
+auto predictedWait(const target_view &View, steady_time Now) -> micros {
+  auto Slots = std::max<double>(1, View.Load.Slots);
+  auto Over = believedOccupancy(View, Now) - Slots + 1;
+  if (Over <= 0) {
+    return micros(0);
+  }
+  auto Mean = static_cast<double>(View.Load.MeanRun.count());
+  return micros(static_cast<std::int64_t>(Over * Mean / Slots));
+}
+
+auto believedFailure(const target_view &View, steady_time Now) -> double {
+  auto Share = View.Load.FailurePpm / 1e6;
+  auto Age = Now - View.ReportedAt - FailureFresh;
+  if (Age <= micros(0)) {
+    return Share;
+  }
+  return Share * std::exp2(-static_cast<double>(Age.count()) /
+                           static_cast<double>(FailureHalfLife.count()));
+}
+
+/** @return the cost of a candidate in microseconds. */
+static auto scoreOf(const candidate &Candidate, const pick_request &Request,
+                    micros Wait, steady_time Now) -> double {
+  auto Run = static_cast<double>(Request.MeanRun.count()) *
+             Candidate.View.Slowness;
+  auto OnTime =
+      std::max(0.0, static_cast<double>(Request.TimeOnTime.count()));
+  auto Slots = std::max<double>(1, Candidate.View.Load.Slots);
+  auto Score = static_cast<double>(Wait.count()) + Run;
+  Score += OccupancyWeight * Run *
+           std::min(1.0, believedOccupancy(Candidate.View, Now) / Slots);
+  Score += FailureWeight * OnTime * believedFailure(Candidate.View, Now);
+  if (!Candidate.SameZone) {
+    Score += ZoneShare *
+             std::max(0.0, OnTime - static_cast<double>(
+                                        Request.MeanRun.count()));
+  }
+  return Score;
+}
+
+auto pickTarget(const std::vector<candidate> &Candidates,
+                const pick_request &Request, steady_time Now,
+                random_source &Random) -> std::optional<pick_result> {
+  auto Best = std::optional<pick_result>();
+  auto BestScore = 0.0;
+  for (const auto &Candidate : Candidates) {
+    if (Candidate.View.AvoidUntil > Now) {
+      continue;
+    }
+    auto Wait = predictedWait(Candidate.View, Now);
+    if (Wait + Request.MeanRun / 2 > Request.TimeLeft) {
+      continue;
+    }
+    auto Score = scoreOf(Candidate, Request, Wait, Now) *
+                 (1 + Noise * randomUnit(Random));
+    if (!Best || Score < BestScore) {
+      Best = pick_result{Candidate.Index, Wait};
+      BestScore = Score;
+    }
+  }
+  return Best;
+}
+
+auto retryAfter(micros Wait, micros TimeLeft, random_source &Random)
+    -> micros {
+  auto Longest = static_cast<double>(TimeLeft.count()) * LongestReturnShare;
+  auto Wanted = std::max(static_cast<double>(Wait.count()),
+                         static_cast<double>(ShortestReturn.count()));
+  auto Spread = 0.7 + 0.6 * randomUnit(Random);
+  return micros(static_cast<std::int64_t>(
+      std::max(0.0, std::min(Wanted * Spread, Longest))));
+}
+
+} // namespace sycamorelb::dispatch
--- /dev/null
+++ b/src/event/loop.cpp
@@ -0,0 +1,161 @@
+/** @file loop.cpp Event loop over epoll. */
+#include "sycamorelb/event/loop.h"
+
+#include <algorithm>
+#include <array>
+#include <ctime>
+#include <map>
+#include <sys/epoll.h>
+#include <unistd.h>
+#include <unordered_map>
+#include <vector>
+
+namespace sycamorelb::event {
+
+/** Longest wait of one iteration, in ms, so that pauses are noticed. */
+static constexpr auto MaxWaitMs = std::int64_t{1000};
+/** Events fetched by one system call. */
+static constexpr auto EventBatch = std::size_t{64};
+
+auto bootTime() -> steady_time {
+  auto Now = timespec();
+  clock_gettime(CLOCK_BOOTTIME, &Now);
+  return steady_time(micros(std::int64_t{Now.tv_sec} * 1'000'000 +
+                            Now.tv_nsec / 1000));
+}
+
+struct loop::implementation {
+  struct watched {
+    std::uint64_t Serial;
+    ready_callback Ready;
+  };
+
+  int Epoll = epoll_create1(EPOLL_CLOEXEC);
+  bool Stopping = false;
+  std::uint64_t NextTimer = 1;
+  std::uint64_t NextSerial = 1;
+  steady_time Now = bootTime();
+  micros Stall{0};
+  std::map<std::pair<steady_time, std::uint64_t>, callback> Timers;
+  std::unordered_map<std::uint64_t, steady_time> TimerTimes;
+  std::unordered_map<int, std::shared_ptr<watched>> Watched;
+  std::vector<callback> Deferred;
+
+  auto waitMs() const -> std::int64_t {
+    if (!Deferred.empty()) {
+      return 0;
+    }
+    if (Timers.empty()) {
+      return MaxWaitMs;
+    }
+    auto Left = (Timers.begin()->first.first - Now).count();
+    // Rounds up, so that the timer is due when the wait ends.
+    return std::clamp<std::int64_t>((Left + 999) / 1000, 0, MaxWaitMs);
+  }
+
+  void runDue() {
+    while (!Timers.empty() && Timers.begin()->first.first <= Now) {
+      auto Run = std::move(Timers.begin()->second);
+      TimerTimes.erase(Timers.begin()->first.second);
+      Timers.erase(Timers.begin());
+      Run();
+    }
+  }
+
+  void runDeferred() {
+    while (!Deferred.empty()) {
+      auto Batch = std::move(Deferred);
+      Deferred.clear();
+      for (auto &Run : Batch) {
+        Run();
+      }
+    }
+  }
+
+  void dispatch(const epoll_event &Event, std::uint64_t SerialBound) {
+    auto Found = Watched.find(Event.data.fd);
+    // A descriptor number may have been closed and opened again by an earlier
+    // callback of this batch.
+    if (Found == Watched.end() || Found->second->Serial >= SerialBound) {
+      return;
+    }
+    auto Hold = Found->second;
+    Hold->Ready(Event.events);
+  }
+};
+
+loop::loop() : Impl(std::make_unique<implementation>()) {}
+
+loop::~loop() {
+  if (Impl->Epoll >= 0) {
+    close(Impl->Epoll);
+  }
+}
+
+auto loop::now() const -> steady_time { return Impl->Now; }
+
+auto loop::lastStall() const -> micros { return Impl->Stall; }
+
+auto loop::addTimer(steady_time At, callback Run) -> timer_id {
+  auto Id = Impl->NextTimer++;
+  Impl->Timers.emplace(std::make_pair(At, Id), std::move(Run));
+  Impl->TimerTimes.emplace(Id, At);
+  return {Id};
+}
+
+void loop::cancelTimer(timer_id Id) {
+  auto Found = Impl->TimerTimes.find(Id.Value);
+  if (Found != Impl->TimerTimes.end()) {
+    Impl->Timers.erase({Found->second, Id.Value});
+    Impl->TimerTimes.erase(Found);
+  }
+}
+
+void loop::defer(callback Run) { Impl->Deferred.push_back(std::move(Run)); }
+
+void loop::watch(int Descriptor, std::uint32_t Events, ready_callback Ready) {
+  auto Event = epoll_event();
+  Event.events = Events;
+  Event.data.fd = Descriptor;
+  Impl->Watched[Descriptor] = std::make_shared<implementation::watched>(
+      implementation::watched{Impl->NextSerial++, std::move(Ready)});
+  epoll_ctl(Impl->Epoll, EPOLL_CTL_ADD, Descriptor, &Event);
+}
+
+void loop::rewatch(int Descriptor, std::uint32_t Events) {
+  auto Event = epoll_event();
+  Event.events = Events;
+  Event.data.fd = Descriptor;
+  epoll_ctl(Impl->Epoll, EPOLL_CTL_MOD, Descriptor, &Event);
+}
+
+void loop::unwatch(int Descriptor) {
+  if (Impl->Watched.erase(Descriptor) > 0) {
+    epoll_ctl(Impl->Epoll, EPOLL_CTL_DEL, Descriptor, nullptr);
+  }
+}
+
+void loop::run() {
+  auto Events = std::array<epoll_event, EventBatch>();
+  Impl->Now = bootTime();
+  while (!Impl->Stopping) {
+    auto Wait = Impl->waitMs();
+    auto Before = Impl->Now;
+    auto Count = epoll_wait(Impl->Epoll, Events.data(),
+                            static_cast<int>(Events.size()),
+                            static_cast<int>(Wait));
+    Impl->Now = bootTime();
+    Impl->Stall =
+        std::max(micros(0), Impl->Now - Before - micros(Wait * 1000));
+    Impl->runDue();
+    auto SerialBound = Impl->NextSerial;
+    for (auto Index = 0; Index < Count; ++Index) {
+      Impl->dispatch(Events.at(static_cast<std::size_t>(Index)), SerialBound);
+    }
+    Impl->runDeferred();
+  }
+}
+
+void loop::stop() { Impl->Stopping = true; }
+
+} // namespace sycamorelb::event
--- /dev/null
+++ b/src/event/stream.cpp
@@ -0,0 +1,391 @@
+/** @file stream.cpp Non-blocking TCP sockets. */
+#include "sycamorelb/event/stream.h"
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <array>
+#include <cerrno>
+#include <charconv>
+#include <cstring>
+#include <netinet/in.h>
+#include <netinet/tcp.h>
+#include <optional>
+#include <sys/epoll.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+namespace sycamorelb::event {
+
+/** Bytes read by one system call. */
+static constexpr auto ReadChunk = std::size_t{64} * 1024;
+/** Consumed bytes after which a buffer is compacted. */
+static constexpr auto CompactBytes = std::size_t{16} * 1024;
+/** Connections that may wait to be accepted. */
+static constexpr auto Backlog = 512;
+/** Connections accepted for one event. */
+static constexpr auto AcceptBatch = 64;
+/** Seconds of silence before a keep-alive probe, and between probes. */
+static constexpr auto ProbeSeconds = 1;
+/** Unanswered probes after which a connection is broken. */
+static constexpr auto ProbeCount = 2;
+/** Ms for which written bytes may stay unacknowledged. */
+static constexpr auto UnacknowledgedMs = 2500;
+/** Time that the last output of a closing connection may take. */
+static constexpr auto LingerTime = millis(1000);
+
+auto parseEndpoint(std::string_view Text) -> result<endpoint> {
+  auto Colon = Text.rfind(':');
+  auto Endpoint = endpoint();
+  auto Address = in_addr();
+  if (Colon != std::string_view::npos) {
+    Endpoint.Host = std::string(Text.substr(0, Colon));
+    auto Digits = Text.substr(Colon + 1);
+    auto Parsed = std::from_chars(Digits.data(), Digits.data() + Digits.size(),
+                                  Endpoint.Port);
+    if (Parsed.ec == std::errc() && Endpoint.Port != 0 &&
+        Parsed.ptr == Digits.data() + Digits.size() &&
+        inet_pton(AF_INET, Endpoint.Host.c_str(), &Address) == 1) {
+      return Endpoint;
+    }
+  }
+  return error{error_code::InvalidArgument, "parse_endpoint", "",
+               "\"" + std::string(Text) + "\" is not IP:PORT"};
+}
+
+auto formatEndpoint(const endpoint &Endpoint) -> std::string {
+  return Endpoint.Host + ":" + std::to_string(Endpoint.Port);
+}
+
+static auto socketAddress(const endpoint &Endpoint) -> sockaddr_in {
+  auto Address = sockaddr_in();
+  Address.sin_family = AF_INET;
+  Address.sin_port = htons(Endpoint.Port);
+  inet_pton(AF_INET, Endpoint.Host.c_str(), &Address.sin_addr);
+  return Address;
+}
+
+static void setOption(int Descriptor, int Level, int Name, int Value) {
+  setsockopt(Descriptor, Level, Name, &Value, sizeof(Value));
+}
+
+static void setConnectionOptions(int Descriptor) {
+  setOption(Descriptor, IPPROTO_TCP, TCP_NODELAY, 1);
+  setOption(Descriptor, SOL_SOCKET, SO_KEEPALIVE, 1);
+  setOption(Descriptor, IPPROTO_TCP, TCP_KEEPIDLE, ProbeSeconds);
+  setOption(Descriptor, IPPROTO_TCP, TCP_KEEPINTVL, ProbeSeconds);
+  setOption(Descriptor, IPPROTO_TCP, TCP_KEEPCNT, ProbeCount);
+  setOption(Descriptor, IPPROTO_TCP, TCP_USER_TIMEOUT, UnacknowledgedMs);
+}
+
+struct stream::implementation {
+  implementation(loop &Loop, int Descriptor, bool Connecting)
+      : Loop(Loop), Descriptor(Descriptor), Connecting(Connecting) {}
+
+  loop &Loop;
+  int Descriptor;
+  bool Connecting;
+  bool Paused = false;
+  bool ClosingAfterOutput = false;
+  std::uint32_t Events = 0;
+  std::string In;
+  std::size_t InAt = 0;
+  std::string Out;
+  std::size_t OutAt = 0;
+  timer_id Timer{0};
+
+  auto wantedEvents() const -> std::uint32_t {
+    auto Wanted = std::uint32_t{Paused ? 0U : EPOLLIN};
+    if (Connecting || OutAt < Out.size()) {
+      Wanted |= EPOLLOUT;
+    }
+    return Wanted;
+  }
+
+  void updateEvents() {
+    if (Descriptor >= 0 && Events != wantedEvents()) {
+      Events = wantedEvents();
+      Loop.rewatch(Descriptor, Events);
+    }
+  }
+
+  void closeDescriptor() {
+    Loop.cancelTimer(Timer);
+    if (Descriptor >= 0) {
+      Loop.unwatch(Descriptor);
+      ::close(Descriptor);
+      Descriptor = -1;
+    }
+  }
+
+  /** @return false if the connection broke. */
+  auto flush() -> bool {
+    while (OutAt < Out.size()) {
+      auto Sent = ::send(Descriptor, Out.data() + OutAt, Out.size() - OutAt,
+                         MSG_NOSIGNAL);
+      if (Sent < 0) {
+        return errno == EAGAIN || errno == EINTR;
+      }
+      OutAt += static_cast<std::size_t>(Sent);
+    }
+    Out.clear();
+    OutAt = 0;
+    return true;
+  }
+
+  /** Reads what is there. @return the reason if the connection ended. */
+  auto fill() -> std::optional<close_reason> {
+    static thread_local auto Buffer = std::array<char, ReadChunk>();
+    for (;;) {
+      auto Got = ::recv(Descriptor, Buffer.data(), Buffer.size(), 0);
+      if (Got > 0) {
+        In.append(Buffer.data(), static_cast<std::size_t>(Got));
+        if (static_cast<std::size_t>(Got) < Buffer.size()) {
+          return std::nullopt;
+        }
+      } else if (Got == 0) {
+        return close_reason::EndOfStream;
+      } else if (errno != EINTR) {
+        return errno == EAGAIN ? std::nullopt
+                               : std::optional(close_reason::Reset);
+      }
+    }
+  }
+};
+
+stream::stream(std::unique_ptr<implementation> Impl) : Impl(std::move(Impl)) {}
+
+stream::~stream() { Impl->closeDescriptor(); }
+
+/** Reports the end of a connection once, after closing it. */
+static void endStream(stream &Stream, close_reason Reason) {
+  auto Report = std::move(Stream.OnClosed);
+  Stream.close();
+  if (Report) {
+    Report(Reason);
+  }
+}
+
+void stream::finishConnecting() {
+  auto Error = 0;
+  auto Size = socklen_t{sizeof(Error)};
+  getsockopt(Impl->Descriptor, SOL_SOCKET, SO_ERROR, &Error, &Size);
+  if (Error != 0) {
+    return endStream(*this, close_reason::ConnectFailed);
+  }
+  Impl->Loop.cancelTimer(Impl->Timer);
+  Impl->Connecting = false;
+  if (!Impl->flush()) {
+    return endStream(*this, close_reason::Reset);
+  }
+  Impl->updateEvents();
+  if (auto Report = std::move(OnConnected)) {
+    Report();
+  }
+}
+
+void stream::handleReady(std::uint32_t Ready) {
+  auto Hold = shared_from_this();
+  if (Impl->Connecting) {
+    return finishConnecting();
+  }
+  if ((Ready & EPOLLOUT) != 0U && !Impl->flush()) {
+    return endStream(*this, close_reason::Reset);
+  }
+  if (Impl->ClosingAfterOutput && Impl->OutAt >= Impl->Out.size()) {
+    return close();
+  }
+  Impl->updateEvents();
+  auto Broken = (Ready & (EPOLLHUP | EPOLLERR)) != 0U;
+  if (Impl->Paused && Broken) {
+    return endStream(*this, close_reason::Reset);
+  }
+  if (Impl->Paused || ((Ready & EPOLLIN) == 0U && !Broken)) {
+    return;
+  }
+  auto Before = Impl->In.size();
+  auto End = Impl->fill();
+  if (Impl->In.size() > Before && OnData) {
+    // Copied, since the callback may replace itself.
+    auto Handle = OnData;
+    Handle();
+  }
+  if (End && Impl->Descriptor >= 0) {
+    endStream(*this, *End);
+  }
+}
+
+void stream::startWatching(std::uint32_t Events) {
+  auto Weak = weak_from_this();
+  Impl->Events = Events;
+  Impl->Loop.watch(Impl->Descriptor, Events, [Weak](std::uint32_t Ready) {
+    if (auto Self = Weak.lock()) {
+      Self->handleReady(Ready);
+    }
+  });
+}
+
+auto stream::adopt(loop &Loop, int Descriptor) -> std::shared_ptr<stream> {
+  setConnectionOptions(Descriptor);
+  auto Stream = std::shared_ptr<stream>(
+      new stream(std::make_unique<implementation>(Loop, Descriptor, false)));
+  Stream->startWatching(EPOLLIN);
+  return Stream;
+}
+
+auto stream::connect(loop &Loop, const endpoint &Peer, millis Timeout)
+    -> std::shared_ptr<stream> {
+  auto Descriptor = ::socket(
+      AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, IPPROTO_TCP);
+  auto Stream = std::shared_ptr<stream>(
+      new stream(std::make_unique<implementation>(Loop, Descriptor, true)));
+  auto Weak = Stream->weak_from_this();
+  auto Fail = [Weak] {
+    if (auto Self = Weak.lock()) {
+      endStream(*Self, close_reason::ConnectFailed);
+    }
+  };
+  if (Descriptor < 0) {
+    Loop.defer(Fail);
+    return Stream;
+  }
+  setConnectionOptions(Descriptor);
+  auto Address = socketAddress(Peer);
+  auto Status = ::connect(Descriptor, reinterpret_cast<sockaddr *>(&Address),
+                          sizeof(Address));
+  if (Status < 0 && errno != EINPROGRESS) {
+    Loop.defer(Fail);
+    return Stream;
+  }
+  Stream->startWatching(EPOLLOUT);
+  Stream->Impl->Timer = Loop.addTimer(Loop.now() + Timeout, Fail);
+  return Stream;
+}
+
+auto stream::input() const -> std::string_view {
+  return std::string_view(Impl->In).substr(Impl->InAt);
+}
+
+void stream::consume(std::size_t Count) {
+  Impl->InAt += Count;
+  if (Impl->InAt >= Impl->In.size()) {
+    Impl->In.clear();
+    Impl->InAt = 0;
+    if (Impl->In.capacity() > ReadChunk) {
+      Impl->In.shrink_to_fit();
+    }
+  } else if (Impl->InAt > CompactBytes) {
+    Impl->In.erase(0, Impl->InAt);
+    Impl->InAt = 0;
+  }
+}
+
+void stream::send(std::string_view Bytes) {
+  if (Impl->Descriptor < 0) {
+    return;
+  }
+  Impl->Out.append(Bytes);
+  if (Impl->Connecting) {
+    return;
+  }
+  if (!Impl->flush()) {
+    // Reported later: callers do not expect callbacks while they send.
+    auto Weak = weak_from_this();
+    Impl->Loop.defer([Weak] {
+      auto Self = Weak.lock();
+      if (Self && Self->Impl->Descriptor >= 0) {
+        endStream(*Self, close_reason::Reset);
+      }
+    });
+    return;
+  }
+  Impl->updateEvents();
+}
+
+auto stream::pendingOutput() const -> std::size_t {
+  return Impl->Out.size() - Impl->OutAt;
+}
+
+auto stream::isOpen() const -> bool {
+  return Impl->Descriptor >= 0 && !Impl->Connecting;
+}
+
+void stream::pauseReading(bool Paused) {
+  Impl->Paused = Paused;
+  if (!Impl->Connecting) {
+    Impl->updateEvents();
+  }
+}
+
+void stream::close() {
+  OnClosed = nullptr;
+  Impl->closeDescriptor();
+}
+
+void stream::closeAfterOutput() {
+  OnClosed = nullptr;
+  OnData = nullptr;
+  if (Impl->Descriptor < 0 || pendingOutput() == 0) {
+    return Impl->closeDescriptor();
+  }
+  Impl->ClosingAfterOutput = true;
+  // The timer holds the stream until its output was written.
+  auto Hold = shared_from_this();
+  Impl->Timer = Impl->Loop.addTimer(Impl->Loop.now() + LingerTime,
+                                    [Hold] { Hold->close(); });
+}
+
+struct listener::implementation {
+  implementation(loop &Loop, int Descriptor, accept_callback Accept)
+      : Loop(Loop), Descriptor(Descriptor), Accept(std::move(Accept)) {}
+
+  loop &Loop;
+  int Descriptor;
+  accept_callback Accept;
+
+  void acceptReady() {
+    for (auto Count = 0; Count < AcceptBatch; ++Count) {
+      auto Accepted = ::accept4(Descriptor, nullptr, nullptr,
+                                SOCK_NONBLOCK | SOCK_CLOEXEC);
+      if (Accepted < 0) {
+        return;
+      }
+      Accept(stream::adopt(Loop, Accepted));
+    }
+  }
+};
+
+listener::listener(std::unique_ptr<implementation> Impl)
+    : Impl(std::move(Impl)) {}
+
+listener::~listener() {
+  Impl->Loop.unwatch(Impl->Descriptor);
+  ::close(Impl->Descriptor);
+}
+
+auto listener::open(loop &Loop, const endpoint &Address, accept_callback Accept)
+    -> result<std::unique_ptr<listener>> {
+  auto Descriptor = ::socket(
+      AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, IPPROTO_TCP);
+  auto Native = socketAddress(Address);
+  setOption(Descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
+  if (Descriptor < 0 ||
+      ::bind(Descriptor, reinterpret_cast<sockaddr *>(&Native),
+             sizeof(Native)) < 0 ||
+      ::listen(Descriptor, Backlog) < 0) {
+    auto Cause = std::string(std::strerror(errno)); // NOLINT: one thread.
+    if (Descriptor >= 0) {
+      ::close(Descriptor);
+    }
+    return error{error_code::Unreachable, "listen", formatEndpoint(Address),
+                 Cause};
+  }
+  auto Listener = std::unique_ptr<listener>(
+      new listener(std::make_unique<implementation>(Loop, Descriptor,
+                                                    std::move(Accept))));
+  auto *State = Listener->Impl.get();
+  Loop.watch(Descriptor, EPOLLIN,
+             [State](std::uint32_t) { State->acceptReady(); });
+  return Listener;
+}
+
+} // namespace sycamorelb::event
--- /dev/null
+++ b/src/http/client_connection.cpp
@@ -0,0 +1,252 @@
+/** @file client_connection.cpp Sends requests, reads responses. */
+#include "sycamorelb/http/client_connection.h"
+
+#include "proxy/body_decoder.h"
+#include "proxy/message_head.h"
+
+#include <utility>
+
+namespace sycamorelb::http {
+
+/** Longest response head, in bytes. */
+static constexpr auto MaxHeadBytes = std::size_t{64} * 1024;
+
+struct client_connection::implementation {
+  implementation(event::loop &Loop, client_options Options)
+      : Loop(Loop), Options(std::move(Options)) {}
+
+  event::loop &Loop;
+  client_options Options;
+  std::shared_ptr<event::stream> Stream;
+  result_handler Handle;
+  std::string Method;
+  std::function<bool(const proxy::header_list &)> Belongs;
+  bool Established = false;
+  bool ReadingBody = false;
+  bool Foreign = false;
+  bool BrokenStream = false;
+  std::uint64_t Exchanges = 0;
+  proxy::response_head Head;
+  std::string Body;
+  proxy::body_decoder Decoder;
+  steady_time IdleSince{};
+  std::optional<millis> IdleTimeout;
+
+  void noteIdleTimeout() {
+    auto Value = proxy::findHeader(Head.Headers, "keep-alive");
+    auto At = Value ? Value->find("timeout=") : std::string_view::npos;
+    if (At == std::string_view::npos) {
+      return;
+    }
+    auto Digits = Value->substr(At + 8);
+    Digits = Digits.substr(0, Digits.find_first_not_of("0123456789"));
+    if (auto Seconds = proxy::parseDecimal(Digits)) {
+      IdleTimeout = millis(static_cast<std::int64_t>(*Seconds) * 1000);
+    }
+  }
+
+  /** @return whether a whole response was read; Failure is set on error. */
+  auto readStep(std::string &Failure) -> bool;
+  auto readHead(std::string &Failure) -> bool;
+};
+
+client_connection::client_connection(std::unique_ptr<implementation> Impl)
+    : Impl(std::move(Impl)) {}
+
+client_connection::~client_connection() { Impl->Stream->close(); }
+
+auto client_connection::open(event::loop &Loop, const event::endpoint &Server,
+                             client_options Options)
+    -> std::shared_ptr<client_connection> {
+  auto Timeout = Options.ConnectTimeout;
+  auto Connection = std::shared_ptr<client_connection>(new client_connection(
+      std::make_unique<implementation>(Loop, std::move(Options))));
+  auto Weak = Connection->weak_from_this();
+  auto &Stream = Connection->Impl->Stream;
+  Stream = event::stream::connect(Loop, Server, Timeout);
+  Stream->OnConnected = [Weak] {
+    if (auto Self = Weak.lock()) {
+      Self->Impl->Established = true;
+    }
+  };
+  Stream->OnData = [Weak] {
+    if (auto Self = Weak.lock()) {
+      Self->readResponse();
+    }
+  };
+  Stream->OnClosed = [Weak](event::close_reason Reason) {
+    if (auto Self = Weak.lock()) {
+      Self->handleClosed(Reason);
+    }
+  };
+  return Connection;
+}
+
+void client_connection::setBelongs(
+    std::function<bool(const proxy::header_list &)> Belongs) {
+  Impl->Belongs = std::move(Belongs);
+}
+
+void client_connection::exchange(const request &Request,
+                                 result_handler Handle) {
+  Impl->Handle = std::move(Handle);
+  Impl->Method = Request.Method;
+  Impl->ReadingBody = false;
+  Impl->Body.clear();
+  ++Impl->Exchanges;
+  Impl->Stream->send(renderRequest(Request));
+}
+
+auto client_connection::implementation::readHead(std::string &Failure)
+    -> bool {
+  auto Input = Stream->input();
+  auto End = proxy::findHeadEnd(Input);
+  if (!End.Found) {
+    if (Input.size() > MaxHeadBytes) {
+      Failure = "response head too large";
+    }
+    return false;
+  }
+  auto Parsed = proxy::parseResponseHead(Input.substr(0, End.Size), Method);
+  if (auto *Error = std::get_if<proxy::framing_error>(&Parsed)) {
+    Failure = Error->Reason;
+    return false;
+  }
+  Stream->consume(End.Size);
+  Head = std::move(std::get<proxy::response_head>(Parsed));
+  // Interim responses such as 100 Continue precede the final one.
+  if (Head.Status < 200) {
+    return true;
+  }
+  Foreign = Belongs && !Belongs(Head.Headers);
+  if (Foreign && Head.Body.Kind == proxy::body_kind::UntilClose) {
+    Failure = "response of another request without length";
+    return false;
+  }
+  Decoder = proxy::body_decoder(Head.Body, Options.MaxBodyBytes);
+  ReadingBody = true;
+  Body.clear();
+  return true;
+}
+
+auto client_connection::implementation::readStep(std::string &Failure)
+    -> bool {
+  while (Failure.empty()) {
+    if (!ReadingBody) {
+      if (!readHead(Failure)) {
+        return false;
+      }
+      continue;
+    }
+    while (!Decoder.isComplete() && !Decoder.isInvalid()) {
+      auto Step = Decoder.decode(Stream->input());
+      if (Step.Consumed == 0) {
+        break;
+      }
+      if (!Foreign) {
+        Body.append(Step.Data);
+      }
+      Stream->consume(Step.Consumed);
+    }
+    if (Decoder.isInvalid() || Body.size() > Options.MaxBodyBytes) {
+      Failure = "malformed or too long response body";
+    }
+    if (!Decoder.isComplete()) {
+      return false;
+    }
+    ReadingBody = false;
+    if (!Foreign) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void client_connection::readResponse() {
+  if (!Impl->Handle) {
+    // Bytes that belong to no request.
+    Impl->BrokenStream = true;
+    Impl->Stream->close();
+    if (auto Report = std::move(OnIdleClosed)) {
+      Report();
+    }
+    return;
+  }
+  auto Failure = std::string();
+  if (Impl->readStep(Failure)) {
+    Impl->noteIdleTimeout();
+    auto Response = response{Impl->Head.Status, std::move(Impl->Head.Reason),
+                             std::move(Impl->Head.Headers),
+                             std::move(Impl->Body)};
+    // An answer before the whole request was read leaves a connection on which
+    // the server still expects the rest of it.
+    auto Reusable = Impl->Head.KeepAlive && Impl->Stream->input().empty() &&
+                    Impl->Stream->pendingOutput() == 0;
+    finish(std::move(Response), Reusable);
+  } else if (!Failure.empty()) {
+    finish(exchange_failure{true, true, Failure}, false);
+  }
+}
+
+void client_connection::finish(exchange_result Result, bool Reusable) {
+  auto Hold = shared_from_this();
+  auto Handle = std::exchange(Impl->Handle, nullptr);
+  Impl->Body = std::string();
+  Impl->IdleSince = Impl->Loop.now();
+  if (!Reusable) {
+    Impl->BrokenStream = true;
+    Impl->Stream->close();
+  }
+  if (Handle) {
+    Handle(std::move(Result));
+  }
+}
+
+void client_connection::handleClosed(event::close_reason Reason) {
+  Impl->BrokenStream = true;
+  if (!Impl->Handle) {
+    if (auto Report = std::move(OnIdleClosed)) {
+      Report();
+    }
+    return;
+  }
+  if (Reason == event::close_reason::EndOfStream && Impl->ReadingBody &&
+      !Impl->Foreign) {
+    Impl->Decoder.noteClose();
+    if (Impl->Decoder.isComplete()) {
+      auto Response =
+          response{Impl->Head.Status, std::move(Impl->Head.Reason),
+                   std::move(Impl->Head.Headers), std::move(Impl->Body)};
+      return finish(std::move(Response), false);
+    }
+  }
+  auto Answering = Impl->ReadingBody || !Impl->Stream->input().empty();
+  auto Text = Reason == event::close_reason::ConnectFailed
+                  ? "connect failed"
+                  : (Reason == event::close_reason::Reset ? "reset" : "closed");
+  finish(exchange_failure{Impl->Established, Answering, Text}, false);
+}
+
+auto client_connection::isReusable() const -> bool {
+  return Impl->Stream->isOpen() && !Impl->BrokenStream && !Impl->Handle;
+}
+
+auto client_connection::exchanges() const -> std::uint64_t {
+  return Impl->Exchanges;
+}
+
+auto client_connection::idleSince() const -> steady_time {
+  return Impl->IdleSince;
+}
+
+auto client_connection::announcedIdleTimeout() const -> std::optional<millis> {
+  return Impl->IdleTimeout;
+}
+
+void client_connection::close() {
+  Impl->Handle = nullptr;
+  Impl->BrokenStream = true;
+  Impl->Stream->close();
+}
+
+} // namespace sycamorelb::http
--- /dev/null
+++ b/src/http/message.cpp
@@ -0,0 +1,53 @@
+/** @file message.cpp Rendering of whole messages. */
+#include "sycamorelb/http/message_type.h"
+
+#include "proxy/message_head.h"
+
+namespace sycamorelb::http {
+
+static void appendHeaders(std::string &Out, const proxy::header_list &Headers) {
+  for (const auto &[Name, Value] : Headers) {
+    proxy::appendHeader(Out, Name, Value);
+  }
+}
+
+auto renderRequest(const request &Request) -> std::string {
+  auto Out = std::string();
+  Out.reserve(512 + Request.Body.size());
+  Out.append(Request.Method).append(" ").append(Request.Target);
+  Out.append(" HTTP/1.1\r\n");
+  appendHeaders(Out, Request.Headers);
+  if (Request.HasBody || !Request.Body.empty()) {
+    proxy::appendHeader(Out, "Content-Length",
+                        std::to_string(Request.Body.size()));
+  }
+  Out.append("\r\n").append(Request.Body);
+  return Out;
+}
+
+auto renderResponse(const response &Response, std::string_view Method,
+                    bool Close) -> std::string {
+  auto Out = std::string();
+  Out.reserve(512 + Response.Body.size());
+  Out.append("HTTP/1.1 ").append(std::to_string(Response.Status)).append(" ");
+  Out.append(Response.Reason.empty()
+                 ? proxy::reasonPhrase(Response.Status)
+                 : std::string_view(Response.Reason));
+  Out.append("\r\n");
+  appendHeaders(Out, Response.Headers);
+  auto Bodiless = Response.Status == 204 || Response.Status == 304;
+  if (!Bodiless) {
+    proxy::appendHeader(Out, "Content-Length",
+                        std::to_string(Response.Body.size()));
+  }
+  if (Close) {
+    proxy::appendHeader(Out, "Connection", "close");
+  }
+  Out.append("\r\n");
+  if (!Bodiless && Method != "HEAD") {
+    Out.append(Response.Body);
+  }
+  return Out;
+}
+
+} // namespace sycamorelb::http
--- /dev/null
+++ b/src/inner/mesh.capnp
@@ -0,0 +1,121 @@
+@0xd3a5b1c07e624f98;
+# Messages between nodes on one TCP connection, each preceded by its length.
+
+using Cxx = import "/capnp/c++.capnp";
+$Cxx.namespace("sycamorelb::inner::mesh_wire");
+
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+struct Load {
+  running @0 :UInt32;
+  queued @1 :UInt32;
+  slots @2 :UInt32;
+  meanRunMicros @3 :UInt32;
+  failurePpm @4 :UInt32;
+  cold @5 :Bool;
+}
+
+struct Forward {
+  call @0 :UInt64;          # Unique among the calls of the sending process.
+  service @1 :Text;
+  route @2 :Text;
+  method @3 :Text;
+  target @4 :Text;
+  headers @5 :List(Header);
+  body @6 :Data;
+  hasBody @7 :Bool;
+  kind @8 :UInt16;
+  priority @9 :UInt32;
+  onTimeMicros @10 :Int64;  # Left until the answer is late.
+  startMicros @11 :Int64;   # Left until the call must have started.
+  leftMicros @12 :Int64;    # Left until the caller gives up.
+  callerService @13 :Text;
+  version @14 :Text;        # Version of the target that is expected.
+}
+
+struct Reply {
+  call @0 :UInt64;
+  outcome @1 :UInt16;
+  arrived @2 :Bool;         # The call reached the target.
+  status @3 :UInt32;
+  headers @4 :List(Header);
+  body @5 :Data;
+  reason @6 :Text;
+  load @7 :Load;
+  runMicros @8 :UInt32;
+  routeMeanMicros @9 :UInt32;
+}
+
+struct Host {
+  node @0 :Text;
+  peer @1 :Text;
+  zone @2 :Text;
+  incarnation @3 :UInt64;
+  revision @4 :UInt64;
+  storeLost @5 :Bool;
+  leaving @6 :Bool;
+  targetId @7 :Text;
+  bornAt @8 :Int64;
+  service @9 :Text;
+  version @10 :Text;
+  slots @11 :UInt32;
+  state @12 :UInt16;
+}
+
+struct OperatorRecord {
+  key @0 :Text;
+  offset @1 :UInt64;
+  dropped @2 :Bool;
+  value @3 :Data;
+}
+
+struct Rollout {
+  service @0 :Text;
+  orderOffset @1 :UInt64;
+  version @2 :Text;
+  stage @3 :UInt16;
+  elapsedMicros @4 :Int64;  # Since the order was seen.
+}
+
+struct Tally {
+  route @0 :Text;
+  calls @1 :UInt32;
+  failures @2 :UInt32;
+  timed @3 :UInt32;
+  runMicros @4 :UInt64;
+}
+
+struct Evidence {
+  node @0 :Text;
+  service @1 :Text;
+  orderOffset @2 :UInt64;
+  version @3 :Text;
+  tallies @4 :List(Tally);
+}
+
+struct Gossip {
+  sender @0 :Host;
+  operatorEnd @1 :UInt64;
+  hostDigest @2 :UInt64;
+  hosts @3 :List(Host);
+  records @4 :List(OperatorRecord);
+  rollouts @5 :List(Rollout);
+  wantHosts @6 :Bool;       # The sender asks for all hosts.
+  wantRecords @7 :Bool;     # The sender asks for records from operatorEnd on.
+  evidence @8 :List(Evidence);
+}
+
+struct Message {
+  union {
+    forward @0 :Forward;
+    reply @1 :Reply;
+    cancel @2 :UInt64;      # Call that the sender has given up.
+    gossip @3 :Gossip;
+    ping @4 :Void;
+    pong @5 :Void;
+    opened @6 :Host;        # First message of a connection.
+  }
+}
--- /dev/null
+++ b/src/inner/mesh_codec.cpp
@@ -0,0 +1,414 @@
+/** @file mesh_codec.cpp Mesh messages as Cap'n Proto. */
+#include "sycamorelb/inner/mesh_message_type.h"
+
+#include "mesh.capnp.h"
+
+#include <algorithm>
+#include <capnp/message.h>
+#include <capnp/serialize.h>
+#include <cstring>
+
+namespace sycamorelb::inner {
+
+namespace {
+
+/** Bytes of the length in front of a message. */
+constexpr auto LengthBytes = std::size_t{4};
+/** Longest text of an id, name or address. */
+constexpr auto MaxNameBytes = std::size_t{4096};
+
+auto textOf(capnp::Text::Reader Text) -> std::string {
+  return {Text.begin(), Text.size()};
+}
+
+auto dataOf(capnp::Data::Reader Data) -> std::string {
+  return {Data.asChars().begin(), Data.size()};
+}
+
+auto asData(std::string_view Text) -> capnp::Data::Reader {
+  return {reinterpret_cast<const kj::byte *>(Text.data()), Text.size()};
+}
+
+template <class Builder>
+void writeHeaders(Builder Out, const proxy::header_list &Headers) {
+  for (auto Index = 0U; Index < Headers.size(); ++Index) {
+    Out[Index].setName(Headers[Index].Name);
+    Out[Index].setValue(Headers[Index].Value);
+  }
+}
+
+auto readHeaders(capnp::List<mesh_wire::Header>::Reader In)
+    -> proxy::header_list {
+  auto Headers = proxy::header_list();
+  Headers.reserve(In.size());
+  for (auto Header : In) {
+    Headers.push_back({textOf(Header.getName()), textOf(Header.getValue())});
+  }
+  return Headers;
+}
+
+void writeForward(mesh_wire::Forward::Builder Out,
+                  const forward_message &Message) {
+  Out.setCall(Message.Call.Value);
+  Out.setService(Message.Service.Value);
+  Out.setVersion(Message.Version.Value);
+  Out.setRoute(Message.Route.Value);
+  Out.setCallerService(Message.CallerService.Value);
+  const auto &Request = Message.Request;
+  Out.setMethod(Request.Method);
+  Out.setTarget(Request.Target);
+  writeHeaders(Out.initHeaders(static_cast<unsigned>(Request.Headers.size())),
+               Request.Headers);
+  Out.setBody(asData(Request.Body));
+  Out.setHasBody(Request.HasBody);
+  Out.setKind(static_cast<std::uint16_t>(Message.Kind));
+  Out.setPriority(Message.Priority);
+  Out.setOnTimeMicros(Message.TimeOnTime.count());
+  Out.setStartMicros(Message.TimeToStart.count());
+  Out.setLeftMicros(Message.TimeLeft.count());
+}
+
+auto readForward(mesh_wire::Forward::Reader In) -> forward_message {
+  auto Message = forward_message();
+  Message.Call.Value = In.getCall();
+  Message.Service.Value = textOf(In.getService());
+  Message.Version.Value = textOf(In.getVersion());
+  Message.Route.Value = textOf(In.getRoute());
+  Message.CallerService.Value = textOf(In.getCallerService());
+  auto &Request = Message.Request;
+  Request.Method = textOf(In.getMethod());
+  Request.Target = textOf(In.getTarget());
+  Request.Path = Request.Target.substr(0, Request.Target.find_first_of("?#"));
+  Request.Headers = readHeaders(In.getHeaders());
+  Request.Body = dataOf(In.getBody());
+  Request.HasBody = In.getHasBody();
+  Message.Kind = static_cast<mesh::call_kind>(std::min<std::uint16_t>(
+      In.getKind(), static_cast<std::uint16_t>(mesh::call_kind::Upload)));
+  Message.Priority = In.getPriority();
+  Message.TimeOnTime = micros(In.getOnTimeMicros());
+  Message.TimeToStart = micros(In.getStartMicros());
+  Message.TimeLeft = micros(In.getLeftMicros());
+  return Message;
+}
+
+void writeLoad(mesh_wire::Load::Builder Out,
+               const dispatch::load_report &Load) {
+  Out.setRunning(Load.Running);
+  Out.setQueued(Load.Queued);
+  Out.setSlots(Load.Slots);
+  Out.setMeanRunMicros(static_cast<std::uint32_t>(Load.MeanRun.count()));
+  Out.setFailurePpm(Load.FailurePpm);
+  Out.setCold(Load.Cold);
+}
+
+auto readLoad(mesh_wire::Load::Reader In) -> dispatch::load_report {
+  return {In.getRunning(),
+          In.getQueued(),
+          In.getSlots(),
+          micros(In.getMeanRunMicros()),
+          In.getFailurePpm(),
+          In.getCold()};
+}
+
+void writeReply(mesh_wire::Reply::Builder Out, const reply_message &Message) {
+  Out.setCall(Message.Call.Value);
+  Out.setOutcome(static_cast<std::uint16_t>(Message.Outcome));
+  Out.setArrived(Message.Arrived);
+  const auto &Response = Message.Response;
+  Out.setStatus(static_cast<std::uint32_t>(Response.Status));
+  writeHeaders(Out.initHeaders(static_cast<unsigned>(Response.Headers.size())),
+               Response.Headers);
+  Out.setBody(asData(Response.Body));
+  Out.setReason(Message.Reason);
+  writeLoad(Out.initLoad(), Message.Load);
+  Out.setRunMicros(static_cast<std::uint32_t>(Message.Run.count()));
+  Out.setRouteMeanMicros(static_cast<std::uint32_t>(Message.RouteMean.count()));
+}
+
+auto readReply(mesh_wire::Reply::Reader In) -> reply_message {
+  auto Message = reply_message();
+  Message.Call.Value = In.getCall();
+  Message.Outcome = static_cast<reply_outcome>(std::min<std::uint16_t>(
+      In.getOutcome(), static_cast<std::uint16_t>(reply_outcome::Unknown)));
+  Message.Arrived = In.getArrived();
+  Message.Response.Status = static_cast<int>(In.getStatus());
+  Message.Response.Headers = readHeaders(In.getHeaders());
+  Message.Response.Body = dataOf(In.getBody());
+  Message.Reason = textOf(In.getReason());
+  Message.Load = readLoad(In.getLoad());
+  Message.Run = micros(In.getRunMicros());
+  Message.RouteMean = micros(In.getRouteMeanMicros());
+  return Message;
+}
+
+void writeHost(mesh_wire::Host::Builder Out, const mesh::host_record &Host) {
+  Out.setNode(Host.Node.Value);
+  Out.setPeer(event::formatEndpoint(Host.Peer));
+  Out.setZone(Host.Zone.Value);
+  Out.setIncarnation(Host.Incarnation);
+  Out.setRevision(Host.Revision);
+  Out.setStoreLost(Host.StoreLost);
+  Out.setLeaving(Host.Leaving);
+  Out.setTargetId(Host.Target.Id.Value);
+  Out.setBornAt(Host.Target.BornAt);
+  Out.setService(Host.Target.Service.Value);
+  Out.setVersion(Host.Target.Version.Value);
+  Out.setSlots(Host.Target.Slots);
+  Out.setState(static_cast<std::uint16_t>(Host.Target.State));
+}
+
+/** @return the record, or nothing if it names no host or address. */
+auto readHost(mesh_wire::Host::Reader In) -> std::optional<mesh::host_record> {
+  auto Peer = event::parseEndpoint(textOf(In.getPeer()));
+  if (In.getNode().size() == 0 || In.getNode().size() > MaxNameBytes ||
+      !isOk(Peer)) {
+    return std::nullopt;
+  }
+  auto Host = mesh::host_record();
+  Host.Node.Value = textOf(In.getNode());
+  Host.Peer = valueOf(Peer);
+  Host.Zone.Value = textOf(In.getZone());
+  Host.Incarnation = In.getIncarnation();
+  Host.Revision = In.getRevision();
+  Host.StoreLost = In.getStoreLost();
+  Host.Leaving = In.getLeaving();
+  Host.Target.Id.Value = textOf(In.getTargetId());
+  Host.Target.BornAt = In.getBornAt();
+  Host.Target.Service.Value = textOf(In.getService());
+  Host.Target.Version.Value = textOf(In.getVersion());
+  Host.Target.Slots = In.getSlots();
+  Host.Target.State =
+      static_cast<mesh::target_state>(std::min<std::uint16_t>(
+          In.getState(), static_cast<std::uint16_t>(mesh::target_state::Gone)));
+  return Host;
+}
+
+void writeEvidence(mesh_wire::Evidence::Builder Out,
+                   const evidence_report &Report) {
+  Out.setNode(Report.Node.Value);
+  Out.setService(Report.Service.Value);
+  Out.setOrderOffset(Report.OrderOffset.Value);
+  Out.setVersion(Report.Version.Value);
+  auto Tallies =
+      Out.initTallies(static_cast<unsigned>(Report.Evidence.size()));
+  auto Index = 0U;
+  for (const auto &[Route, Tally] : Report.Evidence) {
+    auto Item = Tallies[Index++];
+    Item.setRoute(Route.Value);
+    Item.setCalls(Tally.Calls);
+    Item.setFailures(Tally.Failures);
+    Item.setTimed(Tally.Timed);
+    Item.setRunMicros(Tally.RunMicros);
+  }
+}
+
+auto readEvidence(mesh_wire::Evidence::Reader In) -> evidence_report {
+  auto Report = evidence_report();
+  Report.Node.Value = textOf(In.getNode());
+  Report.Service.Value = textOf(In.getService());
+  Report.OrderOffset.Value = In.getOrderOffset();
+  Report.Version.Value = textOf(In.getVersion());
+  for (auto Item : In.getTallies()) {
+    Report.Evidence[route_id{textOf(Item.getRoute())}] = {
+        Item.getCalls(), Item.getFailures(), Item.getTimed(),
+        Item.getRunMicros()};
+  }
+  return Report;
+}
+
+void writeRecords(mesh_wire::Gossip::Builder Out,
+                  const std::vector<mesh::operator_record> &Records) {
+  auto List = Out.initRecords(static_cast<unsigned>(Records.size()));
+  for (auto Index = 0U; Index < Records.size(); ++Index) {
+    List[Index].setKey(Records[Index].Key);
+    List[Index].setOffset(Records[Index].Offset.Value);
+    List[Index].setDropped(Records[Index].Dropped);
+    List[Index].setValue(asData(Records[Index].Value));
+  }
+}
+
+void writeRollouts(mesh_wire::Gossip::Builder Out,
+                   const std::vector<rollout::rollout_state> &Rollouts,
+                   steady_time Now) {
+  auto List = Out.initRollouts(static_cast<unsigned>(Rollouts.size()));
+  for (auto Index = 0U; Index < Rollouts.size(); ++Index) {
+    List[Index].setService(Rollouts[Index].Order.Service.Value);
+    List[Index].setOrderOffset(Rollouts[Index].OrderOffset.Value);
+    List[Index].setVersion(Rollouts[Index].Order.Version.Value);
+    List[Index].setStage(static_cast<std::uint16_t>(Rollouts[Index].Stage));
+    List[Index].setElapsedMicros((Now - Rollouts[Index].SeenAt).count());
+  }
+}
+
+void writeGossip(mesh_wire::Gossip::Builder Out, const gossip_message &Message,
+                 steady_time Now) {
+  writeHost(Out.initSender(), Message.Sender);
+  Out.setOperatorEnd(Message.OperatorEnd.Value);
+  Out.setHostDigest(Message.HostDigest);
+  auto Hosts = Out.initHosts(static_cast<unsigned>(Message.Hosts.size()));
+  for (auto Index = 0U; Index < Message.Hosts.size(); ++Index) {
+    writeHost(Hosts[Index], Message.Hosts[Index]);
+  }
+  writeRecords(Out, Message.Records);
+  writeRollouts(Out, Message.Rollouts, Now);
+  Out.setWantHosts(Message.WantHosts);
+  Out.setWantRecords(Message.WantRecords);
+  auto Evidence =
+      Out.initEvidence(static_cast<unsigned>(Message.Evidence.size()));
+  for (auto Index = 0U; Index < Message.Evidence.size(); ++Index) {
+    writeEvidence(Evidence[Index], Message.Evidence[Index]);
+  }
+}
+
+/** @return the rollout, or nothing if its stage is unknown. */
+auto readRollout(mesh_wire::Rollout::Reader In, steady_time Now)
+    -> std::optional<rollout::rollout_state> {
+  auto Rollout = rollout::rollout_state();
+  Rollout.Order.Service.Value = textOf(In.getService());
+  Rollout.OrderOffset.Value = In.getOrderOffset();
+  Rollout.Order.Version.Value = textOf(In.getVersion());
+  Rollout.SeenAt = Now - micros(In.getElapsedMicros());
+  if (In.getStage() < static_cast<int>(rollout::rollout_stage::Testing) ||
+      In.getStage() > static_cast<int>(rollout::rollout_stage::Completed)) {
+    return std::nullopt;
+  }
+  Rollout.Stage = static_cast<rollout::rollout_stage>(In.getStage());
+  return Rollout;
+}
+
+/** @return the message, or nothing if its sender can't be read. */
+auto readGossip(mesh_wire::Gossip::Reader In, steady_time Now)
+    -> std::optional<gossip_message> {
+  auto Message = gossip_message();
+  auto Sender = readHost(In.getSender());
+  if (!Sender) {
+    return std::nullopt;
+  }
+  Message.Sender = *Sender;
+  Message.OperatorEnd.Value = In.getOperatorEnd();
+  Message.HostDigest = In.getHostDigest();
+  for (auto Item : In.getHosts()) {
+    if (auto Host = readHost(Item)) {
+      Message.Hosts.push_back(std::move(*Host));
+    }
+  }
+  for (auto Item : In.getRecords()) {
+    Message.Records.push_back({textOf(Item.getKey()),
+                               {Item.getOffset()},
+                               Item.getDropped(),
+                               dataOf(Item.getValue())});
+  }
+  for (auto Item : In.getRollouts()) {
+    if (auto Rollout = readRollout(Item, Now)) {
+      Message.Rollouts.push_back(std::move(*Rollout));
+    }
+  }
+  Message.WantHosts = In.getWantHosts();
+  Message.WantRecords = In.getWantRecords();
+  for (auto Item : In.getEvidence()) {
+    Message.Evidence.push_back(readEvidence(Item));
+  }
+  return Message;
+}
+
+/** Writes each kind of message. */
+struct message_writer {
+  mesh_wire::Message::Builder Out;
+  steady_time Now;
+
+  void operator()(const forward_message &Message) {
+    writeForward(Out.initForward(), Message);
+  }
+  void operator()(const reply_message &Message) {
+    writeReply(Out.initReply(), Message);
+  }
+  void operator()(const cancel_message &Message) {
+    Out.setCancel(Message.Call.Value);
+  }
+  void operator()(const gossip_message &Message) {
+    writeGossip(Out.initGossip(), Message, Now);
+  }
+  void operator()(const opened_message &Message) {
+    writeHost(Out.initOpened(), Message.Sender);
+  }
+  void operator()(const ping_message & /*Message*/) { Out.setPing(); }
+  void operator()(const pong_message & /*Message*/) { Out.setPong(); }
+};
+
+auto readMessage(mesh_wire::Message::Reader In, steady_time Now)
+    -> std::optional<mesh_message> {
+  switch (In.which()) {
+  case mesh_wire::Message::FORWARD:
+    return readForward(In.getForward());
+  case mesh_wire::Message::REPLY:
+    return readReply(In.getReply());
+  case mesh_wire::Message::CANCEL:
+    return cancel_message{{In.getCancel()}};
+  case mesh_wire::Message::GOSSIP:
+    if (auto Gossip = readGossip(In.getGossip(), Now)) {
+      return std::move(*Gossip);
+    }
+    return std::nullopt;
+  case mesh_wire::Message::OPENED:
+    if (auto Sender = readHost(In.getOpened())) {
+      return opened_message{std::move(*Sender)};
+    }
+    return std::nullopt;
+  case mesh_wire::Message::PING:
+    return ping_message{};
+  case mesh_wire::Message::PONG:
+    return pong_message{};
+  }
+  return std::nullopt;
+}
+
+auto corrupt(std::string Message) -> error {
+  return {error_code::Corrupt, "decode_mesh_message", "", std::move(Message)};
+}
+
+} // namespace
+
+auto encodeMesh(const mesh_message &Message, steady_time Now) -> std::string {
+  auto Builder = capnp::MallocMessageBuilder();
+  std::visit(
+      message_writer{Builder.initRoot<mesh_wire::Message>(), Now}, Message);
+  auto Flat = capnp::messageToFlatArray(Builder);
+  auto Bytes = Flat.asChars();
+  auto Out = std::string(LengthBytes + Bytes.size(), '\0');
+  auto Length = static_cast<std::uint32_t>(Bytes.size());
+  std::memcpy(Out.data(), &Length, LengthBytes);
+  std::memcpy(Out.data() + LengthBytes, Bytes.begin(), Bytes.size());
+  return Out;
+}
+
+auto decodeMesh(std::string_view Bytes, steady_time Now)
+    -> result<std::optional<decoded_mesh>> {
+  auto Length = std::uint32_t{0};
+  if (Bytes.size() < LengthBytes) {
+    return std::optional<decoded_mesh>();
+  }
+  std::memcpy(&Length, Bytes.data(), LengthBytes);
+  if (Length > MaxMeshMessageBytes || Length % sizeof(capnp::word) != 0) {
+    return corrupt("length " + std::to_string(Length));
+  }
+  if (Bytes.size() < LengthBytes + Length) {
+    return std::optional<decoded_mesh>();
+  }
+  auto Words = kj::heapArray<capnp::word>(Length / sizeof(capnp::word));
+  std::memcpy(Words.begin(), Bytes.data() + LengthBytes, Length);
+  try {
+    auto Options = capnp::ReaderOptions();
+    Options.traversalLimitInWords = 4 * Words.size() + 1024;
+    auto Reader = capnp::FlatArrayMessageReader(Words, Options);
+    auto Message = readMessage(Reader.getRoot<mesh_wire::Message>(), Now);
+    if (!Message) {
+      return corrupt("unknown or incomplete message");
+    }
+    return std::optional<decoded_mesh>(
+        decoded_mesh{std::move(*Message), LengthBytes + Length});
+  } catch (const kj::Exception &Failure) {
+    return corrupt(Failure.getDescription().cStr());
+  }
+}
+
+} // namespace sycamorelb::inner
--- /dev/null
+++ b/src/sidecar/gossip.h
@@ -0,0 +1,60 @@
+/** @file gossip.h Spreads what nodes know among them. */
+#pragma once
+
+#include "sidecar/node_state.h"
+#include "sidecar/peer_links.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace sycamorelb::sidecar {
+
+/** What gossip tells the rest of the node. */
+struct gossip_events {
+  /** Records of operators changed; the keys are given. */
+  std::function<void(const std::vector<std::string> &)> OnOperatorKeys;
+  /** Another node remembers this host from before this process. */
+  std::function<void(const mesh::host_record &)> OnEarlierSelf;
+  /** Progress of an order changed. */
+  std::function<void(const rollout::rollout_state &)> OnRollout;
+  /** Tallies of another node arrived. */
+  std::function<void(const inner::evidence_report &)> OnEvidence;
+};
+
+/** Exchange of state with the other nodes. */
+class gossip {
+public:
+  gossip(node_state &State, peer_links &Links, gossip_events Events);
+  ~gossip();
+  gossip(const gossip &) = delete;
+  auto operator=(const gossip &) -> gossip & = delete;
+
+  /** Begins the exchange with a random node at fixed intervals. */
+  void start();
+  /** Tells all nodes that the record of this host has changed. */
+  void tellOwnRecord();
+  /** Tells all nodes the progress of the orders. */
+  void tellRollouts();
+  /** Tells some nodes that records of operators have changed, and all that
+   * can't read the store. */
+  void tellOperatorEnd();
+  /** Greets all known hosts, after the start of this node. */
+  void greetAll();
+  /** Sends tallies to another node. */
+  void tellEvidence(const node_id &Node, const inner::evidence_report &Report);
+  /** Handles gossip. Answer sends on the connection that it came by. */
+  void handle(const inner::gossip_message &Message,
+              const std::function<void(const inner::mesh_message &)> &Answer);
+  /** Takes over a record of a host from any source. */
+  void mergeHost(const mesh::host_record &Record);
+
+private:
+  struct implementation;
+  std::unique_ptr<implementation> Impl;
+};
+
+/** Takes over a change of the own record in the table of hosts. */
+void publishOwn(node_state &State);
+
+} // namespace sycamorelb::sidecar
--- /dev/null
+++ b/src/sidecar/node_counters.cpp
@@ -0,0 +1,119 @@
+/** @file node_counters.cpp Rendering of metrics. */
+#include "sidecar/node_counters.h"
+
+#include <prometheus/metric_family.h>
+#include <prometheus/text_serializer.h>
+#include <vector>
+
+namespace sycamorelb::sidecar {
+
+void observe(latency_histogram &Histogram, micros Latency) {
+  auto Index = std::size_t{0};
+  while (Index < LatencyBucketsMs.size() &&
+         Latency.count() > LatencyBucketsMs.at(Index) * 1000) {
+    ++Index;
+  }
+  ++Histogram.Buckets.at(Index);
+  Histogram.SumMicros += static_cast<std::uint64_t>(Latency.count());
+}
+
+static auto family(const char *Name, const char *Help,
+                   prometheus::MetricType Type) -> prometheus::MetricFamily {
+  return {Name, Help, Type, {}};
+}
+
+static auto counterFamily(const char *Name, const char *Help,
+                          const char *Label,
+                          const std::map<std::string, std::uint64_t> &Values)
+    -> prometheus::MetricFamily {
+  auto Family = family(Name, Help, prometheus::MetricType::Counter);
+  for (const auto &[Key, Value] : Values) {
+    auto Metric = prometheus::ClientMetric();
+    if (*Label != '\0') {
+      Metric.label.push_back({Label, Key});
+    }
+    Metric.counter.value = static_cast<double>(Value);
+    Family.metric.push_back(std::move(Metric));
+  }
+  return Family;
+}
+
+static auto gaugeFamily(const char *Name, const char *Help, double Value)
+    -> prometheus::MetricFamily {
+  auto Family = family(Name, Help, prometheus::MetricType::Gauge);
+  auto Metric = prometheus::ClientMetric();
+  Metric.gauge.value = Value;
+  Family.metric.push_back(std::move(Metric));
+  return Family;
+}
+
+static auto latencyFamily(const std::map<route_id, latency_histogram> &Latency)
+    -> prometheus::MetricFamily {
+  auto Family =
+      family("sycamorelb_call_seconds", "Time from a call to its answer.",
+             prometheus::MetricType::Histogram);
+  for (const auto &[Route, Histogram] : Latency) {
+    auto Metric = prometheus::ClientMetric();
+    Metric.label.push_back({"route", Route.Value});
+    auto Count = std::uint64_t{0};
+    for (auto Index = std::size_t{0}; Index < LatencyBucketsMs.size();
+         ++Index) {
+      Count += Histogram.Buckets.at(Index);
+      Metric.histogram.bucket.push_back(
+          {Count, static_cast<double>(LatencyBucketsMs.at(Index)) / 1e3});
+    }
+    Metric.histogram.sample_count = Count + Histogram.Buckets.back();
+    Metric.histogram.sample_sum = static_cast<double>(Histogram.SumMicros) / 1e6;
+    Family.metric.push_back(std::move(Metric));
+  }
+  return Family;
+}
+
+auto renderMetrics(const node_counters &Counters, const node_gauges &Gauges)
+    -> std::string {
+  auto Single = [](std::uint64_t Value) {
+    return std::map<std::string, std::uint64_t>{{"", Value}};
+  };
+  auto Families = std::vector<prometheus::MetricFamily>{
+      counterFamily("sycamorelb_calls_total", "Calls of own callers.",
+                    "outcome", Counters.Calls),
+      counterFamily("sycamorelb_admissions_total",
+                    "Calls for the target beside the node.", "outcome",
+                    Counters.Admissions),
+      counterFamily("sycamorelb_store_calls_total", "Calls to the store.",
+                    "outcome", Counters.StoreCalls),
+      counterFamily("sycamorelb_bad_input_total", "Input that was ignored.",
+                    "source", Counters.BadInput),
+      counterFamily("sycamorelb_repeats_total", "Calls sent once more.", "",
+                    Single(Counters.Repeats)),
+      counterFamily("sycamorelb_bounces_total", "Refusals by other nodes.", "",
+                    Single(Counters.Bounces)),
+      counterFamily("sycamorelb_links_lost_total",
+                    "Connections to other nodes that were lost.", "",
+                    Single(Counters.LinksLost)),
+      counterFamily("sycamorelb_target_connections_total",
+                    "Connections opened to the target.", "",
+                    Single(Counters.TargetConnections)),
+      counterFamily("sycamorelb_log_lines_suppressed_total",
+                    "Log lines that were left out.", "",
+                    Single(Gauges.Suppressed)),
+      gaugeFamily("sycamorelb_config_version", "Configuration in force.",
+                  static_cast<double>(Gauges.ConfigVersion)),
+      gaugeFamily("sycamorelb_config_age_seconds",
+                  "Time since the configuration was applied.",
+                  Gauges.ConfigAgeSeconds),
+      gaugeFamily("sycamorelb_hosts", "Hosts known.",
+                  static_cast<double>(Gauges.Hosts)),
+      gaugeFamily("sycamorelb_target_running", "Calls at the target.",
+                  static_cast<double>(Gauges.Running)),
+      gaugeFamily("sycamorelb_target_queued", "Calls that wait for a slot.",
+                  static_cast<double>(Gauges.Queued)),
+      gaugeFamily("sycamorelb_open_calls", "Calls of own callers in progress.",
+                  static_cast<double>(Gauges.OpenCalls)),
+      gaugeFamily("sycamorelb_store_lost", "1 while the store can't be read.",
+                  Gauges.StoreLost ? 1 : 0),
+      latencyFamily(Counters.Latency)};
+  return prometheus::TextSerializer().Serialize(Families);
+}
+
+} // namespace sycamorelb::sidecar
--- /dev/null
+++ b/src/sidecar/sidecar.cpp
@@ -0,0 +1,520 @@
+/** @file sidecar.cpp Wiring of a node and its start and stop. */
+#include "sycamorelb/sidecar/sidecar.h"
+
+#include "platform/heartbeat.h"
+#include "platform/settings_file.h"
+#include "sidecar/admission.h"
+#include "sidecar/entry.h"
+#include "sidecar/gossip.h"
+#include "sidecar/http_endpoint.h"
+#include "sidecar/rollout_control.h"
+#include "sidecar/state_view.h"
+#include "sidecar/stop_signal.h"
+#include "sidecar/store_feed.h"
+#include "sidecar/target_watch.h"
+#include "sycamorelb/core/clock_func.h"
+#include "sycamorelb/core/hash_func.h"
+
+#include <algorithm>
+#include <fstream>
+#include <sstream>
+#include <sys/stat.h>
+
+namespace sycamorelb::sidecar {
+
+using namespace inner;
+
+/** Interval of the look at the settings file and the own pauses. */
+static constexpr auto TickInterval = micros(1'000'000);
+/** Ticks between two looks at the settings file. */
+static constexpr auto SettingsTicks = 5;
+/** Lateness of a tick that means that the process stood still. */
+static constexpr auto PauseTime = micros(1'500'000);
+/** Time after a stop signal in which callers may still come, as readiness is
+ * asked once a second and two misses count. */
+static constexpr auto StopServeTime = micros(3'000'000);
+/** Time after a stop signal from which idle connections are closed. */
+static constexpr auto StopIdleTime = micros(2'500'000);
+/** Part of the time for a stop that is left unused. */
+static constexpr auto StopMargin = micros(300'000);
+/** Interval of the checks during a stop. */
+static constexpr auto StopCheckInterval = micros(100'000);
+
+/** @return the seed of a node's random choices. */
+static auto seedOf(const node_settings &Settings, std::uint64_t Start)
+    -> std::uint64_t {
+  return hash64(Settings.Node.Value, Start);
+}
+
+struct sidecar::implementation {
+  implementation(const node_settings &Settings, std::string Path,
+                 std::uint64_t Start)
+      : Path(std::move(Path)),
+        State(Loop, Settings, seedOf(Settings, Start)),
+        Admission(
+            State, [this] { publishTargetLost(); }, [this] { brake(); }),
+        Links(State, linkEvents()), Entry(State, Admission, Links),
+        Gossip(State, Links, gossipEvents()), Store(State, storeEvents()),
+        Rollouts(State, Admission, Gossip, Store) {
+    State.Own.Incarnation = Start;
+    publishOwn(State);
+  }
+
+  std::string Path;
+  event::loop Loop;
+  node_state State;
+  target_watch Watch;
+  admission Admission;
+  peer_links Links;
+  entry Entry;
+  gossip Gossip;
+  store_feed Store;
+  rollout_control Rollouts;
+  std::unique_ptr<http_endpoint> Ready;
+  std::unique_ptr<http_endpoint> Control;
+  std::unique_ptr<http_endpoint> Metrics;
+  std::unique_ptr<signal_events> Signals;
+  steady_time StopAt{};
+  steady_time TickDue{};
+  int Ticks = 0;
+  timespec SettingsTime{};
+
+  auto linkEvents() -> peer_events;
+  auto gossipEvents() -> gossip_events;
+  auto storeEvents() -> store_events;
+  auto listen() -> result<done>;
+  void handleSession(const std::shared_ptr<peer_session> &Session,
+                     mesh_message Message);
+  auto answerReadiness(const http::request &Request) -> http::response;
+  auto answerControl(const http::request &Request) -> http::response;
+  auto answerMetrics(const http::request &Request) -> http::response;
+  void handleHeartbeat(const target_heartbeat &Heartbeat);
+  void handleLeave(const mesh::target_id &Id, std::string_view Body);
+  void publishTarget();
+  void publishTargetLost();
+  void noteOperatorKeys(const std::vector<std::string> &Keys);
+  void noteMeshListed(const std::vector<mesh::operator_record> &Records);
+  void mergeMeshRecord(const mesh::operator_record &Record);
+  void brake() { Rollouts.brake(); }
+  void tick();
+  void checkSettings();
+  void reload();
+  void beginStop();
+  void checkStop();
+  auto view() const -> state_view;
+};
+
+sidecar::sidecar(std::unique_ptr<implementation> Impl)
+    : Impl(std::move(Impl)) {}
+
+sidecar::~sidecar() = default;
+
+auto sidecar::implementation::linkEvents() -> peer_events {
+  auto Events = peer_events();
+  Events.OnLinkMessage = [this](const node_id &Node, mesh_message Message) {
+    if (auto *Reply = std::get_if<reply_message>(&Message)) {
+      Entry.handleReply(Node, *Reply);
+    } else if (auto *News = std::get_if<gossip_message>(&Message)) {
+      Gossip.handle(*News, [this, Node](const mesh_message &Answer) {
+        Links.send(Node, Answer);
+      });
+    }
+  };
+  Events.OnLinkLost = [this](const node_id &Node, bool Established) {
+    Entry.handleLinkLost(Node, Established);
+  };
+  Events.OnSessionMessage = [this](const std::shared_ptr<peer_session> &Session,
+                                   mesh_message Message) {
+    handleSession(Session, std::move(Message));
+  };
+  Events.OnSessionLost = [this](const std::shared_ptr<peer_session> &Session) {
+    Admission.noteOriginLost(Session->Peer.Node, Session->Peer.Incarnation);
+  };
+  return Events;
+}
+
+void sidecar::implementation::handleSession(
+    const std::shared_ptr<peer_session> &Session, mesh_message Message) {
+  auto Key = call_key{Session->Peer.Node, Session->Peer.Incarnation, {}};
+  if (auto *Forward = std::get_if<forward_message>(&Message)) {
+    Key.Call = Forward->Call;
+    auto Weak = std::weak_ptr<peer_session>(Session);
+    Admission.submit(Key, std::move(*Forward),
+                     [this, Weak](const reply_message &Reply) {
+                       if (auto Origin = Weak.lock()) {
+                         sendOn(*Origin, Reply, Loop.now());
+                       }
+                     });
+  } else if (auto *Cancel = std::get_if<cancel_message>(&Message)) {
+    Key.Call = Cancel->Call;
+    Admission.cancel(Key);
+  } else if (auto *News = std::get_if<gossip_message>(&Message)) {
+    Gossip.handle(*News, [this, Session](const mesh_message &Answer) {
+      sendOn(*Session, Answer, Loop.now());
+    });
+  } else if (auto *Opened = std::get_if<opened_message>(&Message)) {
+    Gossip.mergeHost(Opened->Sender);
+  }
+}
+
+auto sidecar::implementation::gossipEvents() -> gossip_events {
+  auto Events = gossip_events();
+  Events.OnOperatorKeys = [this](const std::vector<std::string> &Keys) {
+    noteOperatorKeys(Keys);
+  };
+  Events.OnEarlierSelf = [this](const mesh::host_record &Earlier) {
+    rememberTarget(Watch, Earlier.Target);
+    if (Watch.Known.State > mesh::target_state::Ready &&
+        State.Own.Target.State == mesh::target_state::Ready) {
+      publishTarget();
+    }
+  };
+  Events.OnRollout = [this](const rollout::rollout_state &News) {
+    Rollouts.mergeProgress(News);
+  };
+  Events.OnEvidence = [this](const evidence_report &Report) {
+    Rollouts.mergeEvidence(Report);
+  };
+  return Events;
+}
+
+auto sidecar::implementation::storeEvents() -> store_events {
+  auto Events = store_events();
+  Events.OnOperatorKeys = [this](const std::vector<std::string> &Keys) {
+    noteOperatorKeys(Keys);
+    if (!Keys.empty()) {
+      Gossip.tellOperatorEnd();
+    }
+  };
+  Events.OnMeshListed =
+      [this](const std::vector<mesh::operator_record> &Records) {
+        noteMeshListed(Records);
+      };
+  Events.OnStoreLost = [this](bool Lost) {
+    State.Own.StoreLost = Lost;
+    publishOwn(State);
+    Gossip.tellOwnRecord();
+  };
+  return Events;
+}
+
+void sidecar::implementation::noteOperatorKeys(
+    const std::vector<std::string> &Keys) {
+  auto WasEvacuated = State.Evacuated.contains(State.Own.Zone);
+  if (!applyOperatorKeys(State, Keys)) {
+    return;
+  }
+  if (WasEvacuated && !State.Evacuated.contains(State.Own.Zone)) {
+    // The targets of an evacuated zone may have become cold meanwhile.
+    Admission.assumeCold();
+  }
+  Rollouts.noteOrders();
+  Admission.reconsider();
+}
+
+void sidecar::implementation::mergeMeshRecord(
+    const mesh::operator_record &Record) {
+  auto Decoded = decodeMesh(Record.Value, Loop.now());
+  auto *Message = isOk(Decoded) && valueOf(Decoded)
+                      ? std::get_if<gossip_message>(&valueOf(Decoded)->Message)
+                      : nullptr;
+  if (Message == nullptr) {
+    ++State.Counters.BadInput["store"];
+    State.Log.write(log_class::State, "store.unreadable",
+                    {{"key", Record.Key}});
+    return;
+  }
+  Gossip.mergeHost(Message->Sender);
+  for (const auto &Rollout : Message->Rollouts) {
+    Rollouts.mergeProgress(Rollout);
+  }
+}
+
+void sidecar::implementation::noteMeshListed(
+    const std::vector<mesh::operator_record> &Records) {
+  auto Key = "host/" + State.Own.Node.Value;
+  auto Listed = false;
+  for (const auto &Record : Records) {
+    mergeMeshRecord(Record);
+    Listed = Listed || Record.Key == Key;
+  }
+  State.StoreListed = true;
+  Gossip.greetAll();
+  if (Listed) {
+    return;
+  }
+  // Hosts that list the topic after this find this one; those that listed it
+  // before are found by the second listing.
+  auto Self = gossip_message();
+  Self.Sender = State.Own;
+  Store.append(platform::store_topic::Mesh, Key, encodeMesh(Self, Loop.now()),
+               std::nullopt, [this](result<platform::append_ack>) {
+                 Store.list(platform::store_topic::Mesh,
+                            [this](result<platform::store_page> Page) {
+                              if (!isOk(Page)) {
+                                return;
+                              }
+                              for (const auto &Record : valueOf(Page).Records) {
+                                mergeMeshRecord(Record);
+                              }
+                              Gossip.greetAll();
+                            });
+               });
+}
+
+void sidecar::implementation::publishTarget() {
+  auto Changed = State.Own.Target != Watch.Known;
+  State.Own.Target = Watch.Known;
+  if (Changed) {
+    publishOwn(State);
+    State.Log.write(
+        log_class::State, "target.changed",
+        {{"target", Watch.Known.Id.Value},
+         {"version", Watch.Known.Version.Value},
+         {"state", static_cast<std::int64_t>(Watch.Known.State)},
+         {"born", Watch.Known.BornAt},
+         {"sequence", static_cast<std::int64_t>(Watch.Sequence)}});
+    Gossip.tellOwnRecord();
+  }
+}
+
+void sidecar::implementation::publishTargetLost() {
+  State.Own.Target.State = mesh::target_state::Absent;
+  publishOwn(State);
+  Gossip.tellOwnRecord();
+}
+
+void sidecar::implementation::handleHeartbeat(
+    const target_heartbeat &Heartbeat) {
+  if (Heartbeat.Target.Service != State.Settings.Service) {
+    ++State.Counters.BadInput["heartbeat"];
+    State.Log.write(log_class::State, "heartbeat.foreign",
+                    {{"target", Heartbeat.Target.Id.Value},
+                     {"service", Heartbeat.Target.Service.Value}});
+    return;
+  }
+  if (!acceptHeartbeat(Watch, Heartbeat)) {
+    State.Log.write(
+        log_class::State, "heartbeat.outdated",
+        {{"target", Heartbeat.Target.Id.Value},
+         {"born", Heartbeat.Target.BornAt},
+         {"sequence", static_cast<std::int64_t>(Heartbeat.Sequence)}});
+    return;
+  }
+  publishTarget();
+  Admission.setTarget(State.Own.Target, Heartbeat.ColdFor);
+}
+
+void sidecar::implementation::handleLeave(const mesh::target_id &Id,
+                                          std::string_view Body) {
+  if (!acceptLeave(Watch, Id, platform::decodeLeaveBirth(Body))) {
+    State.Log.write(log_class::State, "leave.outdated",
+                    {{"target", Id.Value}});
+    return;
+  }
+  publishTarget();
+  Admission.setTarget(State.Own.Target, std::nullopt);
+}
+
+auto sidecar::implementation::answerControl(const http::request &Request)
+    -> http::response {
+  auto Id = platform::targetOfRequest(Request);
+  if (!Id || (Request.Method != "PUT" && Request.Method != "DELETE")) {
+    return {404, "", {}, "not found\n"};
+  }
+  if (Request.Method == "DELETE") {
+    handleLeave(*Id, Request.Body);
+    return platform::encodeHeartbeatAck();
+  }
+  auto Heartbeat = platform::decodeHeartbeat(*Id, Request.Body);
+  if (!isOk(Heartbeat)) {
+    ++State.Counters.BadInput["heartbeat"];
+    State.Log.write(log_class::State, "heartbeat.malformed",
+                    {{"target", Id->Value},
+                     {"fault", errorOf(Heartbeat).Message}});
+    return {400, "", {}, errorOf(Heartbeat).Message + "\n"};
+  }
+  handleHeartbeat(valueOf(Heartbeat));
+  return platform::encodeHeartbeatAck();
+}
+
+auto sidecar::implementation::answerReadiness(const http::request &Request)
+    -> http::response {
+  if (!platform::isReadinessRequest(Request)) {
+    return {404, "", {}, "not found\n"};
+  }
+  auto IsReady = State.Routes && State.StoreListed && !State.Stopping;
+  return {IsReady ? 200 : 503, "", {}, IsReady ? "ready\n" : "not ready\n"};
+}
+
+auto sidecar::implementation::view() const -> state_view {
+  return {State, Admission.load(), Entry.openCalls()};
+}
+
+auto sidecar::implementation::answerMetrics(const http::request &Request)
+    -> http::response {
+  if (Request.Path == "/state") {
+    return {200,
+            "",
+            {{"Content-Type", "application/json"}},
+            renderState(view()) + "\n"};
+  }
+  if (Request.Path != "/metrics") {
+    return {404, "", {}, "not found\n"};
+  }
+  return {200,
+          "",
+          {{"Content-Type", "text/plain; version=0.0.4"}},
+          renderMetrics(State.Counters, gaugesOf(view()))};
+}
+
+auto sidecar::implementation::listen() -> result<done> {
+  auto &Settings = State.Settings;
+  auto Open = [this](const event::endpoint &Address,
+                     std::unique_ptr<http_endpoint> &Into,
+                     http_endpoint::handler Handle) -> result<done> {
+    auto Opened = http_endpoint::open(Loop, Address, std::move(Handle));
+    if (!isOk(Opened)) {
+      return errorOf(Opened);
+    }
+    Into = std::move(valueOf(Opened));
+    return done();
+  };
+  auto Results = {
+      Links.listen(), Entry.listen(),
+      Open(Settings.Ready, Ready,
+           [this](const auto &Request) { return answerReadiness(Request); }),
+      Open(Settings.Control, Control,
+           [this](const auto &Request) { return answerControl(Request); }),
+      Open(Settings.Metrics, Metrics,
+           [this](const auto &Request) { return answerMetrics(Request); })};
+  for (const auto &Result : Results) {
+    if (!isOk(Result)) {
+      return errorOf(Result);
+    }
+  }
+  return done();
+}
+
+void sidecar::implementation::tick() {
+  auto Now = Loop.now();
+  auto Late = Now - TickDue;
+  if (TickDue != steady_time() && Late > PauseTime) {
+    State.Log.write(log_class::State, "process.paused",
+                    {{"late_us", Late.count()}});
+    // What was believed before the pause may be wrong by now.
+    Admission.assumeCold();
+    Store.restart();
+    Gossip.greetAll();
+  }
+  if (++Ticks % SettingsTicks == 0) {
+    checkSettings();
+  }
+  TickDue = Now + TickInterval;
+  Loop.addTimer(TickDue, [this] { tick(); });
+}
+
+void sidecar::implementation::checkSettings() {
+  struct stat Info = {};
+  if (Path.empty() || ::stat(Path.c_str(), &Info) != 0) {
+    return;
+  }
+  auto Changed = Info.st_mtim.tv_sec != SettingsTime.tv_sec ||
+                 Info.st_mtim.tv_nsec != SettingsTime.tv_nsec;
+  auto First = SettingsTime.tv_sec == 0;
+  SettingsTime = Info.st_mtim;
+  if (Changed && !First) {
+    reload();
+  }
+}
+
+void sidecar::implementation::reload() {
+  auto File = std::ifstream(Path);
+  auto Text = std::stringstream();
+  Text << File.rdbuf();
+  auto News = platform::decodeSettings(Text.str());
+  if (!isOk(News)) {
+    ++State.Counters.BadInput["settings"];
+    State.Log.write(log_class::State, "settings.rejected",
+                    {{"path", Path}, {"fault", errorOf(News).Message}});
+    return;
+  }
+  auto &Held = State.Settings;
+  const auto &Value = valueOf(News);
+  auto NeedsRestart =
+      Value.Node != Held.Node || !(Value.Callers == Held.Callers) ||
+      !(Value.Peer == Held.Peer) || !(Value.Target == Held.Target) ||
+      Value.Service != Held.Service || Value.Zone != Held.Zone;
+  Held.Bounds = Value.Bounds;
+  Held.HeartbeatInterval = Value.HeartbeatInterval;
+  Held.Store = Value.Store;
+  State.Log.write(log_class::State, "settings.reloaded",
+                  {{"path", Path},
+                   {"needs_restart", std::int64_t{NeedsRestart ? 1 : 0}}});
+}
+
+void sidecar::implementation::beginStop() {
+  if (State.Stopping) {
+    return;
+  }
+  State.Stopping = true;
+  StopAt = Loop.now();
+  State.Log.write(
+      log_class::State, "process.stopping",
+      {{"open_calls", static_cast<std::int64_t>(Entry.openCalls())},
+       {"busy", static_cast<std::int64_t>(Admission.busy())}});
+  State.Own.Leaving = true;
+  publishOwn(State);
+  Gossip.tellOwnRecord();
+  checkStop();
+}
+
+void sidecar::implementation::checkStop() {
+  auto Passed = Loop.now() - StopAt;
+  if (Passed >= StopIdleTime) {
+    Entry.closeIdle();
+  }
+  auto Idle = Entry.openCalls() == 0 && Admission.busy() == 0;
+  auto Over = micros(State.Settings.Bounds.StopGrace) - StopMargin;
+  if ((Passed >= StopServeTime && Idle) || Passed >= Over) {
+    State.Log.write(log_class::State, "process.stopped",
+                    {{"after_us", Passed.count()},
+                     {"open_calls",
+                      static_cast<std::int64_t>(Entry.openCalls())}});
+    State.Log.flush();
+    return Loop.stop();
+  }
+  Loop.addTimer(Loop.now() + StopCheckInterval, [this] { checkStop(); });
+}
+
+auto sidecar::create(const node_settings &Settings,
+                     const std::string &SettingsPath)
+    -> result<std::unique_ptr<sidecar>> {
+  auto Start = static_cast<std::uint64_t>(std::max<std::int64_t>(
+      1, wallNow().Value));
+  auto Impl = std::make_unique<implementation>(Settings, SettingsPath, Start);
+  auto Listening = Impl->listen();
+  if (!isOk(Listening)) {
+    return errorOf(Listening);
+  }
+  return std::unique_ptr<sidecar>(new sidecar(std::move(Impl)));
+}
+
+void sidecar::run() {
+  auto &Self = *Impl;
+  Self.Signals = std::make_unique<signal_events>(
+      Self.Loop, [&Self] { Self.beginStop(); }, [&Self] { Self.reload(); });
+  Self.State.Log.write(
+      log_class::State, "process.started",
+      {{"service", Self.State.Settings.Service.Value},
+       {"zone", Self.State.Settings.Zone.Value},
+       {"incarnation",
+        static_cast<std::int64_t>(Self.State.Own.Incarnation)}});
+  Self.Store.start();
+  Self.Gossip.start();
+  Self.checkSettings();
+  Self.tick();
+  Self.Loop.run();
+}
+
+} // namespace sycamorelb::sidecar
--- /dev/null
+++ b/src/sidecar/state_view.cpp
@@ -0,0 +1,69 @@
+/** @file state_view.cpp Dump of a node's state. */
+#include "sidecar/state_view.h"
+
+#include <nlohmann/json.hpp>
+
+namespace sycamorelb::sidecar {
+
+static auto hostJson(const mesh::host_record &Host) -> nlohmann::json {
+  return {{"peer", event::formatEndpoint(Host.Peer)},
+          {"zone", Host.Zone.Value},
+          {"incarnation", Host.Incarnation},
+          {"revision", Host.Revision},
+          {"store_lost", Host.StoreLost},
+          {"leaving", Host.Leaving},
+          {"target", Host.Target.Id.Value},
+          {"service", Host.Target.Service.Value},
+          {"version", Host.Target.Version.Value},
+          {"slots", Host.Target.Slots},
+          {"state", static_cast<int>(Host.Target.State)}};
+}
+
+auto renderState(const state_view &View) -> std::string {
+  const auto &State = View.State;
+  auto Json = nlohmann::json::object();
+  Json["node"] = State.Own.Node.Value;
+  Json["config_version"] =
+      State.Routes ? State.Routes->config().Version.Value : 0;
+  Json["operator_end"] = State.Operator.end().Value;
+  Json["stopping"] = State.Stopping;
+  Json["open_calls"] = View.OpenCalls;
+  Json["target"] = {{"running", View.Load.Running},
+                    {"queued", View.Load.Queued},
+                    {"slots", View.Load.Slots},
+                    {"mean_run_us", View.Load.MeanRun.count()},
+                    {"failure_ppm", View.Load.FailurePpm},
+                    {"cold", View.Load.Cold}};
+  for (const auto &[Node, Host] : State.Hosts.records()) {
+    Json["hosts"][Node.Value] = hostJson(Host);
+  }
+  for (const auto &[Service, Rollout] : State.Rollouts) {
+    Json["rollouts"][Service.Value] = {
+        {"version", Rollout.Order.Version.Value},
+        {"offset", Rollout.OrderOffset.Value},
+        {"stage", static_cast<int>(Rollout.Stage)}};
+  }
+  Json["evacuated"] = nlohmann::json::array();
+  for (const auto &Zone : State.Evacuated) {
+    Json["evacuated"].push_back(Zone.Value);
+  }
+  return Json.dump(2);
+}
+
+auto gaugesOf(const state_view &View) -> node_gauges {
+  auto Gauges = node_gauges();
+  const auto &State = View.State;
+  Gauges.ConfigVersion =
+      State.Routes ? State.Routes->config().Version.Value : 0;
+  Gauges.ConfigAgeSeconds =
+      static_cast<double>((State.Loop.now() - State.ConfigAt).count()) / 1e6;
+  Gauges.Hosts = State.Hosts.records().size();
+  Gauges.Running = View.Load.Running;
+  Gauges.Queued = View.Load.Queued;
+  Gauges.OpenCalls = View.OpenCalls;
+  Gauges.Suppressed = State.Log.suppressed();
+  Gauges.StoreLost = State.Own.StoreLost;
+  return Gauges;
+}
+
+} // namespace sycamorelb::sidecar
--- /dev/null
+++ b/src/sidecar/stop_signal.cpp
@@ -0,0 +1,55 @@
+/** @file stop_signal.cpp Signals as events of a loop. */
+#include "sidecar/stop_signal.h"
+
+#include <array>
+#include <csignal>
+#include <fcntl.h>
+#include <sys/epoll.h>
+#include <unistd.h>
+
+namespace sycamorelb::sidecar {
+
+// A signal handler can reach nothing but globals.
+static auto SignalPipe = std::array<int, 2>{-1, -1};
+
+extern "C" {
+static void forwardSignal(int Signal) {
+  auto Byte = static_cast<char>(Signal);
+  // A full pipe holds signals already; one more would say nothing new.
+  [[maybe_unused]] auto Ignored = ::write(SignalPipe[1], &Byte, 1);
+}
+}
+
+static void install(int Signal) {
+  struct sigaction Action = {};
+  Action.sa_handler = forwardSignal;
+  Action.sa_flags = SA_RESTART;
+  sigaction(Signal, &Action, nullptr);
+}
+
+signal_events::signal_events(event::loop &Loop, std::function<void()> OnStop,
+                             std::function<void()> OnReload)
+    : Loop(Loop) {
+  [[maybe_unused]] auto Status =
+      ::pipe2(SignalPipe.data(), O_NONBLOCK | O_CLOEXEC);
+  std::signal(SIGPIPE, SIG_IGN);
+  Loop.watch(SignalPipe[0], EPOLLIN,
+             [OnStop = std::move(OnStop),
+              OnReload = std::move(OnReload)](std::uint32_t) {
+               auto Byte = char{0};
+               while (::read(SignalPipe[0], &Byte, 1) == 1) {
+                 Byte == SIGHUP ? OnReload() : OnStop();
+               }
+             });
+  for (auto Signal : {SIGTERM, SIGINT, SIGHUP}) {
+    install(Signal);
+  }
+}
+
+signal_events::~signal_events() {
+  Loop.unwatch(SignalPipe[0]);
+  ::close(SignalPipe[0]);
+  ::close(SignalPipe[1]);
+}
+
+} // namespace sycamorelb::sidecar
--- /dev/null
+++ b/src/sidecar/target_watch.cpp
@@ -0,0 +1,48 @@
+/** @file target_watch.cpp Order of the heartbeats of a target. */
+#include "sidecar/target_watch.h"
+
+namespace sycamorelb::sidecar {
+
+auto acceptHeartbeat(target_watch &Watch, const target_heartbeat &Heartbeat)
+    -> bool {
+  const auto &News = Heartbeat.Target;
+  auto SameStart = Watch.Known.State != mesh::target_state::Absent &&
+                   News.BornAt == Watch.Known.BornAt;
+  if (SameStart && Heartbeat.Sequence < Watch.Sequence) {
+    return false;
+  }
+  auto Next = mesh::advanceTarget(Watch.Known, News);
+  if (!Next) {
+    return false;
+  }
+  Watch.Known = *Next;
+  Watch.Sequence = Heartbeat.Sequence;
+  return true;
+}
+
+auto acceptLeave(target_watch &Watch, const mesh::target_id &Id,
+                 std::optional<std::int64_t> BornAt) -> bool {
+  auto Unknown = Watch.Known.State == mesh::target_state::Absent;
+  auto SameStart = Watch.Known.Id == Id &&
+                   (!BornAt || *BornAt == Watch.Known.BornAt);
+  if (!Unknown && !SameStart) {
+    return false;
+  }
+  Watch.Known.Id = Id;
+  Watch.Known.BornAt = BornAt.value_or(Watch.Known.BornAt);
+  Watch.Known.State = mesh::target_state::Gone;
+  return true;
+}
+
+void rememberTarget(target_watch &Watch, const mesh::target_record &Earlier) {
+  auto Leaving = Earlier.State == mesh::target_state::Draining ||
+                 Earlier.State == mesh::target_state::Gone;
+  auto SameStart = Watch.Known.BornAt == Earlier.BornAt &&
+                   Watch.Known.Id == Earlier.Id;
+  if (Leaving && (Watch.Known.State == mesh::target_state::Absent ||
+                  (SameStart && Earlier.State > Watch.Known.State))) {
+    Watch.Known = Earlier;
+  }
+}
+
+} // namespace sycamorelb::sidecar
--- /dev/null
+++ b/src/sidecar/target_watch.h
@@ -0,0 +1,33 @@
+/** @file target_watch.h What the heartbeats of the target beside a node mean.
+ */
+#pragma once
+
+#include "sycamorelb/sidecar/heartbeat_type.h"
+
+#include <optional>
+
+namespace sycamorelb::sidecar {
+
+/** What is known of the target beside a node. */
+struct target_watch {
+  mesh::target_record Known;  ///< Newest start and its state.
+  std::uint64_t Sequence = 0; ///< Greatest sequence of that start.
+};
+
+/** Takes a heartbeat over unless it is outdated: of an earlier start, older
+ * than one seen before, or of a target that has said that it leaves.
+ * @return whether it holds. */
+auto acceptHeartbeat(target_watch &Watch, const target_heartbeat &Heartbeat)
+    -> bool;
+
+/** Takes over that a target leaves at once.
+ * @param BornAt its start, if it told.
+ * @return whether it is the target that is known. */
+auto acceptLeave(target_watch &Watch, const mesh::target_id &Id,
+                 std::optional<std::int64_t> BornAt) -> bool;
+
+/** Takes over what other nodes remember of the target from before this node
+ * started: a target that was leaving then is not ready now. */
+void rememberTarget(target_watch &Watch, const mesh::target_record &Earlier);
+
+} // namespace sycamorelb::sidecar
