--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -29,6 +29,8 @@
 static constexpr auto AvoidTime = micros(1'000'000);
 /** Wait told to callers where no target of the service is known. */
 static constexpr auto NoTargetWait = micros(300'000);
+/** Wait told to callers that come when the node is about to end. */
+static constexpr auto StoppingWait = micros(250'000);
 /** Time that a caller's connection may take for a request beyond the limit of
  * the configuration, and interval of the checks. */
 static constexpr auto SweepInterval = micros(2'000'000);
@@ -78,6 +80,7 @@
   std::unordered_map<std::uint64_t, call_ref> Attempts; // By number.
   std::map<route_id, mesh::split_state> Splits;
   std::uint64_t NextNumber = 1;
+  bool Refusing = false;
 
   void accept(std::shared_ptr<event::stream> Stream);
   void begin(const std::shared_ptr<http::server_connection> &Caller,
@@ -160,6 +163,9 @@
     http::request Request) {
   auto Now = State.Loop.now();
   auto Header = platform::decodeCallHeader(Request);
+  if (Refusing) {
+    return reject(Caller, Header.Id, 503, StoppingWait, "stopping");
+  }
   if (!State.Routes) {
     return reject(Caller, Header.Id, 503, NoTargetWait, "no configuration");
   }
@@ -545,7 +551,7 @@
   }
 }
 
-void entry::stopListening() { Impl->Listener = nullptr; }
+void entry::refuseNew() { Impl->Refusing = true; }
 
 auto entry::openCalls() const -> std::size_t { return Impl->Calls.size(); }
 
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -29,8 +29,8 @@
   void handleLinkLost(const node_id &Node, bool Established);
   /** Ends the connections of callers that are idle, as part of a stop. */
   void closeIdle();
-  /** Stops listening. */
-  void stopListening();
+  /** Refuses all further calls, as part of a stop. */
+  void refuseNew();
   /** @return calls in progress. */
   auto openCalls() const -> std::size_t;
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -474,6 +474,9 @@
   if (Passed >= StopIdleTime) {
     Entry.closeIdle();
   }
+  if (Passed >= StopServeTime) {
+    Entry.refuseNew();
+  }
   auto Idle = Entry.openCalls() == 0 && Admission.busy() == 0;
   auto Over = micros(State.Settings.Bounds.StopGrace) - StopMargin;
   if ((Passed >= StopServeTime && Idle) || Passed >= Over) {
