Feature: [Sidecar] Readers of the store per zone, deltas between nodes, bounded gossip

Cause: on the grown sites each change of a host or of the configuration made nodes with differing digests send each other whole host tables (9 KB), and each node read every version (200 KB) from the store: 270 MB between zones in 30 s, links of 10 Mbit/s were full, calls arrived seconds late and some ran twice after their numbers were forgotten. Change: two readers per zone follow the operators' topic and push deltas to their zone; digests are compared in the periodic exchange only, and answered by summaries; numbers of ended calls are remembered for 60 s; a message's wait on the way is taken off its times. A delta against the record at offset 0 is marked (it was taken for whole content).

--- a/include/sycamorelb/inner/mesh_message_type.h
+++ b/include/sycamorelb/inner/mesh_message_type.h
@@ -69,14 +69,24 @@
   rollout::version_evidence Evidence; ///< Tallies since the order.
 };
 
+/** How new a node's record of a host is. */
+struct host_revision {
+  node_id Node;                  ///< Host.
+  std::uint64_t Incarnation = 0; ///< Incarnation of the record.
+  std::uint64_t Revision = 0;    ///< Revision of the record.
+};
+
 /** Exchange of state between two nodes. */
 struct gossip_message {
   mesh::host_record Sender;          ///< Record of the sender.
   log_offset OperatorEnd{0};         ///< Sender's end of the operators' topic.
-  std::uint64_t HostDigest = 0;      ///< Digest of its host table.
+  std::uint64_t HostDigest = 0; ///< Digest of its host table; 0 if not told.
+  std::vector<host_revision> Summary;           ///< All its hosts, if told.
   std::vector<mesh::host_record> Hosts;         ///< Records of hosts.
   std::vector<mesh::operator_record> Records;   ///< Records of operators.
   std::vector<rollout::rollout_state> Rollouts; ///< Orders; SeenAt is local.
+  log_offset RecordsFrom{0}; ///< Records holds all changes from here on.
+  bool Reader = false;               ///< The sender reads the store.
   bool WantHosts = false;            ///< Asks for all hosts.
   bool WantRecords = false;          ///< Asks for records from OperatorEnd.
   std::vector<evidence_report> Evidence; ///< Tallies for those that decide.
@@ -106,6 +116,7 @@
 /** A message found at the front of a byte stream. */
 struct decoded_mesh {
   mesh_message Message;  ///< The message.
+  steady_time SentAt{};  ///< Time since boot at which the sender sent it.
   std::size_t Bytes = 0; ///< Bytes that it took.
 };
 
--- a/include/sycamorelb/mesh/operator_table.h
+++ b/include/sycamorelb/mesh/operator_table.h
@@ -4,7 +4,9 @@
 #include "sycamorelb/core/id_type.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -16,6 +18,9 @@
   log_offset Offset{0};     ///< Position in the topic.
   bool Dropped = false;     ///< The key was removed.
   std::string Value;        ///< Content, as the operator wrote it.
+  /** Record against which Value is a delta, on the way between nodes; nothing
+   * for the content itself. */
+  std::optional<log_offset> Base;
   auto operator==(const operator_record &) const -> bool = default;
 };
 
@@ -28,6 +33,14 @@
   /** Takes a record over if it is newer than what is held for its key.
    * @return whether it was. */
   auto merge(const operator_record &Record) -> bool;
+  /** Turns a delta into the content.
+   * @return the record, or nothing if its base is not held here. */
+  auto expand(const operator_record &Record) const
+      -> std::optional<operator_record>;
+  /** @return the records from From on, as deltas where a node whose table ends
+   * at From holds the base. */
+  auto changesFrom(log_offset From) const -> std::vector<operator_record>;
+
   /** Takes over a complete listing of the topic up to End: keys that it lacks
    * and that were written before Begin were dropped.
    * @param Begin end of the topic when the listing began.
@@ -48,6 +61,7 @@
 
 private:
   std::map<std::string, operator_record> Records;
+  std::deque<operator_record> Replaced; ///< Former large records, oldest first.
   log_offset End{0};
 };
 
--- a/src/inner/mesh.capnp
+++ b/src/inner/mesh.capnp
@@ -70,6 +70,13 @@
   offset @1 :UInt64;
   dropped @2 :Bool;
   value @3 :Data;
+  baseAfter @4 :UInt64;     # Value is a delta against the record before it, if not 0.
+}
+
+struct Revision {
+  node @0 :Text;
+  incarnation @1 :UInt64;
+  revision @2 :UInt64;
 }
 
 struct Rollout {
@@ -106,9 +113,13 @@
   wantHosts @6 :Bool;       # The sender asks for all hosts.
   wantRecords @7 :Bool;     # The sender asks for records from operatorEnd on.
   evidence @8 :List(Evidence);
+  summary @9 :List(Revision); # All hosts that the sender knows.
+  recordsFrom @10 :UInt64;  # All changes from this end on are in records.
+  reader @11 :Bool;         # The sender reads the store.
 }
 
 struct Message {
+  sentAt @7 :Int64;         # Time since the boot of the sender, in us.
   union {
     forward @0 :Forward;
     reply @1 :Reply;
--- a/src/inner/mesh_codec.cpp
+++ b/src/inner/mesh_codec.cpp
@@ -224,6 +224,9 @@
     List[Index].setOffset(Records[Index].Offset.Value);
     List[Index].setDropped(Records[Index].Dropped);
     List[Index].setValue(asData(Records[Index].Value));
+    if (Records[Index].Base) {
+      List[Index].setBaseAfter(Records[Index].Base->Value + 1);
+    }
   }
 }
 
@@ -251,6 +254,14 @@
   }
   writeRecords(Out, Message.Records);
   writeRollouts(Out, Message.Rollouts, Now);
+  auto Summary = Out.initSummary(static_cast<unsigned>(Message.Summary.size()));
+  for (auto Index = 0U; Index < Message.Summary.size(); ++Index) {
+    Summary[Index].setNode(Message.Summary[Index].Node.Value);
+    Summary[Index].setIncarnation(Message.Summary[Index].Incarnation);
+    Summary[Index].setRevision(Message.Summary[Index].Revision);
+  }
+  Out.setRecordsFrom(Message.RecordsFrom.Value);
+  Out.setReader(Message.Reader);
   Out.setWantHosts(Message.WantHosts);
   Out.setWantRecords(Message.WantRecords);
   auto Evidence =
@@ -293,16 +304,28 @@
     }
   }
   for (auto Item : In.getRecords()) {
-    Message.Records.push_back({textOf(Item.getKey()),
-                               {Item.getOffset()},
-                               Item.getDropped(),
-                               dataOf(Item.getValue())});
+    auto Record = mesh::operator_record{textOf(Item.getKey()),
+                                        {Item.getOffset()},
+                                        Item.getDropped(),
+                                        dataOf(Item.getValue()),
+                                        std::nullopt};
+    if (Item.getBaseAfter() > 0) {
+      Record.Base = log_offset{Item.getBaseAfter() - 1};
+    }
+    Message.Records.push_back(std::move(Record));
   }
   for (auto Item : In.getRollouts()) {
     if (auto Rollout = readRollout(Item, Now)) {
       Message.Rollouts.push_back(std::move(*Rollout));
     }
   }
+  for (auto Item : In.getSummary()) {
+    Message.Summary.push_back({{textOf(Item.getNode())},
+                               Item.getIncarnation(),
+                               Item.getRevision()});
+  }
+  Message.RecordsFrom.Value = In.getRecordsFrom();
+  Message.Reader = In.getReader();
   Message.WantHosts = In.getWantHosts();
   Message.WantRecords = In.getWantRecords();
   for (auto Item : In.getEvidence()) {
@@ -370,8 +393,9 @@
 
 auto encodeMesh(const mesh_message &Message, steady_time Now) -> std::string {
   auto Builder = capnp::MallocMessageBuilder();
-  std::visit(
-      message_writer{Builder.initRoot<mesh_wire::Message>(), Now}, Message);
+  auto Root = Builder.initRoot<mesh_wire::Message>();
+  Root.setSentAt(Now.time_since_epoch().count());
+  std::visit(message_writer{Root, Now}, Message);
   auto Flat = capnp::messageToFlatArray(Builder);
   auto Bytes = Flat.asChars();
   auto Out = std::string(LengthBytes + Bytes.size(), '\0');
@@ -400,12 +424,15 @@
     auto Options = capnp::ReaderOptions();
     Options.traversalLimitInWords = 4 * Words.size() + 1024;
     auto Reader = capnp::FlatArrayMessageReader(Words, Options);
-    auto Message = readMessage(Reader.getRoot<mesh_wire::Message>(), Now);
+    auto Root = Reader.getRoot<mesh_wire::Message>();
+    auto Message = readMessage(Root, Now);
     if (!Message) {
       return corrupt("unknown or incomplete message");
     }
     return std::optional<decoded_mesh>(
-        decoded_mesh{std::move(*Message), LengthBytes + Length});
+        decoded_mesh{std::move(*Message),
+                     steady_time(micros(Root.getSentAt())),
+                     LengthBytes + Length});
   } catch (const kj::Exception &Failure) {
     return corrupt(Failure.getDescription().cStr());
   }
--- a/src/mesh/operator_table.cpp
+++ b/src/mesh/operator_table.cpp
@@ -1,10 +1,17 @@
 /** @file operator_table.cpp Merging of the operators' records. */
 #include "sycamorelb/mesh/operator_table.h"
 
+#include "sycamorelb/mesh/record_delta.h"
+
 #include <algorithm>
 
 namespace sycamorelb::mesh {
 
+/** Former records that are kept as bases of deltas. */
+static constexpr auto MaxReplaced = std::size_t{6};
+/** Content in bytes from which a delta is worth its trouble. */
+static constexpr auto DeltaBytes = std::size_t{2048};
+
 auto operator_table::merge(const operator_record &Record) -> bool {
   auto [Found, IsNew] = Records.try_emplace(Record.Key, Record);
   if (IsNew) {
@@ -13,10 +20,54 @@
   if (Record.Offset <= Found->second.Offset) {
     return false;
   }
+  if (Found->second.Value.size() >= DeltaBytes) {
+    Replaced.push_back(std::move(Found->second));
+    if (Replaced.size() > MaxReplaced) {
+      Replaced.pop_front();
+    }
+  }
   Found->second = Record;
   return true;
 }
 
+auto operator_table::expand(const operator_record &Record) const
+    -> std::optional<operator_record> {
+  if (!Record.Base) {
+    return Record;
+  }
+  auto Found = Records.find(Record.Key);
+  if (Found == Records.end() || Found->second.Offset != *Record.Base) {
+    return std::nullopt;
+  }
+  auto Text = applyDelta(Found->second.Value, Record.Value);
+  if (!Text) {
+    return std::nullopt;
+  }
+  return operator_record{Record.Key, Record.Offset, Record.Dropped,
+                         std::move(*Text), {}};
+}
+
+auto operator_table::changesFrom(log_offset From) const
+    -> std::vector<operator_record> {
+  auto Changes = std::vector<operator_record>();
+  for (const auto &[Key, Record] : Records) {
+    if (Record.Offset < From) {
+      continue;
+    }
+    Changes.push_back(Record);
+    auto Base = std::find_if(
+        Replaced.rbegin(), Replaced.rend(), [&](const auto &Former) {
+          return Former.Key == Record.Key && Former.Offset < From;
+        });
+    if (Base != Replaced.rend() && !Record.Dropped) {
+      // The newest former record before From is what the other node holds.
+      Changes.back().Base = Base->Offset;
+      Changes.back().Value = encodeDelta(Base->Value, Record.Value);
+    }
+  }
+  return Changes;
+}
+
 auto operator_table::mergeListing(const std::vector<operator_record> &Listing,
                                   log_offset Begin, log_offset End)
     -> std::vector<std::string> {
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -9,6 +9,7 @@
 #include <algorithm>
 #include <deque>
 #include <map>
+#include <set>
 #include <unordered_map>
 #include <utility>
 
@@ -21,6 +22,10 @@
 static constexpr auto KeepOutcome = micros(2'500'000);
 /** Outcomes kept at most. */
 static constexpr auto MaxOutcomes = std::size_t{512};
+/** Time for which the number of a call is remembered, so that a copy of it
+ * that was held up on the way does not run; no connection holds bytes up for
+ * longer, as unacknowledged ones break it. */
+static constexpr auto KeepNumber = micros(60'000'000);
 /** Time after a lost connection in which the entry node may come back before
  * its calls are dropped. */
 static constexpr auto OriginGrace = micros(400'000);
@@ -78,6 +83,8 @@
   std::map<call_key, std::uint64_t> Serials;
   std::unordered_map<std::uint64_t, std::shared_ptr<admitted_call>> Calls;
   std::deque<std::pair<steady_time, std::uint64_t>> Outcomes;
+  std::set<call_key> Ended; // Numbers of calls whose outcome was dropped.
+  std::deque<std::pair<steady_time, call_key>> EndedOrder;
   std::uint64_t NextSerial = 1;
   std::uint32_t Running = 0;
   std::uint32_t SilentCalls = 0;
@@ -181,11 +188,19 @@
           Outcomes.front().first + KeepOutcome < State.Loop.now())) {
     auto Found = Calls.find(Outcomes.front().second);
     if (Found != Calls.end()) {
-      Serials.erase(Found->second->Key);
+      auto Key = Found->second->Key;
+      Serials.erase(Key);
       Calls.erase(Found);
+      Ended.insert(Key);
+      EndedOrder.emplace_back(State.Loop.now(), Key);
     }
     Outcomes.pop_front();
   }
+  while (!EndedOrder.empty() &&
+         EndedOrder.front().first + KeepNumber < State.Loop.now()) {
+    Ended.erase(EndedOrder.front().second);
+    EndedOrder.pop_front();
+  }
 }
 
 void admission::implementation::finish(admitted_call &Call,
@@ -232,6 +247,13 @@
     return;
   }
   auto Now = State.Loop.now();
+  if (Impl->Ended.contains(Key)) {
+    auto Outcome = reply_message();
+    Outcome.Call = Forward.Call;
+    Outcome.Outcome = reply_outcome::Unknown;
+    Outcome.Reason = "ended long ago";
+    return Reply(Outcome);
+  }
   auto Call = std::make_shared<admitted_call>();
   Call->Key = Key;
   Call->Serial = Impl->NextSerial++;
@@ -247,6 +269,9 @@
   if (const auto *Obstacle = Impl->obstacle(Call->Forward)) {
     return Impl->refuse(*Call, Obstacle);
   }
+  if (Call->DeadlineAt <= Now) {
+    return Impl->refuse(*Call, "deadline passed on the way");
+  }
   if (!Impl->Queue.push(Waiting, Impl->pace(), Now)) {
     return Impl->refuse(*Call, "no room in time");
   }
--- a/src/sidecar/gossip.cpp
+++ b/src/sidecar/gossip.cpp
@@ -1,7 +1,11 @@
 /** @file gossip.cpp Spreads what nodes know among them. */
 #include "sidecar/gossip.h"
 
+#include "sycamorelb/mesh/reader_func.h"
+
 #include <algorithm>
+#include <map>
+#include <tuple>
 
 namespace sycamorelb::sidecar {
 
@@ -10,11 +14,19 @@
 /** Interval of the exchange with a random node. A node whose news were lost
  * hears of them within a few intervals. */
 static constexpr auto ExchangeInterval = micros(1'000'000);
-/** Random nodes that are told at once that operators wrote something. */
-static constexpr auto NoticeFanout = std::size_t{4};
-/** Time in which a node with access to the store reads a change itself before
- * it asks the node that told of it. */
-static constexpr auto OwnReadTime = micros(250'000);
+/** One in so many exchanges goes to a node of another zone. */
+static constexpr auto FarExchange = std::uint32_t{5};
+/** Interval at which a reader of the store tells its zone that it is there. */
+static constexpr auto ReaderInterval = micros(500'000);
+/** Silence of the readers after which a node reads the store itself. */
+static constexpr auto ReaderSilence = micros(1'300'000);
+/** Nodes of other zones that a reader tells of a change. */
+static constexpr auto FarNotices = std::size_t{2};
+/** Nodes of the own zone that are asked for what they know, at the start. */
+static constexpr auto AskedAtStart = std::size_t{2};
+/** Time in which a node hears of a change from a reader of its zone, or reads
+ * it itself, before it asks another node that told of it. */
+static constexpr auto OwnReadTime = micros(700'000);
 
 void publishOwn(node_state &State) {
   ++State.Own.Revision;
@@ -25,17 +37,19 @@
   node_state &State;
   peer_links &Links;
   gossip_events Events;
+  steady_time ReaderHeardAt{};
 
   auto message() const -> gossip_message;
-  auto others() const -> std::vector<node_id>;
+  auto others(bool SameZone) const -> std::vector<node_id>;
   void exchange();
+  void tellZone();
   void askRecordsLater(const node_id &Node, log_offset End);
   void mergeRecords(const gossip_message &Message);
 };
 
 gossip::gossip(node_state &State, peer_links &Links, gossip_events Events)
     : Impl(std::make_unique<implementation>(
-          implementation{State, Links, std::move(Events)})) {}
+          implementation{State, Links, std::move(Events), {}})) {}
 
 gossip::~gossip() = default;
 
@@ -43,62 +57,117 @@
   auto Message = gossip_message();
   Message.Sender = State.Own;
   Message.OperatorEnd = State.Operator.end();
-  Message.HostDigest = State.Hosts.digest();
+  Message.Reader = mesh::isReader(State.Hosts, State.Own) &&
+                   !State.Own.StoreLost && State.StoreListed;
   for (const auto &[Service, Rollout] : State.Rollouts) {
     Message.Rollouts.push_back(Rollout);
   }
   return Message;
 }
 
-auto gossip::implementation::others() const -> std::vector<node_id> {
+auto gossip::implementation::others(bool SameZone) const
+    -> std::vector<node_id> {
   auto Nodes = std::vector<node_id>();
   for (const auto &[Node, Host] : State.Hosts.records()) {
-    if (Node != State.Own.Node && !Host.Leaving) {
+    if (Node != State.Own.Node && !Host.Leaving &&
+        (Host.Zone == State.Own.Zone) == SameZone) {
       Nodes.push_back(Node);
     }
   }
   return Nodes;
 }
 
+/** Moves Count random nodes to the front and drops the others. */
+static void keepRandom(std::vector<node_id> &Nodes, std::size_t Count,
+                       random_source &Random) {
+  Count = std::min(Count, Nodes.size());
+  for (auto Index = std::size_t{0}; Index < Count; ++Index) {
+    auto Left = static_cast<std::uint32_t>(Nodes.size() - Index);
+    std::swap(Nodes[Index], Nodes[Index + randomBelow(Random, Left)]);
+  }
+  Nodes.resize(Count);
+}
+
 void gossip::implementation::exchange() {
-  auto Nodes = others();
+  auto Far = randomBelow(State.Random, FarExchange) == 0;
+  auto Nodes = others(!Far);
+  if (Nodes.empty()) {
+    Nodes = others(Far);
+  }
+  keepRandom(Nodes, 1, State.Random);
   if (!Nodes.empty() && !State.Stopping) {
-    auto Index =
-        randomBelow(State.Random, static_cast<std::uint32_t>(Nodes.size()));
-    Links.send(Nodes[Index], message());
+    auto Message = message();
+    Message.HostDigest = State.Hosts.digest();
+    Links.send(Nodes[0], Message);
   }
   State.Loop.addTimer(State.Loop.now() + ExchangeInterval,
                       [this] { exchange(); });
 }
 
+void gossip::implementation::tellZone() {
+  if (mesh::isReader(State.Hosts, State.Own) && !State.Own.StoreLost &&
+      State.StoreListed && !State.Stopping) {
+    auto Message = message();
+    for (const auto &Node : others(true)) {
+      Links.send(Node, Message);
+    }
+  }
+  State.Loop.addTimer(State.Loop.now() + ReaderInterval,
+                      [this] { tellZone(); });
+}
+
 void gossip::start() {
   Impl->State.Loop.addTimer(Impl->State.Loop.now() + ExchangeInterval,
                             [this] { Impl->exchange(); });
+  Impl->tellZone();
+}
+
+auto gossip::mustReadStore() const -> bool {
+  auto &State = Impl->State;
+  return mesh::isReader(State.Hosts, State.Own) ||
+         State.Loop.now() - Impl->ReaderHeardAt > ReaderSilence;
 }
 
 void gossip::tellOwnRecord() { Impl->Links.broadcast(Impl->message()); }
 
 void gossip::tellRollouts() { Impl->Links.broadcast(Impl->message()); }
 
-void gossip::tellOperatorEnd() {
-  auto Nodes = Impl->others();
+void gossip::tellOperatorChanges(log_offset From) {
+  auto &State = Impl->State;
   auto Message = Impl->message();
-  for (auto Index = std::size_t{0}; Index < Nodes.size(); ++Index) {
-    auto Left = static_cast<std::uint32_t>(Nodes.size() - Index);
-    std::swap(Nodes[Index],
-              Nodes[Index + randomBelow(Impl->State.Random, Left)]);
-    const auto *Host = Impl->State.Hosts.find(Nodes[Index]);
-    if (Index < NoticeFanout || (Host != nullptr && Host->StoreLost)) {
-      Impl->Links.send(Nodes[Index], Message);
+  auto Far = Impl->others(false);
+  keepRandom(Far, FarNotices, State.Random);
+  for (const auto &[Node, Host] : State.Hosts.records()) {
+    if (Host.StoreLost && Host.Zone != State.Own.Zone && !Host.Leaving) {
+      Far.push_back(Node);
     }
   }
+  for (const auto &Node : Far) {
+    Impl->Links.send(Node, Message);
+  }
+  if (!mesh::isReader(State.Hosts, State.Own)) {
+    return;
+  }
+  Message.Records = State.Operator.changesFrom(From);
+  Message.RecordsFrom = From;
+  for (const auto &Node : Impl->others(true)) {
+    Impl->Links.send(Node, Message);
+  }
 }
 
 void gossip::greetAll() {
   auto Message = Impl->message();
+  Impl->Links.broadcast(Message);
+  auto Asked = Impl->others(true);
+  if (Asked.empty()) {
+    Asked = Impl->others(false);
+  }
+  keepRandom(Asked, AskedAtStart, Impl->State.Random);
   Message.WantHosts = true;
   Message.WantRecords = true;
-  Impl->Links.broadcast(Message);
+  for (const auto &Node : Asked) {
+    Impl->Links.send(Node, Message);
+  }
 }
 
 void gossip::tellEvidence(const node_id &Node, const evidence_report &Report) {
@@ -155,15 +224,32 @@
 
 void gossip::implementation::mergeRecords(const gossip_message &Message) {
   auto Keys = std::vector<std::string>();
+  auto Complete = Message.RecordsFrom <= State.Operator.end() &&
+                  !Message.Records.empty();
+  auto LacksBase = false;
   for (const auto &Record : Message.Records) {
-    if (State.Operator.merge(Record)) {
+    auto Held = State.Operator.records().find(Record.Key);
+    if (Held != State.Operator.records().end() &&
+        Held->second.Offset >= Record.Offset) {
+      continue;
+    }
+    auto Whole = State.Operator.expand(Record);
+    Complete = Complete && Whole;
+    LacksBase = LacksBase || !Whole;
+    if (Whole && State.Operator.merge(*Whole)) {
       Keys.push_back(Record.Key);
     }
   }
-  if (!Message.Records.empty()) {
-    // The sender gave all records from the end that was asked for.
+  if (Complete) {
     State.Operator.noteEnd(Message.OperatorEnd);
   }
+  if (LacksBase) {
+    // Asks for everything, which then comes as whole records.
+    auto Question = message();
+    Question.WantRecords = true;
+    Question.OperatorEnd = log_offset{0};
+    Links.send(Message.Sender.Node, Question);
+  }
   if (!Keys.empty()) {
     State.Log.write(
         log_class::State, "operator.from_peer",
@@ -174,10 +260,54 @@
   }
 }
 
+/** @return how new the records of all hosts are. */
+static auto summaryOf(const node_state &State) -> std::vector<host_revision> {
+  auto Summary = std::vector<host_revision>();
+  for (const auto &[Node, Host] : State.Hosts.records()) {
+    Summary.push_back({Node, Host.Incarnation, Host.Revision});
+  }
+  return Summary;
+}
+
+/** @return the hosts of which the sender of the summary knows less. */
+static auto newerThan(const node_state &State,
+                      const std::vector<host_revision> &Summary)
+    -> std::vector<mesh::host_record> {
+  auto Known = std::map<node_id, const host_revision *>();
+  for (const auto &Entry : Summary) {
+    Known.emplace(Entry.Node, &Entry);
+  }
+  auto Newer = std::vector<mesh::host_record>();
+  for (const auto &[Node, Host] : State.Hosts.records()) {
+    auto Found = Known.find(Node);
+    if (Found == Known.end() ||
+        std::tie(Host.Incarnation, Host.Revision) >
+            std::tie(Found->second->Incarnation, Found->second->Revision)) {
+      Newer.push_back(Host);
+    }
+  }
+  return Newer;
+}
+
+/** @return whether the sender of the summary knows more of some host. */
+static auto lacksSome(const node_state &State,
+                      const std::vector<host_revision> &Summary) -> bool {
+  return std::any_of(
+      Summary.begin(), Summary.end(), [&State](const host_revision &Entry) {
+        const auto *Held = State.Hosts.find(Entry.Node);
+        return Held == nullptr ||
+               std::tie(Entry.Incarnation, Entry.Revision) >
+                   std::tie(Held->Incarnation, Held->Revision);
+      });
+}
+
 void gossip::handle(
     const gossip_message &Message,
     const std::function<void(const mesh_message &)> &Answer) {
   auto &State = Impl->State;
+  if (Message.Reader && Message.Sender.Zone == State.Own.Zone) {
+    Impl->ReaderHeardAt = State.Loop.now();
+  }
   mergeHost(Message.Sender);
   for (const auto &Host : Message.Hosts) {
     mergeHost(Host);
@@ -189,24 +319,31 @@
   for (const auto &Report : Message.Evidence) {
     Impl->Events.OnEvidence(Report);
   }
+  // A differing digest is answered by a summary. A summary is answered by the
+  // records that its sender lacks, and by a summary if this node lacks some.
   auto Reply = Impl->message();
-  auto Differs = Message.HostDigest != State.Hosts.digest();
-  if (Message.WantHosts || Differs) {
-    for (const auto &[Node, Host] : State.Hosts.records()) {
-      Reply.Hosts.push_back(Host);
+  auto Answers = false;
+  if (Message.HostDigest != 0 && Message.HostDigest != State.Hosts.digest()) {
+    Reply.Summary = summaryOf(State);
+    Answers = true;
+  }
+  if (!Message.Summary.empty()) {
+    Reply.Hosts = newerThan(State, Message.Summary);
+    if (lacksSome(State, Message.Summary)) {
+      Reply.Summary = summaryOf(State);
     }
-    // Asks for the others' only if this is not an answer to such a question.
-    Reply.WantHosts = Differs && !Message.WantHosts && Message.Hosts.empty();
+    Answers = !Reply.Hosts.empty() || !Reply.Summary.empty();
+  }
+  if (Message.WantHosts) {
+    Reply.Hosts = newerThan(State, {});
+    Answers = true;
   }
   if (Message.WantRecords) {
-    for (const auto &[Key, Record] : State.Operator.records()) {
-      if (Record.Offset >= Message.OperatorEnd) {
-        Reply.Records.push_back(Record);
-      }
-    }
+    Reply.Records = State.Operator.changesFrom(Message.OperatorEnd);
+    Reply.RecordsFrom = Message.OperatorEnd;
+    Answers = true;
   }
-  auto Asked = Message.WantHosts || Message.WantRecords;
-  if (Asked || (Differs && Message.Hosts.empty())) {
+  if (Answers) {
     Answer(Reply);
   }
   if (Message.OperatorEnd > State.Operator.end()) {
--- a/src/sidecar/gossip.h
+++ b/src/sidecar/gossip.h
@@ -36,11 +36,14 @@
   void tellOwnRecord();
   /** Tells all nodes the progress of the orders. */
   void tellRollouts();
-  /** Tells some nodes that records of operators have changed, and all that
-   * can't read the store. */
-  void tellOperatorEnd();
-  /** Greets all known hosts, after the start of this node. */
+  /** Tells the nodes that rely on this one what operators have changed.
+   * @param From end of the operators' topic before the change. */
+  void tellOperatorChanges(log_offset From);
+  /** Greets all known hosts, and asks some for what they know. */
   void greetAll();
+  /** @return whether this node has to read the store itself: it is one of the
+   * readers of its zone, or has not heard from them for a while. */
+  auto mustReadStore() const -> bool;
   /** Sends tallies to another node. */
   void tellEvidence(const node_id &Node, const inner::evidence_report &Report);
   /** Handles gossip. Answer sends on the connection that it came by. */
--- a/src/sidecar/peer_links.cpp
+++ b/src/sidecar/peer_links.cpp
@@ -26,6 +26,15 @@
   Session.Stream->send(encodeMesh(Message, Now));
 }
 
+auto transitDelay(peer_session &Session, steady_time SentAt, steady_time Now)
+    -> micros {
+  auto Offset = Now - SentAt;
+  if (!Session.LeastOffset || Offset < *Session.LeastOffset) {
+    Session.LeastOffset = Offset;
+  }
+  return Offset - *Session.LeastOffset;
+}
+
 /** Takes whole messages off a stream.
  * @return false if the bytes can't be decoded. */
 template <class Handler>
@@ -40,7 +49,7 @@
       return true;
     }
     Stream.consume(valueOf(Decoded)->Bytes);
-    if (!Handle(std::move(valueOf(Decoded)->Message))) {
+    if (!Handle(std::move(*valueOf(Decoded)))) {
       return true;
     }
   }
@@ -72,6 +81,7 @@
 
   void accept(std::shared_ptr<event::stream> Stream);
   void handleSession(const std::shared_ptr<peer_session> &Session);
+  void beginSession(peer_session &Session, const mesh::host_record &Peer);
   void endSession(const std::shared_ptr<peer_session> &Session);
   auto open(const node_id &Node, outbound_link &Link) -> bool;
   void handleLink(const node_id &Node);
@@ -103,7 +113,7 @@
 void peer_links::implementation::accept(
     std::shared_ptr<event::stream> Stream) {
   auto Session =
-      std::make_shared<peer_session>(peer_session{std::move(Stream), {}});
+      std::make_shared<peer_session>(peer_session{std::move(Stream), {}, {}});
   auto Weak = std::weak_ptr<peer_session>(Session);
   Sessions.insert(Session);
   Session->Stream->OnData = [this, Weak] {
@@ -122,9 +132,16 @@
     const std::shared_ptr<peer_session> &Session) {
   auto Hold = Session;
   auto Valid = readMessages(
-      *Session->Stream, State.Loop.now(), [&](mesh_message Message) {
+      *Session->Stream, State.Loop.now(), [&](decoded_mesh Decoded) {
+        auto &Message = Decoded.Message;
         if (auto *Opened = std::get_if<opened_message>(&Message)) {
-          Session->Peer = Opened->Sender;
+          beginSession(*Session, Opened->Sender);
+        }
+        auto Delay = transitDelay(*Session, Decoded.SentAt, State.Loop.now());
+        if (auto *Forward = std::get_if<forward_message>(&Message)) {
+          Forward->TimeOnTime -= Delay;
+          Forward->TimeToStart -= Delay;
+          Forward->TimeLeft -= Delay;
         }
         if (std::holds_alternative<ping_message>(Message)) {
           sendOn(*Session, pong_message(), State.Loop.now());
@@ -142,6 +159,18 @@
   }
 }
 
+void peer_links::implementation::beginSession(peer_session &Session,
+                                              const mesh::host_record &Peer) {
+  Session.Peer = Peer;
+  // An earlier connection of the same process knows the clocks already.
+  for (const auto &Other : Sessions) {
+    if (Other->Peer.Node == Peer.Node && Other->LeastOffset &&
+        Other->Peer.Incarnation == Peer.Incarnation) {
+      Session.LeastOffset = Other->LeastOffset;
+    }
+  }
+}
+
 void peer_links::implementation::endSession(
     const std::shared_ptr<peer_session> &Session) {
   auto Hold = Session;
@@ -180,8 +209,9 @@
   Link.HeardAt = State.Loop.now();
   Link.PingedAt = steady_time();
   auto Valid = readMessages(*Stream, State.Loop.now(),
-                            [&](mesh_message Message) {
-                              Events.OnLinkMessage(Node, std::move(Message));
+                            [&](decoded_mesh Decoded) {
+                              Events.OnLinkMessage(Node,
+                                                   std::move(Decoded.Message));
                               return Links[Node].Stream == Stream;
                             });
   if (!Valid) {
--- a/src/sidecar/peer_links.h
+++ b/src/sidecar/peer_links.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace sycamorelb::sidecar {
 
@@ -13,8 +14,16 @@
 struct peer_session {
   std::shared_ptr<event::stream> Stream; ///< The connection.
   mesh::host_record Peer;                ///< The node that opened it.
+  /** Least difference between the clocks of the two nodes that was seen; what
+   * a message shows beyond it is the time that it waited on the way. */
+  std::optional<micros> LeastOffset;
 };
 
+/** @return how long a message waited on the way, from the clocks of both ends;
+ * remembers the least difference. */
+auto transitDelay(peer_session &Session, steady_time SentAt, steady_time Now)
+    -> micros;
+
 /** Sends a message; dropped if the connection has ended. */
 void sendOn(const peer_session &Session, const inner::mesh_message &Message,
             steady_time Now);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -180,12 +180,15 @@
 
 auto sidecar::implementation::storeEvents() -> store_events {
   auto Events = store_events();
-  Events.OnOperatorKeys = [this](const std::vector<std::string> &Keys) {
+  Events.OnOperatorKeys = [this](const std::vector<std::string> &Keys,
+                                 log_offset From) {
     noteOperatorKeys(Keys);
-    if (!Keys.empty()) {
-      Gossip.tellOperatorEnd();
+    // The first listing of a node that starts is no news.
+    if (!Keys.empty() && State.StoreListed) {
+      Gossip.tellOperatorChanges(From);
     }
   };
+  Events.MustRead = [this] { return Gossip.mustReadStore(); };
   Events.OnMeshListed =
       [this](const std::vector<mesh::operator_record> &Records) {
         noteMeshListed(Records);
--- a/src/sidecar/store_feed.cpp
+++ b/src/sidecar/store_feed.cpp
@@ -15,12 +15,15 @@
 static constexpr auto ConnectTimeout = millis(800);
 /** Time for calls that don't wait; the store takes 4 ms when it is well. */
 static constexpr auto CallTimeout = millis(2500);
-/** How long the store holds a poll; its limit is 30 s. */
-static constexpr auto PollWait = millis(30000);
+/** How long the store holds a poll. A store that went silent without closing
+ * its connections is noticed after this time and the margin. */
+static constexpr auto PollWait = millis(5000);
 /** Time beyond PollWait after which a poll has failed. */
-static constexpr auto PollMargin = millis(2000);
+static constexpr auto PollMargin = millis(1500);
 /** Pause between polls; several changes then cost one call. */
 static constexpr auto PollGap = micros(400'000);
+/** Interval at which a node that relies on others checks whether it must. */
+static constexpr auto RelyInterval = micros(500'000);
 /** Pauses after failures, doubled each time. */
 static constexpr auto FirstPause = micros(300'000);
 static constexpr auto LongestPause = micros(1'500'000);
@@ -201,9 +204,10 @@
                 });
               }
               auto &Value = valueOf(Page);
+              auto From = State.Operator.end();
               auto Keys = State.Operator.mergeListing(Value.Records, Value.End,
                                                       Value.End);
-              Events.OnOperatorKeys(Keys);
+              Events.OnOperatorKeys(Keys, From);
               if (State.StoreListed) {
                 return poll(Started);
               }
@@ -236,6 +240,11 @@
   if (Started != Run || Closed) {
     return;
   }
+  if (!Events.MustRead()) {
+    State.Loop.addTimer(State.Loop.now() + RelyInterval,
+                        [this, Started] { poll(Started); });
+    return;
+  }
   if (!Poll || !Poll->isReusable()) {
     Poll = connect();
   }
@@ -273,7 +282,7 @@
   State.Operator.noteEnd(
       Records.empty() ? From : log_offset{Records.back().Offset.Value + 1});
   if (!Keys.empty()) {
-    Events.OnOperatorKeys(Keys);
+    Events.OnOperatorKeys(Keys, From);
   }
   State.Loop.addTimer(State.Loop.now() + PollGap,
                       [this, Started] { poll(Started); });
--- a/src/sidecar/store_feed.h
+++ b/src/sidecar/store_feed.h
@@ -11,8 +11,12 @@
 
 /** What the feed tells the rest of the node. */
 struct store_events {
-  /** Records of operators changed; the keys are given. */
-  std::function<void(const std::vector<std::string> &)> OnOperatorKeys;
+  /** Records of operators changed; the keys are given, and the end of the
+   * topic before the change. */
+  std::function<void(const std::vector<std::string> &, log_offset)>
+      OnOperatorKeys;
+  /** @return whether this node has to follow the operators' topic itself. */
+  std::function<bool()> MustRead;
   /** The mesh topic was listed. */
   std::function<void(const std::vector<mesh::operator_record> &)> OnMeshListed;
   /** The store was lost or regained. */
