--- a/include/sycamorelb/dispatch/pick.h
+++ b/include/sycamorelb/dispatch/pick.h
@@ -23,6 +23,8 @@
   micros MeanRun{0};         ///< Mean time that a call holds a slot.
   std::uint32_t FailurePpm = 0; ///< Share of calls that it failed lately.
   bool Cold = false;         ///< Starts are limited to a rate.
+  std::uint32_t LinkKbps = 0;    ///< Bandwidth of the host; 0 if unknown.
+  std::uint32_t LinkBusyPpm = 0; ///< Share of it in use lately.
 };
 
 /** What an entry node believes of a target. */
@@ -48,11 +50,16 @@
   micros MeanRun{0};    ///< Mean run time of its route.
   micros TimeOnTime{0}; ///< Time left for an answer on time; may be negative.
   micros TimeLeft{0};   ///< Time left at all.
+  std::size_t Bytes = 0; ///< Size of the request.
 };
 
 /** @return the expected wait for a slot at the target. */
 auto predictedWait(const target_view &View, steady_time Now) -> micros;
 
+/** @return the expected time for a request of Bytes to reach the target's host
+ * over its link. */
+auto predictedTransfer(const target_view &View, std::size_t Bytes) -> micros;
+
 /** @return the share of failed calls, fading while nothing is reported. */
 auto believedFailure(const target_view &View, steady_time Now) -> double;
 
--- a/include/sycamorelb/event/loop.h
+++ b/include/sycamorelb/event/loop.h
@@ -35,6 +35,13 @@
    * time that the loop meant to wait; large after a pause of the process. */
   auto lastStall() const -> micros;
 
+  /** Counts bytes that crossed the host's link. */
+  void noteTraffic(std::size_t Received, std::size_t Sent);
+  /** @return bytes received over the link since the start. */
+  auto receivedBytes() const -> std::uint64_t;
+  /** @return bytes sent over the link since the start. */
+  auto sentBytes() const -> std::uint64_t;
+
   /** Calls Run once, at At or slightly later. */
   auto addTimer(steady_time At, callback Run) -> timer_id;
   /** Forgets a timer; unknown ids are ignored. */
--- a/include/sycamorelb/event/stream.h
+++ b/include/sycamorelb/event/stream.h
@@ -65,6 +65,9 @@
   auto pendingOutput() const -> std::size_t;
   /** @return whether the connection is established and not closed. */
   auto isOpen() const -> bool;
+  /** Leaves this connection out of the traffic of the host's link, for a peer
+   * on the same host. */
+  void excludeFromLink();
   /** Stops or resumes reading, to bound the input of a busy peer. */
   void pauseReading(bool Paused);
   /** Closes at once; queued output is dropped. */
--- a/include/sycamorelb/http/client_connection.h
+++ b/include/sycamorelb/http/client_connection.h
@@ -24,6 +24,7 @@
 struct client_options {
   millis ConnectTimeout{1000};    ///< For a new connection.
   std::size_t MaxBodyBytes = 0;   ///< Longer bodies are a failure.
+  bool SameHost = false;          ///< The server is on this host.
 };
 
 /**
--- a/include/sycamorelb/mesh/host_table.h
+++ b/include/sycamorelb/mesh/host_table.h
@@ -43,6 +43,7 @@
   std::uint64_t Revision = 0;    ///< Grows with each change of the record.
   bool StoreLost = false;     ///< The node can't read the platform's store.
   bool Leaving = false;       ///< The node stops.
+  bool Capable = false; ///< It has the means to read the store for others.
   target_record Target;       ///< The target beside it.
   auto operator==(const host_record &) const -> bool = default;
 };
--- a/include/sycamorelb/sidecar/settings_type.h
+++ b/include/sycamorelb/sidecar/settings_type.h
@@ -33,6 +33,8 @@
   event::endpoint Store;    ///< Address of the platform's store.
   millis HeartbeatInterval{1500}; ///< Between heartbeats of the target.
   std::uint32_t MemoryMb = 256;   ///< Memory that the process may use.
+  double LinkMbps = 1000;         ///< Bandwidth of the host's link, Mbit/s.
+  double CpuShare = 1;            ///< Share of a core that the host has.
   mesh_bounds Bounds;             ///< Promises of the deployment.
 };
 
--- a/src/dispatch/pick.cpp
+++ b/src/dispatch/pick.cpp
@@ -10,7 +10,7 @@
  * it goes to another one. */
 static constexpr auto ZoneShare = 0.6;
 /** Weight of a target's occupancy among targets with free slots. */
-static constexpr auto OccupancyWeight = 0.3;
+static constexpr auto OccupancyWeight = 0.6;
 /** Cost of a certain failure in units of the time for an answer on time. */
 static constexpr auto FailureWeight = 1.5;
 /** Random part of a score, so that equal nodes choose different targets. */
@@ -19,6 +19,13 @@
 static constexpr auto FailureFresh = micros(1'500'000);
 /** Time in which a failure share halves after that. */
 static constexpr auto FailureHalfLife = micros(1'500'000);
+/** Bytes of a call beside its body: heads and answer. */
+static constexpr auto CallBytes = std::size_t{2000};
+/** Size of the messages that a busy link carries, in bytes, for the expected
+ * wait behind them. */
+static constexpr auto OtherBytes = 40'000.0;
+/** Share of a link that stays free in the estimate, so that it is finite. */
+static constexpr auto LeastFreeShare = 0.05;
 /** Share of its time left that a caller waits for at most. */
 static constexpr auto LongestReturnShare = 0.3;
 /** Shortest time after which a refused caller returns. */
@@ -49,6 +56,17 @@
   return micros(static_cast<std::int64_t>(Over * Mean / Slots));
 }
 
+auto predictedTransfer(const target_view &View, std::size_t Bytes) -> micros {
+  if (View.Load.LinkKbps == 0) {
+    return micros(0);
+  }
+  auto Busy = std::min(View.Load.LinkBusyPpm / 1e6, 1 - LeastFreeShare);
+  auto MicrosPerByte = 8e3 / View.Load.LinkKbps;
+  auto Own = static_cast<double>(Bytes + CallBytes) * MicrosPerByte;
+  auto Others = OtherBytes * MicrosPerByte * Busy * Busy / (1 - Busy);
+  return micros(static_cast<std::int64_t>(Own + Others));
+}
+
 auto believedFailure(const target_view &View, steady_time Now) -> double {
   auto Share = View.Load.FailurePpm / 1e6;
   auto Age = Now - View.ReportedAt - FailureFresh;
@@ -67,7 +85,10 @@
   auto OnTime =
       std::max(0.0, static_cast<double>(Request.TimeOnTime.count()));
   auto Slots = std::max<double>(1, Candidate.View.Load.Slots);
-  auto Score = static_cast<double>(Wait.count()) + Run;
+  auto Transfer = Candidate.Local
+                      ? micros(0)
+                      : predictedTransfer(Candidate.View, Request.Bytes);
+  auto Score = static_cast<double>((Wait + Transfer).count()) + Run;
   Score += OccupancyWeight * Run *
            std::min(1.0, believedOccupancy(Candidate.View, Now) / Slots);
   Score += FailureWeight * OnTime * believedFailure(Candidate.View, Now);
--- a/src/event/loop.cpp
+++ b/src/event/loop.cpp
@@ -36,6 +36,8 @@
   std::uint64_t NextSerial = 1;
   steady_time Now = bootTime();
   micros Stall{0};
+  std::uint64_t Received = 0;
+  std::uint64_t Sent = 0;
   std::map<std::pair<steady_time, std::uint64_t>, callback> Timers;
   std::unordered_map<std::uint64_t, steady_time> TimerTimes;
   std::unordered_map<int, std::shared_ptr<watched>> Watched;
@@ -96,6 +98,15 @@
 
 auto loop::lastStall() const -> micros { return Impl->Stall; }
 
+void loop::noteTraffic(std::size_t Received, std::size_t Sent) {
+  Impl->Received += Received;
+  Impl->Sent += Sent;
+}
+
+auto loop::receivedBytes() const -> std::uint64_t { return Impl->Received; }
+
+auto loop::sentBytes() const -> std::uint64_t { return Impl->Sent; }
+
 auto loop::addTimer(steady_time At, callback Run) -> timer_id {
   auto Id = Impl->NextTimer++;
   Impl->Timers.emplace(std::make_pair(At, Id), std::move(Run));
--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -86,6 +86,7 @@
   bool Connecting;
   bool Paused = false;
   bool ClosingAfterOutput = false;
+  bool OverLink = true;
   std::uint32_t Events = 0;
   std::string In;
   std::size_t InAt = 0;
@@ -126,6 +127,9 @@
         return errno == EAGAIN || errno == EINTR;
       }
       OutAt += static_cast<std::size_t>(Sent);
+      if (OverLink) {
+        Loop.noteTraffic(0, static_cast<std::size_t>(Sent));
+      }
     }
     Out.clear();
     OutAt = 0;
@@ -139,6 +143,9 @@
       auto Got = ::recv(Descriptor, Buffer.data(), Buffer.size(), 0);
       if (Got > 0) {
         In.append(Buffer.data(), static_cast<std::size_t>(Got));
+        if (OverLink) {
+          Loop.noteTraffic(static_cast<std::size_t>(Got), 0);
+        }
         if (static_cast<std::size_t>(Got) < Buffer.size()) {
           return std::nullopt;
         }
@@ -309,6 +316,8 @@
   return Impl->Descriptor >= 0 && !Impl->Connecting;
 }
 
+void stream::excludeFromLink() { Impl->OverLink = false; }
+
 void stream::pauseReading(bool Paused) {
   Impl->Paused = Paused;
   if (!Impl->Connecting) {
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -64,6 +64,9 @@
   auto Weak = Connection->weak_from_this();
   auto &Stream = Connection->Impl->Stream;
   Stream = event::stream::connect(Loop, Server, Timeout);
+  if (Connection->Impl->Options.SameHost) {
+    Stream->excludeFromLink();
+  }
   Stream->OnConnected = [Weak] {
     if (auto Self = Weak.lock()) {
       Self->Impl->Established = true;
--- a/src/inner/mesh.capnp
+++ b/src/inner/mesh.capnp
@@ -16,6 +16,8 @@
   meanRunMicros @3 :UInt32;
   failurePpm @4 :UInt32;
   cold @5 :Bool;
+  linkKbps @6 :UInt32;
+  linkBusyPpm @7 :UInt32;
 }
 
 struct Forward {
@@ -63,6 +65,7 @@
   version @10 :Text;
   slots @11 :UInt32;
   state @12 :UInt16;
+  capable @13 :Bool;        # Has processor and bandwidth to read the store.
 }
 
 struct OperatorRecord {
--- a/src/inner/mesh_codec.cpp
+++ b/src/inner/mesh_codec.cpp
@@ -99,6 +99,8 @@
   Out.setMeanRunMicros(static_cast<std::uint32_t>(Load.MeanRun.count()));
   Out.setFailurePpm(Load.FailurePpm);
   Out.setCold(Load.Cold);
+  Out.setLinkKbps(Load.LinkKbps);
+  Out.setLinkBusyPpm(Load.LinkBusyPpm);
 }
 
 auto readLoad(mesh_wire::Load::Reader In) -> dispatch::load_report {
@@ -107,7 +109,9 @@
           In.getSlots(),
           micros(In.getMeanRunMicros()),
           In.getFailurePpm(),
-          In.getCold()};
+          In.getCold(),
+          In.getLinkKbps(),
+          In.getLinkBusyPpm()};
 }
 
 void writeReply(mesh_wire::Reply::Builder Out, const reply_message &Message) {
@@ -149,6 +153,7 @@
   Out.setRevision(Host.Revision);
   Out.setStoreLost(Host.StoreLost);
   Out.setLeaving(Host.Leaving);
+  Out.setCapable(Host.Capable);
   Out.setTargetId(Host.Target.Id.Value);
   Out.setBornAt(Host.Target.BornAt);
   Out.setService(Host.Target.Service.Value);
@@ -172,6 +177,7 @@
   Host.Revision = In.getRevision();
   Host.StoreLost = In.getStoreLost();
   Host.Leaving = In.getLeaving();
+  Host.Capable = In.getCapable();
   Host.Target.Id.Value = textOf(In.getTargetId());
   Host.Target.BornAt = In.getBornAt();
   Host.Target.Service.Value = textOf(In.getService());
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -156,6 +156,8 @@
   Load.MeanRun = MeanRun;
   Load.FailurePpm = static_cast<std::uint32_t>(FailureShare * 1e6);
   Load.Cold = isCold();
+  Load.LinkKbps = static_cast<std::uint32_t>(State.Settings.LinkMbps * 1e3);
+  Load.LinkBusyPpm = static_cast<std::uint32_t>(State.LinkBusy * 1e6);
   return Load;
 }
 
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -53,6 +53,7 @@
   event::timer_id Timer{0};
   std::set<node_id> Tried;       // Hosts that refused or failed it.
   node_id Host;                  // Host that has it; empty for none.
+  node_id LastHost;              // Host whose reply came last.
   std::uint32_t Arrivals = 0;    // Targets that it reached.
   std::uint32_t Bounces = 0;
   std::uint32_t Resends = 0;
@@ -214,6 +215,7 @@
   Request.TimeLeft =
       Call->Late ? Call->GiveUpAt - Now
                  : std::max(Request.TimeOnTime, Request.MeanRun);
+  Request.Bytes = Call->Request.Body.size();
   auto Filter = target_filter{Call->Service, Call->Trial, &Call->Tried};
   auto Choice = chooseTargets(State, Board, Filter);
   if (Choice.Hosts.empty() && Call->Trial) {
@@ -321,6 +323,7 @@
     return;
   }
   release(*Call);
+  Call->LastHost = Node;
   noteReply(Board, Node, Call->Route->Name, Reply, State.Loop.now());
   Call->Arrivals += Reply.Arrived ? 1 : 0;
   Call->Tried.insert(Node);
@@ -436,8 +439,11 @@
                    {"route", Call->Route->Name.Value},
                    {"outcome", Outcome},
                    {"status", std::int64_t{Response.Status}},
+                   {"host", Call->LastHost.Value},
                    {"arrivals", std::int64_t{Call->Arrivals}},
                    {"bounces", std::int64_t{Call->Bounces}},
+                   {"body", static_cast<std::int64_t>(
+                                Call->Request.Body.size())},
                    {"took_us", Took.count()}});
   auto Caller = Call->Caller.lock();
   if (!Caller) {
--- a/src/sidecar/node_state.cpp
+++ b/src/sidecar/node_state.cpp
@@ -7,6 +7,11 @@
 
 namespace sycamorelb::sidecar {
 
+/** Link and processor from which a host reads the store for others: a
+ * configuration of some hundred KB must pass within a few ms. */
+static constexpr auto ReaderLinkMbps = 100.0;
+static constexpr auto ReaderCpuShare = 0.2;
+
 node_state::node_state(event::loop &Loop, node_settings Settings,
                        std::uint64_t Seed)
     : Loop(Loop), Settings(std::move(Settings)), Random(Seed),
@@ -15,6 +20,8 @@
   Own.Peer = this->Settings.Peer;
   Own.Zone = this->Settings.Zone;
   Own.Target.Service = this->Settings.Service;
+  Own.Capable = this->Settings.LinkMbps >= ReaderLinkMbps &&
+                this->Settings.CpuShare >= ReaderCpuShare;
 }
 
 auto findRollout(const node_state &State, const service_id &Service)
--- a/src/sidecar/node_state.h
+++ b/src/sidecar/node_state.h
@@ -36,6 +36,7 @@
   std::set<zone_id> Evacuated;   ///< Zones whose targets get nothing.
   std::map<service_id, rollout::rollout_state> Rollouts; ///< Newest orders.
   bool Stopping = false;      ///< SIGTERM came.
+  double LinkBusy = 0;        ///< Share of the link in use lately.
   bool StoreListed = false;   ///< The store or a peer told what it holds.
 };
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -24,6 +24,10 @@
 
 using namespace inner;
 
+/** Interval at which the use of the link is measured, and the weight of a new
+ * value in its mean. */
+static constexpr auto LinkInterval = micros(200'000);
+static constexpr auto LinkWeight = 0.3;
 /** Interval of the look at the settings file and the own pauses. */
 static constexpr auto TickInterval = micros(1'000'000);
 /** Ticks between two looks at the settings file. */
@@ -78,6 +82,8 @@
   steady_time TickDue{};
   int Ticks = 0;
   timespec SettingsTime{};
+  std::uint64_t LinkReceived = 0;
+  std::uint64_t LinkSent = 0;
 
   auto linkEvents() -> peer_events;
   auto gossipEvents() -> gossip_events;
@@ -97,6 +103,7 @@
   void mergeMeshRecord(const mesh::operator_record &Record);
   void brake() { Rollouts.brake(); }
   void tick();
+  void measureLink();
   void checkSettings();
   void reload();
   void beginStop();
@@ -417,6 +424,20 @@
   Loop.addTimer(TickDue, [this] { tick(); });
 }
 
+void sidecar::implementation::measureLink() {
+  auto Received = Loop.receivedBytes() - LinkReceived;
+  auto Sent = Loop.sentBytes() - LinkSent;
+  LinkReceived += Received;
+  LinkSent += Sent;
+  // Mbit/s are bits per microsecond.
+  auto Bits = 8.0 * static_cast<double>(std::max(Received, Sent));
+  auto Capacity = State.Settings.LinkMbps *
+                  static_cast<double>(LinkInterval.count());
+  auto Busy = Capacity > 0 ? std::min(1.0, Bits / Capacity) : 0;
+  State.LinkBusy += LinkWeight * (Busy - State.LinkBusy);
+  Loop.addTimer(Loop.now() + LinkInterval, [this] { measureLink(); });
+}
+
 void sidecar::implementation::checkSettings() {
   struct stat Info = {};
   if (Path.empty() || ::stat(Path.c_str(), &Info) != 0) {
@@ -520,6 +541,7 @@
   Self.Gossip.start();
   Self.checkSettings();
   Self.tick();
+  Self.measureLink();
   Self.Loop.run();
 }
 
--- a/src/sidecar/target_pool.cpp
+++ b/src/sidecar/target_pool.cpp
@@ -52,6 +52,7 @@
   auto Options = http::client_options();
   Options.ConnectTimeout = ConnectTimeout;
   Options.MaxBodyBytes = MaxAnswerBytes;
+  Options.SameHost = true;
   return http::client_connection::open(State.Loop, State.Settings.Target,
                                        std::move(Options));
 }
