Feature: [Dispatch] Large requests bounded by the use of a host's link

Change: a node tells the share of large requests that its link bears, adapted to keep its use at 0.8; a lost outcome is asked for by number, without the body, and a call that has not arrived is then never run; longer silence before a connection counts as broken.

--- a/include/sycamorelb/dispatch/pick.h
+++ b/include/sycamorelb/dispatch/pick.h
@@ -25,6 +25,7 @@
   bool Cold = false;         ///< Starts are limited to a rate.
   std::uint32_t LinkKbps = 0;    ///< Bandwidth of the host; 0 if unknown.
   std::uint32_t LinkBusyPpm = 0; ///< Share of it in use lately.
+  std::uint32_t BulkPpm = 1'000'000; ///< Share of large requests it bears.
 };
 
 /** What an entry node believes of a target. */
@@ -63,6 +64,12 @@
 /** @return the share of failed calls, fading while nothing is reported. */
 auto believedFailure(const target_view &View, steady_time Now) -> double;
 
+/** Adapts the share of large requests that a host bears to the use of its
+ * link, so that small calls do not wait behind them.
+ * @param Busy share of the link in use since the last call.
+ * @return the new share. */
+auto adaptBulkShare(double Share, double Busy) -> double;
+
 /** Where a call goes. */
 struct pick_result {
   std::uint32_t Index = 0; ///< Position of the chosen candidate.
--- a/include/sycamorelb/inner/mesh_message_type.h
+++ b/include/sycamorelb/inner/mesh_message_type.h
@@ -60,6 +60,12 @@
   call_number Call; ///< Number of the call.
 };
 
+/** Asks for the outcome of a call after its connection was lost. A node that
+ * has not got the call answers that it is not run, and never runs it. */
+struct resume_message {
+  call_number Call; ///< Number of the call.
+};
+
 /** Tallies of one version of a service by one node. */
 struct evidence_report {
   node_id Node;                       ///< Node that counted.
@@ -103,7 +109,8 @@
 
 using mesh_message =
     std::variant<forward_message, reply_message, cancel_message,
-                 gossip_message, opened_message, ping_message, pong_message>;
+                 resume_message, gossip_message, opened_message, ping_message,
+                 pong_message>;
 
 /** Longest message, in bytes. */
 inline constexpr std::size_t MaxMeshMessageBytes =
--- a/src/dispatch/pick.cpp
+++ b/src/dispatch/pick.cpp
@@ -26,6 +26,14 @@
 static constexpr auto OtherBytes = 40'000.0;
 /** Share of a link that stays free in the estimate, so that it is finite. */
 static constexpr auto LeastFreeShare = 0.05;
+/** Size from which a request counts as large. */
+static constexpr auto BulkBytes = std::size_t{16} * 1024;
+/** Use of a link above which a host bears fewer large requests. */
+static constexpr auto LinkTarget = 0.8;
+/** Least share of large requests, so that the end of an overload is noticed. */
+static constexpr auto LeastBulkShare = 0.05;
+/** Growth of the share with each measurement below the target. */
+static constexpr auto BulkStep = 0.03;
 /** Share of its time left that a caller waits for at most. */
 static constexpr auto LongestReturnShare = 0.3;
 /** Shortest time after which a refused caller returns. */
@@ -77,6 +85,20 @@
                            static_cast<double>(FailureHalfLife.count()));
 }
 
+auto adaptBulkShare(double Share, double Busy) -> double {
+  if (Busy > LinkTarget) {
+    return std::max(LeastBulkShare, Share * LinkTarget / Busy);
+  }
+  return std::min(1.0, Share + BulkStep);
+}
+
+/** @return whether a host takes a request of this size, by its bulk share. */
+static auto takesBulk(const candidate &Candidate, std::size_t Bytes,
+                      random_source &Random) -> bool {
+  return Candidate.Local || Bytes < BulkBytes ||
+         randomUnit(Random) * 1e6 < Candidate.View.Load.BulkPpm;
+}
+
 /** @return the cost of a candidate in microseconds. */
 static auto scoreOf(const candidate &Candidate, const pick_request &Request,
                     micros Wait, steady_time Now) -> double {
@@ -110,7 +132,11 @@
       continue;
     }
     auto Wait = predictedWait(Candidate.View, Now);
-    if (Wait + Request.MeanRun / 2 > Request.TimeLeft) {
+    auto Transfer = Candidate.Local
+                        ? micros(0)
+                        : predictedTransfer(Candidate.View, Request.Bytes);
+    if (Wait + Transfer + Request.MeanRun / 2 > Request.TimeLeft ||
+        !takesBulk(Candidate, Request.Bytes, Random)) {
       continue;
     }
     auto Score = scoreOf(Candidate, Request, Wait, Now) *
--- a/src/inner/mesh.capnp
+++ b/src/inner/mesh.capnp
@@ -18,6 +18,7 @@
   cold @5 :Bool;
   linkKbps @6 :UInt32;
   linkBusyPpm @7 :UInt32;
+  bulkPpm @8 :UInt32;       # Share of large requests that the link bears.
 }
 
 struct Forward {
@@ -131,5 +132,6 @@
     ping @4 :Void;
     pong @5 :Void;
     opened @6 :Host;        # First message of a connection.
+    resume @8 :UInt64;      # Call whose outcome was lost with a connection.
   }
 }
--- a/src/inner/mesh_codec.cpp
+++ b/src/inner/mesh_codec.cpp
@@ -101,6 +101,7 @@
   Out.setCold(Load.Cold);
   Out.setLinkKbps(Load.LinkKbps);
   Out.setLinkBusyPpm(Load.LinkBusyPpm);
+  Out.setBulkPpm(Load.BulkPpm);
 }
 
 auto readLoad(mesh_wire::Load::Reader In) -> dispatch::load_report {
@@ -111,7 +112,8 @@
           In.getFailurePpm(),
           In.getCold(),
           In.getLinkKbps(),
-          In.getLinkBusyPpm()};
+          In.getLinkBusyPpm(),
+          In.getBulkPpm()};
 }
 
 void writeReply(mesh_wire::Reply::Builder Out, const reply_message &Message) {
@@ -354,6 +356,9 @@
   void operator()(const cancel_message &Message) {
     Out.setCancel(Message.Call.Value);
   }
+  void operator()(const resume_message &Message) {
+    Out.setResume(Message.Call.Value);
+  }
   void operator()(const gossip_message &Message) {
     writeGossip(Out.initGossip(), Message, Now);
   }
@@ -373,6 +378,8 @@
     return readReply(In.getReply());
   case mesh_wire::Message::CANCEL:
     return cancel_message{{In.getCancel()}};
+  case mesh_wire::Message::RESUME:
+    return resume_message{{In.getResume()}};
   case mesh_wire::Message::GOSSIP:
     if (auto Gossip = readGossip(In.getGossip(), Now)) {
       return std::move(*Gossip);
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -115,6 +115,7 @@
   void breakOff(admitted_call &Call);
   void pump();
   void planPump(steady_time At);
+  void rememberEnded(const call_key &Key);
   void dropOldOutcomes();
   auto find(const call_key &Key) -> std::shared_ptr<admitted_call>;
 };
@@ -158,6 +159,7 @@
   Load.Cold = isCold();
   Load.LinkKbps = static_cast<std::uint32_t>(State.Settings.LinkMbps * 1e3);
   Load.LinkBusyPpm = static_cast<std::uint32_t>(State.LinkBusy * 1e6);
+  Load.BulkPpm = static_cast<std::uint32_t>(State.BulkShare * 1e6);
   return Load;
 }
 
@@ -184,6 +186,11 @@
   return Found == Serials.end() ? nullptr : Calls.at(Found->second);
 }
 
+void admission::implementation::rememberEnded(const call_key &Key) {
+  Ended.insert(Key);
+  EndedOrder.emplace_back(State.Loop.now(), Key);
+}
+
 void admission::implementation::dropOldOutcomes() {
   while (!Outcomes.empty() &&
          (Outcomes.size() > MaxOutcomes ||
@@ -193,8 +200,7 @@
       auto Key = Found->second->Key;
       Serials.erase(Key);
       Calls.erase(Found);
-      Ended.insert(Key);
-      EndedOrder.emplace_back(State.Loop.now(), Key);
+      rememberEnded(Key);
     }
     Outcomes.pop_front();
   }
@@ -280,6 +286,28 @@
   Impl->pump();
 }
 
+void admission::resume(const call_key &Key, reply_handler Reply) {
+  Impl->dropOldOutcomes();
+  if (auto Known = Impl->find(Key)) {
+    if (Known->Stage == call_stage::Done) {
+      return Reply(Known->Outcome);
+    }
+    Known->Reply = std::move(Reply);
+    return;
+  }
+  auto Outcome = reply_message();
+  Outcome.Call = Key.Call;
+  Outcome.Load = Impl->load();
+  Outcome.Reason = "did not arrive";
+  if (Impl->Ended.contains(Key)) {
+    Outcome.Outcome = reply_outcome::Unknown;
+    Outcome.Reason = "ended long ago";
+  } else {
+    Impl->rememberEnded(Key);
+  }
+  Reply(Outcome);
+}
+
 void admission::implementation::planPump(steady_time At) {
   if (PumpAt != steady_time() && PumpAt <= At) {
     return;
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -18,8 +18,8 @@
 
 /** Refusals by other nodes after which a call is offered no further in time. */
 static constexpr auto MaxBounces = std::uint32_t{4};
-/** Times a call is sent again to a host whose connection was lost. */
-static constexpr auto MaxResends = std::uint32_t{2};
+/** Times that the outcome of a call is asked for after a lost connection. */
+static constexpr auto MaxResumes = std::uint32_t{2};
 /** Share of the time left, less the run time, that a call may wait where an
  * answer on time can't be expected any more. */
 static constexpr auto LateWaitShare = 0.5;
@@ -56,7 +56,7 @@
   node_id LastHost;              // Host whose reply came last.
   std::uint32_t Arrivals = 0;    // Targets that it reached.
   std::uint32_t Bounces = 0;
-  std::uint32_t Resends = 0;
+  std::uint32_t Resumes = 0;
   bool Late = false;             // An answer on time is not expected.
   bool MayHaveRun = false;       // Some target may have run it.
   bool Trial = false;            // It is one for the version on trial.
@@ -507,16 +507,14 @@
   if (!Established) {
     noteUnreachable(Impl->Board, Node, State.Loop.now() + AvoidTime);
   }
-  const auto *Host = State.Hosts.find(Node);
   for (const auto &Call : Affected) {
-    // The node knows the call by its number and does not run it again.
-    if (Host != nullptr && Established && Call->Resends < MaxResends &&
-        Impl->Links.send(Node, Impl->forwardOf(*Call, *Host))) {
-      ++Call->Resends;
+    if (Established && Call->Resumes < MaxResumes &&
+        Impl->Links.send(Node, resume_message{Call->Attempt})) {
+      ++Call->Resumes;
       continue;
     }
     auto Reply = reply_message();
-    auto Sent = Established || Call->Resends > 0;
+    auto Sent = Established || Call->Resumes > 0;
     Reply.Outcome = Sent ? reply_outcome::Unknown : reply_outcome::NotRun;
     Reply.Arrived = Sent;
     Reply.Reason = Sent ? "connection to host lost" : "host can't be reached";
--- a/src/sidecar/node_state.h
+++ b/src/sidecar/node_state.h
@@ -37,6 +37,7 @@
   std::map<service_id, rollout::rollout_state> Rollouts; ///< Newest orders.
   bool Stopping = false;      ///< SIGTERM came.
   double LinkBusy = 0;        ///< Share of the link in use lately.
+  double BulkShare = 1;       ///< Share of large requests that it bears.
   bool StoreListed = false;   ///< The store or a peer told what it holds.
 };
 
--- a/src/sidecar/peer_links.cpp
+++ b/src/sidecar/peer_links.cpp
@@ -12,9 +12,9 @@
 /** Time to establish a connection; several round trips between zones. */
 static constexpr auto ConnectTimeout = millis(400);
 /** Silence of a host that owes an answer, before it is asked for a pong. */
-static constexpr auto SilenceBeforePing = micros(350'000);
+static constexpr auto SilenceBeforePing = micros(400'000);
 /** Time to answer a ping before the connection counts as broken. */
-static constexpr auto PongTimeout = micros(600'000);
+static constexpr auto PongTimeout = micros(900'000);
 /** Interval of the checks for silence while answers are awaited. */
 static constexpr auto CheckInterval = micros(150'000);
 /** Pause before a failed host is connected to again, doubled each time. */
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -89,6 +89,8 @@
   auto gossipEvents() -> gossip_events;
   auto storeEvents() -> store_events;
   auto listen() -> result<done>;
+  auto replyTo(const std::shared_ptr<peer_session> &Session)
+      -> admission::reply_handler;
   void handleSession(const std::shared_ptr<peer_session> &Session,
                      mesh_message Message);
   auto answerReadiness(const http::request &Request) -> http::response;
@@ -140,21 +142,28 @@
   return Events;
 }
 
+auto sidecar::implementation::replyTo(
+    const std::shared_ptr<peer_session> &Session) -> admission::reply_handler {
+  return [this, Weak = std::weak_ptr<peer_session>(Session)](
+             const reply_message &Reply) {
+    if (auto Origin = Weak.lock()) {
+      sendOn(*Origin, Reply, Loop.now());
+    }
+  };
+}
+
 void sidecar::implementation::handleSession(
     const std::shared_ptr<peer_session> &Session, mesh_message Message) {
   auto Key = call_key{Session->Peer.Node, Session->Peer.Incarnation, {}};
   if (auto *Forward = std::get_if<forward_message>(&Message)) {
     Key.Call = Forward->Call;
-    auto Weak = std::weak_ptr<peer_session>(Session);
-    Admission.submit(Key, std::move(*Forward),
-                     [this, Weak](const reply_message &Reply) {
-                       if (auto Origin = Weak.lock()) {
-                         sendOn(*Origin, Reply, Loop.now());
-                       }
-                     });
+    Admission.submit(Key, std::move(*Forward), replyTo(Session));
   } else if (auto *Cancel = std::get_if<cancel_message>(&Message)) {
     Key.Call = Cancel->Call;
     Admission.cancel(Key);
+  } else if (auto *Resume = std::get_if<resume_message>(&Message)) {
+    Key.Call = Resume->Call;
+    Admission.resume(Key, replyTo(Session));
   } else if (auto *News = std::get_if<gossip_message>(&Message)) {
     Gossip.handle(*News, [this, Session](const mesh_message &Answer) {
       sendOn(*Session, Answer, Loop.now());
@@ -435,6 +444,7 @@
                   static_cast<double>(LinkInterval.count());
   auto Busy = Capacity > 0 ? std::min(1.0, Bits / Capacity) : 0;
   State.LinkBusy += LinkWeight * (Busy - State.LinkBusy);
+  State.BulkShare = dispatch::adaptBulkShare(State.BulkShare, State.LinkBusy);
   Loop.addTimer(Loop.now() + LinkInterval, [this] { measureLink(); });
 }
 
