Feature: [Dispatch] Hosts that went silent are avoided with growing pauses

Change: each silence in a row doubles the time without calls; one large request per 10 Mbit/s of a host's link and node.

--- a/include/sycamorelb/dispatch/pick.h
+++ b/include/sycamorelb/dispatch/pick.h
@@ -34,6 +34,8 @@
   steady_time ReportedAt{};    ///< When it arrived.
   std::uint32_t Outstanding = 0;   ///< Own calls without outcome.
   std::uint32_t SinceReport = 0;   ///< Own calls sent since the report.
+  std::uint32_t BulkOutstanding = 0; ///< Own large requests without outcome.
+  std::uint32_t Silences = 0; ///< Connections that went silent in a row.
   double Slowness = 1.0;       ///< Run time relative to the route's mean.
   steady_time AvoidUntil{};    ///< No calls before this time.
 };
@@ -70,6 +72,13 @@
  * @return the new share. */
 auto adaptBulkShare(double Share, double Busy) -> double;
 
+/** @return whether a request of this size counts as large. */
+auto isBulk(std::size_t Bytes) -> bool;
+
+/** @return how long a host gets no calls after so many connections to it went
+ * silent in a row. */
+auto avoidanceAfter(std::uint32_t Silences) -> micros;
+
 /** Where a call goes. */
 struct pick_result {
   std::uint32_t Index = 0; ///< Position of the chosen candidate.
--- a/src/dispatch/pick.cpp
+++ b/src/dispatch/pick.cpp
@@ -28,6 +28,12 @@
 static constexpr auto LeastFreeShare = 0.05;
 /** Size from which a request counts as large. */
 static constexpr auto BulkBytes = std::size_t{16} * 1024;
+/** Bandwidth in Kbit/s for each large request that one node may have on its
+ * way to a host: as many pass within a few hundred ms. */
+static constexpr auto KbpsPerBulk = 10'000U;
+/** Time without calls after a first silence, doubled with each further one. */
+static constexpr auto FirstAvoidance = micros(400'000);
+static constexpr auto LongestAvoidance = micros(6'400'000);
 /** Use of a link above which a host bears fewer large requests. */
 static constexpr auto LinkTarget = 0.8;
 /** Least share of large requests, so that the end of an overload is noticed. */
@@ -85,6 +91,17 @@
                            static_cast<double>(FailureHalfLife.count()));
 }
 
+auto isBulk(std::size_t Bytes) -> bool { return Bytes >= BulkBytes; }
+
+auto avoidanceAfter(std::uint32_t Silences) -> micros {
+  if (Silences == 0) {
+    return micros(0);
+  }
+  auto Doublings = std::min(Silences - 1, 10U);
+  return std::min(LongestAvoidance,
+                  micros(FirstAvoidance * (1LL << Doublings)));
+}
+
 auto adaptBulkShare(double Share, double Busy) -> double {
   if (Busy > LinkTarget) {
     return std::max(LeastBulkShare, Share * LinkTarget / Busy);
@@ -95,8 +112,13 @@
 /** @return whether a host takes a request of this size, by its bulk share. */
 static auto takesBulk(const candidate &Candidate, std::size_t Bytes,
                       random_source &Random) -> bool {
-  return Candidate.Local || Bytes < BulkBytes ||
-         randomUnit(Random) * 1e6 < Candidate.View.Load.BulkPpm;
+  if (Candidate.Local || !isBulk(Bytes)) {
+    return true;
+  }
+  const auto &View = Candidate.View;
+  auto MostOutstanding = std::max(1U, View.Load.LinkKbps / KbpsPerBulk);
+  return View.BulkOutstanding < MostOutstanding &&
+         randomUnit(Random) * 1e6 < View.Load.BulkPpm;
 }
 
 /** @return the cost of a candidate in microseconds. */
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -25,8 +25,6 @@
 static constexpr auto LateWaitShare = 0.5;
 /** Least time to start that is given to the node beside the target. */
 static constexpr auto LeastTimeToStart = micros(15'000);
-/** Time for which a host that can't be reached gets no calls. */
-static constexpr auto AvoidTime = micros(1'000'000);
 /** Wait told to callers where no target of the service is known. */
 static constexpr auto NoTargetWait = micros(300'000);
 /** Wait told to callers that come when the node is about to end. */
@@ -278,7 +276,7 @@
   Call->Host = Node;
   Attempts.emplace(Call->Attempt.Value, Call);
   auto Forward = forwardOf(*Call, Host);
-  noteSent(Board, Node);
+  noteSent(Board, Node, Call->Request.Body.size());
   if (Node == State.Own.Node) {
     auto Key = call_key{Node, State.Own.Incarnation, Call->Attempt};
     auto Weak = std::weak_ptr<open_call>(Call);
@@ -293,7 +291,7 @@
   if (!Links.send(Node, Forward)) {
     auto Reply = reply_message();
     Reply.Reason = "host can't be reached";
-    noteUnreachable(Board, Node, State.Loop.now() + AvoidTime);
+    noteSilence(Board, Node, State.Loop.now());
     Links.noteAwaited(Node, 1);
     return handleOutcome(Call, Node, Reply);
   }
@@ -309,8 +307,11 @@
 }
 
 void entry::implementation::release(open_call &Call) {
-  if (!Call.Host.Value.empty() && Call.Host != State.Own.Node) {
-    Links.noteAwaited(Call.Host, -1);
+  if (!Call.Host.Value.empty()) {
+    noteLeft(Board, Call.Host, Call.Request.Body.size());
+    if (Call.Host != State.Own.Node) {
+      Links.noteAwaited(Call.Host, -1);
+    }
   }
   Call.Host = node_id();
   Attempts.erase(Call.Attempt.Value);
@@ -462,8 +463,6 @@
   auto Node = Call->Host;
   auto Attempt = Call->Attempt;
   release(*Call);
-  auto &View = Board.Views[Node];
-  View.Outstanding -= View.Outstanding > 0 ? 1 : 0;
   if (Node == State.Own.Node) {
     Admission.cancel({Node, State.Own.Incarnation, Attempt});
   } else {
@@ -504,8 +503,8 @@
       Affected.push_back(Call);
     }
   }
-  if (!Established) {
-    noteUnreachable(Impl->Board, Node, State.Loop.now() + AvoidTime);
+  if (!Established || !Affected.empty()) {
+    noteSilence(Impl->Board, Node, State.Loop.now());
   }
   for (const auto &Call : Affected) {
     if (Established && Call->Resumes < MaxResumes &&
--- a/src/sidecar/target_board.cpp
+++ b/src/sidecar/target_board.cpp
@@ -38,9 +38,11 @@
     }
     if (Board.Seen[Node] != Target.Id) {
       Board.Seen[Node] = Target.Id;
-      auto Outstanding = Board.Views[Node].Outstanding;
-      Board.Views[Node] = dispatch::target_view();
-      Board.Views[Node].Outstanding = Outstanding;
+      auto Former = Board.Views[Node];
+      auto &View = Board.Views[Node];
+      View = dispatch::target_view();
+      View.Outstanding = Former.Outstanding;
+      View.BulkOutstanding = Former.BulkOutstanding;
     }
     auto View = Board.Views[Node];
     if (View.Load.Slots == 0) {
@@ -79,12 +81,20 @@
       static_cast<double>(micros(Route.Objective).count()) * FirstRunShare));
 }
 
-void noteSent(target_board &Board, const node_id &Node) {
+void noteSent(target_board &Board, const node_id &Node, std::size_t Bytes) {
   auto &View = Board.Views[Node];
+  View.BulkOutstanding += dispatch::isBulk(Bytes) ? 1 : 0;
   ++View.Outstanding;
   ++View.SinceReport;
 }
 
+void noteLeft(target_board &Board, const node_id &Node, std::size_t Bytes) {
+  auto &View = Board.Views[Node];
+  View.Outstanding -= View.Outstanding > 0 ? 1 : 0;
+  View.BulkOutstanding -=
+      dispatch::isBulk(Bytes) && View.BulkOutstanding > 0 ? 1 : 0;
+}
+
 /** @return the mean moved towards Value. */
 static auto blend(double Mean, double Value, double Weight) -> double {
   return Mean + Weight * (Value - Mean);
@@ -93,10 +103,10 @@
 void noteReply(target_board &Board, const node_id &Node, const route_id &Route,
                const inner::reply_message &Reply, steady_time Now) {
   auto &View = Board.Views[Node];
-  View.Outstanding -= View.Outstanding > 0 ? 1 : 0;
   if (Reply.Load.Slots == 0) {
     return;
   }
+  View.Silences = 0;
   View.Load = Reply.Load;
   View.ReportedAt = Now;
   View.SinceReport = 0;
@@ -117,9 +127,13 @@
                         SlownessWeight);
 }
 
-void noteUnreachable(target_board &Board, const node_id &Node,
-                     steady_time Until) {
-  Board.Views[Node].AvoidUntil = Until;
+void noteSilence(target_board &Board, const node_id &Node, steady_time Now) {
+  auto &View = Board.Views[Node];
+  // Several calls may notice the same silence.
+  if (View.AvoidUntil <= Now) {
+    ++View.Silences;
+    View.AvoidUntil = Now + dispatch::avoidanceAfter(View.Silences);
+  }
 }
 
 /** @return the budget rule of one node. */
--- a/src/sidecar/target_board.h
+++ b/src/sidecar/target_board.h
@@ -53,13 +53,14 @@
     -> micros;
 
 /** Notes that a call was sent to a host. */
-void noteSent(target_board &Board, const node_id &Node);
+void noteSent(target_board &Board, const node_id &Node, std::size_t Bytes);
+/** Notes that a call has left a host, with or without outcome. */
+void noteLeft(target_board &Board, const node_id &Node, std::size_t Bytes);
 /** Notes the outcome of a call. */
 void noteReply(target_board &Board, const node_id &Node, const route_id &Route,
                const inner::reply_message &Reply, steady_time Now);
-/** Notes that a host can't be reached until Until. */
-void noteUnreachable(target_board &Board, const node_id &Node,
-                     steady_time Until);
+/** Notes that a connection to a host failed or went silent. */
+void noteSilence(target_board &Board, const node_id &Node, steady_time Now);
 
 /** Notes a first attempt, which earns a part of a repeat. */
 void earnRepeat(const node_state &State, target_board &Board,
