Feature: [Sidecar] Nodes that start get the configuration from the readers of their zone

Change: the mesh topic is listed first; nodes without means ask the capable nodes of their zone, which send the configuration compressed (23 KB) as soon as they have it; hosts of other zones are greeted later, spread over time.

--- /dev/null
+++ b/include/sycamorelb/mesh/compress.h
@@ -0,0 +1,16 @@
+/** @file compress.h Compression of large records between nodes. */
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace sycamorelb::mesh {
+
+/** @return the text compressed, with its size in front. */
+auto compressText(std::string_view Text) -> std::string;
+
+/** @return the text, or nothing if the bytes are malformed or too large. */
+auto expandText(std::string_view Bytes) -> std::optional<std::string>;
+
+} // namespace sycamorelb::mesh
--- a/include/sycamorelb/mesh/operator_table.h
+++ b/include/sycamorelb/mesh/operator_table.h
@@ -21,6 +21,7 @@
   /** Record against which Value is a delta, on the way between nodes; nothing
    * for the content itself. */
   std::optional<log_offset> Base;
+  bool Compressed = false; ///< Value is compressed, on the way between nodes.
   auto operator==(const operator_record &) const -> bool = default;
 };
 
@@ -33,13 +34,14 @@
   /** Takes a record over if it is newer than what is held for its key.
    * @return whether it was. */
   auto merge(const operator_record &Record) -> bool;
-  /** Turns a delta into the content.
-   * @return the record, or nothing if its base is not held here. */
+  /** Turns a delta or compressed bytes into the content.
+   * @return the record, or nothing if its base is not held here or the bytes
+   * are malformed. */
   auto expand(const operator_record &Record) const
       -> std::optional<operator_record>;
   /** @return the records from From on, as deltas where a node whose table ends
-   * at From holds the base. */
-  auto changesFrom(log_offset From) const -> std::vector<operator_record>;
+   * at From holds the base; other large ones are compressed. */
+  auto changesFrom(log_offset From) -> std::vector<operator_record>;
 
   /** Takes over a complete listing of the topic up to End: keys that it lacks
    * and that were written before Begin were dropped.
@@ -62,6 +64,7 @@
 private:
   std::map<std::string, operator_record> Records;
   std::deque<operator_record> Replaced; ///< Former large records, oldest first.
+  operator_record Packed; ///< The record that was compressed last.
   log_offset End{0};
 };
 
--- a/src/inner/mesh.capnp
+++ b/src/inner/mesh.capnp
@@ -75,6 +75,7 @@
   dropped @2 :Bool;
   value @3 :Data;
   baseAfter @4 :UInt64;     # Value is a delta against the record before it, if not 0.
+  compressed @5 :Bool;
 }
 
 struct Revision {
--- a/src/inner/mesh_codec.cpp
+++ b/src/inner/mesh_codec.cpp
@@ -232,6 +232,7 @@
     List[Index].setOffset(Records[Index].Offset.Value);
     List[Index].setDropped(Records[Index].Dropped);
     List[Index].setValue(asData(Records[Index].Value));
+    List[Index].setCompressed(Records[Index].Compressed);
     if (Records[Index].Base) {
       List[Index].setBaseAfter(Records[Index].Base->Value + 1);
     }
@@ -316,7 +317,8 @@
                                         {Item.getOffset()},
                                         Item.getDropped(),
                                         dataOf(Item.getValue()),
-                                        std::nullopt};
+                                        std::nullopt,
+                                        Item.getCompressed()};
     if (Item.getBaseAfter() > 0) {
       Record.Base = log_offset{Item.getBaseAfter() - 1};
     }
--- a/src/mesh/operator_table.cpp
+++ b/src/mesh/operator_table.cpp
@@ -1,6 +1,7 @@
 /** @file operator_table.cpp Merging of the operators' records. */
 #include "sycamorelb/mesh/operator_table.h"
 
+#include "sycamorelb/mesh/compress.h"
 #include "sycamorelb/mesh/record_delta.h"
 
 #include <algorithm>
@@ -32,6 +33,14 @@
 
 auto operator_table::expand(const operator_record &Record) const
     -> std::optional<operator_record> {
+  if (Record.Compressed) {
+    auto Text = expandText(Record.Value);
+    if (!Text) {
+      return std::nullopt;
+    }
+    return operator_record{Record.Key, Record.Offset, Record.Dropped,
+                           std::move(*Text), std::nullopt};
+  }
   if (!Record.Base) {
     return Record;
   }
@@ -47,7 +56,7 @@
                          std::move(*Text), {}};
 }
 
-auto operator_table::changesFrom(log_offset From) const
+auto operator_table::changesFrom(log_offset From)
     -> std::vector<operator_record> {
   auto Changes = std::vector<operator_record>();
   for (const auto &[Key, Record] : Records) {
@@ -63,6 +72,12 @@
       // The newest former record before From is what the other node holds.
       Changes.back().Base = Base->Offset;
       Changes.back().Value = encodeDelta(Base->Value, Record.Value);
+    } else if (Record.Value.size() >= DeltaBytes) {
+      if (Packed.Key != Key || Packed.Offset != Record.Offset) {
+        Packed = {Key, Record.Offset, false, compressText(Record.Value),
+                  std::nullopt, true};
+      }
+      Changes.back() = Packed;
     }
   }
   return Changes;
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -57,6 +57,7 @@
   steady_time ArrivedAt{};
   steady_time DeadlineAt{};
   steady_time StartedAt{};
+  request_id Id; // Id of the caller's request, for the log.
   std::shared_ptr<http::client_connection> Connection;
   event::timer_id Timer{0};
   reply_message Outcome;
@@ -218,6 +219,26 @@
   Call.Connection = nullptr;
   Outcome.Call = Call.Forward.Call;
   Outcome.Load = load();
+  auto Now = State.Loop.now();
+  auto Started = Call.StartedAt != steady_time();
+  State.Log.write(
+      Outcome.Outcome == reply_outcome::Answered &&
+              Outcome.Response.Status < 500
+          ? log_class::Routine
+          : log_class::Decision,
+      "admission.ended",
+      {{"id", Call.Id.Value},
+       {"origin", Call.Key.Node.Value},
+       {"outcome", static_cast<std::int64_t>(Outcome.Outcome)},
+       {"status", std::int64_t{Outcome.Response.Status}},
+       {"reason", Outcome.Reason},
+       {"target", Target.Id.Value},
+       {"cold", std::int64_t{Call.WasCold ? 1 : 0}},
+       {"waited_us",
+        ((Started ? Call.StartedAt : Now) - Call.ArrivedAt).count()},
+       {"run_us", (Started ? Now - Call.StartedAt : micros(0)).count()},
+       {"running", std::int64_t{Outcome.Load.Running}},
+       {"queued", std::int64_t{Outcome.Load.Queued}}});
   auto RouteMean = RouteMeans.find(Call.Forward.Route);
   if (RouteMean != RouteMeans.end()) {
     Outcome.RouteMean = RouteMean->second;
@@ -271,6 +292,7 @@
   auto Waiting = dispatch::queued_call{
       Call->Serial, Forward.Priority, Now + Forward.TimeOnTime,
       Now + Forward.TimeToStart, Now};
+  Call->Id = platform::decodeCallHeader(Forward.Request).Id;
   Call->Forward = std::move(Forward);
   Impl->Serials.emplace(Key, Call->Serial);
   Impl->Calls.emplace(Call->Serial, Call);
--- a/src/sidecar/gossip.cpp
+++ b/src/sidecar/gossip.cpp
@@ -5,7 +5,9 @@
 
 #include <algorithm>
 #include <map>
+#include <set>
 #include <tuple>
+#include <utility>
 
 namespace sycamorelb::sidecar {
 
@@ -24,6 +26,9 @@
 static constexpr auto FarNotices = std::size_t{2};
 /** Nodes of the own zone that are asked for what they know, at the start. */
 static constexpr auto AskedAtStart = std::size_t{2};
+/** Time after which the hosts of other zones are greeted, and its spread. */
+static constexpr auto FarGreetingDelay = micros(300'000);
+static constexpr auto FarGreetingSpreadMicros = std::uint32_t{700'000};
 /** Time in which a node hears of a change from a reader of its zone, or reads
  * it itself, before it asks another node that told of it. */
 static constexpr auto OwnReadTime = micros(700'000);
@@ -38,6 +43,7 @@
   peer_links &Links;
   gossip_events Events;
   steady_time ReaderHeardAt{};
+  std::set<node_id> Waiting; // Asked for records before there were any.
 
   auto message() const -> gossip_message;
   auto others(bool SameZone) const -> std::vector<node_id>;
@@ -49,7 +55,7 @@
 
 gossip::gossip(node_state &State, peer_links &Links, gossip_events Events)
     : Impl(std::make_unique<implementation>(
-          implementation{State, Links, std::move(Events), {}})) {}
+          implementation{State, Links, std::move(Events), {}, {}})) {}
 
 gossip::~gossip() = default;
 
@@ -156,18 +162,54 @@
 }
 
 void gossip::greetAll() {
+  auto &State = Impl->State;
   auto Message = Impl->message();
-  Impl->Links.broadcast(Message);
-  auto Asked = Impl->others(true);
-  if (Asked.empty()) {
-    Asked = Impl->others(false);
+  auto Near = Impl->others(true);
+  auto Asked = std::vector<node_id>();
+  for (const auto &Node : Near) {
+    Impl->Links.send(Node, Message);
+    if (State.Hosts.find(Node)->Capable) {
+      Asked.push_back(Node);
+    }
   }
-  keepRandom(Asked, AskedAtStart, Impl->State.Random);
+  Asked = !Asked.empty() ? Asked : (!Near.empty() ? Near : Impl->others(false));
+  keepRandom(Asked, AskedAtStart, State.Random);
   Message.WantHosts = true;
   Message.WantRecords = true;
   for (const auto &Node : Asked) {
     Impl->Links.send(Node, Message);
   }
+  // Many nodes may start at once; this spreads the work of the greetings.
+  auto Delay = FarGreetingDelay + micros(randomBelow(
+                                      State.Random, FarGreetingSpreadMicros));
+  State.Loop.addTimer(State.Loop.now() + Delay, [this] {
+    auto Late = Impl->message();
+    for (const auto &Node : Impl->others(false)) {
+      Impl->Links.send(Node, Late);
+    }
+  });
+}
+
+auto gossip::canRelyOnZone() const -> bool {
+  auto &State = Impl->State;
+  auto Near = Impl->others(true);
+  return !State.Own.Capable &&
+         std::any_of(Near.begin(), Near.end(), [&State](const auto &Node) {
+           const auto *Host = State.Hosts.find(Node);
+           return Host->Capable && !Host->StoreLost;
+         });
+}
+
+void gossip::answerWaiting() {
+  auto Waiting = std::exchange(Impl->Waiting, {});
+  if (Waiting.empty()) {
+    return;
+  }
+  auto Message = Impl->message();
+  Message.Records = Impl->State.Operator.changesFrom(log_offset{0});
+  for (const auto &Node : Waiting) {
+    Impl->Links.send(Node, Message);
+  }
 }
 
 void gossip::tellEvidence(const node_id &Node, const evidence_report &Report) {
@@ -338,7 +380,9 @@
     Reply.Hosts = newerThan(State, {});
     Answers = true;
   }
-  if (Message.WantRecords) {
+  if (Message.WantRecords && !State.Routes) {
+    Impl->Waiting.insert(Message.Sender.Node);
+  } else if (Message.WantRecords) {
     Reply.Records = State.Operator.changesFrom(Message.OperatorEnd);
     Reply.RecordsFrom = Message.OperatorEnd;
     Answers = true;
--- a/src/sidecar/gossip.h
+++ b/src/sidecar/gossip.h
@@ -39,8 +39,14 @@
   /** Tells the nodes that rely on this one what operators have changed.
    * @param From end of the operators' topic before the change. */
   void tellOperatorChanges(log_offset From);
-  /** Greets all known hosts, and asks some for what they know. */
+  /** Greets the hosts of the own zone and asks some for what they know, those
+   * with the means for it first; greets the others a little later. */
   void greetAll();
+  /** Answers the nodes that asked for records before there were any. */
+  void answerWaiting();
+  /** @return whether another host of the zone has the means to read the store
+   * for this one, and this one has not. */
+  auto canRelyOnZone() const -> bool;
   /** @return whether this node has to read the store itself: it is one of the
    * readers of its zone, or has not heard from them for a while. */
   auto mustReadStore() const -> bool;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -204,6 +204,7 @@
       Gossip.tellOperatorChanges(From);
     }
   };
+  Events.CanRely = [this] { return Gossip.canRelyOnZone(); };
   Events.MustRead = [this] { return Gossip.mustReadStore(); };
   Events.OnMeshListed =
       [this](const std::vector<mesh::operator_record> &Records) {
@@ -219,6 +220,7 @@
 
 void sidecar::implementation::noteOperatorKeys(
     const std::vector<std::string> &Keys) {
+  auto HadRoutes = State.Routes != nullptr;
   auto WasEvacuated = State.Evacuated.contains(State.Own.Zone);
   if (!applyOperatorKeys(State, Keys)) {
     return;
@@ -229,6 +231,9 @@
   }
   Rollouts.noteOrders();
   Admission.reconsider();
+  if (!HadRoutes && State.Routes) {
+    Gossip.answerWaiting();
+  }
 }
 
 void sidecar::implementation::mergeMeshRecord(
--- a/src/sidecar/store_feed.cpp
+++ b/src/sidecar/store_feed.cpp
@@ -22,6 +22,8 @@
 static constexpr auto PollMargin = millis(1500);
 /** Pause between polls; several changes then cost one call. */
 static constexpr auto PollGap = micros(400'000);
+/** Time in which a node that starts is given the configuration by others. */
+static constexpr auto RelyAtStart = micros(700'000);
 /** Interval at which a node that relies on others checks whether it must. */
 static constexpr auto RelyInterval = micros(500'000);
 /** Pauses after failures, doubled each time. */
@@ -191,6 +193,9 @@
 }
 
 void store_feed::implementation::listOperator(std::uint64_t Started) {
+  if (Started != Run || Closed) {
+    return;
+  }
   listPages(store_topic::Operator, std::make_shared<platform::store_page>(),
             [this, Started](result<platform::store_page> Page) {
               if (Started != Run) {
@@ -208,10 +213,7 @@
               auto Keys = State.Operator.mergeListing(Value.Records, Value.End,
                                                       Value.End);
               Events.OnOperatorKeys(Keys, From);
-              if (State.StoreListed) {
-                return poll(Started);
-              }
-              listMesh(Started);
+              poll(Started);
             });
 }
 
@@ -232,7 +234,14 @@
               }
               Events.OnMeshListed(Ok ? valueOf(Page).Records
                                      : std::vector<mesh::operator_record>());
-              poll(Started);
+              if (!Events.CanRely()) {
+                return listOperator(Started);
+              }
+              State.Loop.addTimer(State.Loop.now() + RelyAtStart,
+                                  [this, Started] {
+                                    State.Routes ? poll(Started)
+                                                 : listOperator(Started);
+                                  });
             });
 }
 
@@ -290,7 +299,7 @@
 
 void store_feed::start() {
   ++Impl->Run;
-  Impl->listOperator(Impl->Run);
+  Impl->listMesh(Impl->Run);
 }
 
 void store_feed::restart() {
@@ -299,7 +308,8 @@
     Impl->Poll = nullptr;
   }
   Impl->Idle = nullptr;
-  start();
+  ++Impl->Run;
+  Impl->listOperator(Impl->Run);
 }
 
 void store_feed::close() {
--- a/src/sidecar/store_feed.h
+++ b/src/sidecar/store_feed.h
@@ -17,6 +17,9 @@
       OnOperatorKeys;
   /** @return whether this node has to follow the operators' topic itself. */
   std::function<bool()> MustRead;
+  /** @return whether other nodes give this one what operators wrote, so that
+   * it lists that itself only when they do not. */
+  std::function<bool()> CanRely;
   /** The mesh topic was listed. */
   std::function<void(const std::vector<mesh::operator_record> &)> OnMeshListed;
   /** The store was lost or regained. */
