--- a/src/mesh/route_table.cpp
+++ b/src/mesh/route_table.cpp
@@ -5,6 +5,7 @@
 #include <cctype>
 #include <numeric>
 #include <set>
+#include <unordered_set>
 
 namespace sycamorelb::mesh {
 
@@ -96,12 +97,13 @@
                           "empty or repeated name"};
     }
   }
-  auto Places = std::set<std::pair<std::string, std::string>>();
+  auto Places = std::unordered_set<std::string>();
   for (const auto &Route : Config.Routes) {
     if (auto Fault = findRouteFault(Route, Services)) {
       return Fault;
     }
-    if (!Places.emplace(plainHost(Route.Host), Route.PathPrefix).second) {
+    if (!Places.insert(indexKey(plainHost(Route.Host), Route.PathPrefix))
+             .second) {
       return config_fault{"route " + Route.Name.Value,
                           "host and prefix of another route"};
     }
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -97,7 +97,7 @@
                      const reply_message &Reply);
   void handleNotRun(const call_ref &Call, const reply_message &Reply);
   void handleFailed(const call_ref &Call, const reply_message &Reply);
-  auto mayRepeat(const open_call &Call) -> bool;
+  auto mayRepeat(const open_call &Call, repeat_cause Cause) -> bool;
   void refuse(const call_ref &Call, const char *Reason);
   void fail(const call_ref &Call, int Status, const char *Reason);
   void answer(const call_ref &Call, const http::response &Response,
@@ -355,23 +355,24 @@
                    {"slots", std::int64_t{Reply.Load.Slots}}});
   ++State.Counters.Bounces;
   ++Call->Bounces;
-  if (Reply.Arrived && !mayRepeat(*Call)) {
+  if (Reply.Arrived && !mayRepeat(*Call, repeat_cause::Refused)) {
     return refuse(Call, "target refused");
   }
   dispatchCall(Call);
 }
 
-auto entry::implementation::mayRepeat(const open_call &Call) -> bool {
+auto entry::implementation::mayRepeat(const open_call &Call,
+                                      repeat_cause Cause) -> bool {
   auto Run = expectedRun(Board, *Call.Route);
   return Call.Arrivals < Call.Route->Attempts &&
          State.Loop.now() + Run < Call.GiveUpAt &&
-         takeRepeat(State, Board, Call.Service);
+         takeRepeat(State, Board, Call.Service, Cause);
 }
 
 void entry::implementation::handleFailed(const call_ref &Call,
                                          const reply_message &Reply) {
   auto Repeats = Call->Route->Kind == mesh::call_kind::Idempotent &&
-                 mayRepeat(*Call);
+                 mayRepeat(*Call, repeat_cause::Failed);
   State.Log.write(log_class::Decision,
                   Repeats ? "call.repeated" : "call.failed",
                   {{"id", Call->Id.Value},
--- a/src/sidecar/node_state.cpp
+++ b/src/sidecar/node_state.cpp
@@ -1,8 +1,6 @@
 /** @file node_state.cpp Applies what operators wrote. */
 #include "sidecar/node_state.h"
 
-#include "platform/config_document.h"
-
 #include <optional>
 
 namespace sycamorelb::sidecar {
@@ -64,7 +62,7 @@
   if (Record == nullptr) {
     return false;
   }
-  auto Config = platform::decodeConfig(Record->Value);
+  auto Config = platform::decodeConfig(Record->Value, State.ConfigCache);
   if (!isOk(Config)) {
     rejectInput(State, Key, errorOf(Config).Message);
     return false;
--- a/src/sidecar/node_state.h
+++ b/src/sidecar/node_state.h
@@ -2,6 +2,7 @@
  * it. */
 #pragma once
 
+#include "platform/config_document.h"
 #include "sidecar/decision_log.h"
 #include "sidecar/node_counters.h"
 #include "sycamorelb/core/random_func.h"
@@ -32,6 +33,7 @@
   mesh::host_table Hosts;     ///< All hosts.
   mesh::operator_table Operator; ///< What operators wrote.
   std::shared_ptr<const mesh::route_table> Routes; ///< Null before the first.
+  platform::config_cache ConfigCache; ///< Parsed parts of the last document.
   steady_time ConfigAt{};        ///< When Routes were applied.
   std::set<zone_id> Evacuated;   ///< Zones whose targets get nothing.
   std::map<service_id, rollout::rollout_state> Rollouts; ///< Newest orders.
--- a/src/sidecar/target_board.cpp
+++ b/src/sidecar/target_board.cpp
@@ -14,9 +14,10 @@
 static constexpr auto MostSlowness = 20.0;
 /** Run time assumed for a route, as a share of its objective. */
 static constexpr auto FirstRunShare = 0.3;
-/** Share of the deployment's repeats that nodes use. A repeated call may call
- * on, and those calls count as repeats too. */
-static constexpr auto RepeatShare = 0.25;
+/** Shares of the deployment's repeats that nodes use. The calls that a repeated
+ * run makes count as repeats too, so the first share is small. */
+static constexpr auto FailedShare = 0.25;
+static constexpr auto RefusedShare = 0.35;
 
 auto chooseTargets(const node_state &State, target_board &Board,
                    const target_filter &Filter) -> target_choice {
@@ -137,28 +138,32 @@
 }
 
 /** @return the budget rule of one node. */
-static auto repeatRule(const node_state &State) -> limits::budget_config {
+static auto repeatRule(const node_state &State, repeat_cause Cause)
+    -> limits::budget_config {
+  auto Share = Cause == repeat_cause::Failed ? FailedShare : RefusedShare;
   const auto &Bounds = State.Settings.Bounds;
   auto Nodes = static_cast<double>(
       std::max<std::size_t>(1, State.Hosts.records().size()));
   auto Rule = limits::budget_config();
   Rule.Percent =
-      static_cast<std::uint32_t>(Bounds.RetryRatio * RepeatShare * 100);
-  Rule.MaxTokens = std::max(1.0, Bounds.RetrySlack * RepeatShare / Nodes);
-  Rule.MinPerSecond = Bounds.RetrySlack * RepeatShare / Nodes /
+      static_cast<std::uint32_t>(Bounds.RetryRatio * Share * 100);
+  Rule.MaxTokens = std::max(1.0, Bounds.RetrySlack * Share / Nodes);
+  Rule.MinPerSecond = Bounds.RetrySlack * Share / Nodes /
                       (static_cast<double>(Bounds.RetryWindow.count()) / 1e3);
   return Rule;
 }
 
 void earnRepeat(const node_state &State, target_board &Board,
                 const service_id &Service) {
-  limits::onCall(Board.Repeats[Service], repeatRule(State));
+  for (auto Cause : {repeat_cause::Failed, repeat_cause::Refused}) {
+    limits::onCall(Board.Repeats[{Service, Cause}], repeatRule(State, Cause));
+  }
 }
 
 auto takeRepeat(const node_state &State, target_board &Board,
-                const service_id &Service) -> bool {
-  return limits::tryTake(Board.Repeats[Service], repeatRule(State),
-                         State.Loop.now());
+                const service_id &Service, repeat_cause Cause) -> bool {
+  return limits::tryTake(Board.Repeats[{Service, Cause}],
+                         repeatRule(State, Cause), State.Loop.now());
 }
 
 } // namespace sycamorelb::sidecar
--- a/src/sidecar/target_board.h
+++ b/src/sidecar/target_board.h
@@ -13,6 +13,12 @@
 
 namespace sycamorelb::sidecar {
 
+/** Why a call is to reach a second target. */
+enum class repeat_cause : std::uint8_t {
+  Failed,  ///< The first one failed it; what it called is called again.
+  Refused, ///< The first one refused it and called nothing.
+};
+
 /** Run times and deadlines of a route. */
 struct route_stats {
   micros MeanRun{0}; ///< Mean run time over all targets; 0 if unknown.
@@ -23,7 +29,9 @@
   std::map<node_id, dispatch::target_view> Views; ///< By host.
   std::map<node_id, mesh::target_id> Seen;     ///< Target that a view is of.
   std::unordered_map<route_id, route_stats> Routes; ///< By route.
-  std::map<service_id, limits::attempt_budget> Repeats; ///< By service.
+  /** By service and cause. */
+  std::map<std::pair<service_id, repeat_cause>, limits::attempt_budget>
+      Repeats;
   std::map<service_id, std::uint32_t> TrialCredit; ///< For the trial share.
 };
 
@@ -68,6 +76,6 @@
 /** @return whether a call may reach a second target; takes the right to it.
  * The rights of all nodes together stay within the deployment's bound. */
 auto takeRepeat(const node_state &State, target_board &Board,
-                const service_id &Service) -> bool;
+                const service_id &Service, repeat_cause Cause) -> bool;
 
 } // namespace sycamorelb::sidecar
