Fix: [Sidecar] A late heartbeat made a target that had left look ready to a node that had just started

Change: after a start, a heartbeat beyond the first ones needs a second one or the target's own health answer; a leave without birth holds against later heartbeats of that start. The process ends without waiting for libraries' threads. Ruled out: lost broadcasts (the table of the other nodes was right).

--- a/include/sycamorelb/mesh/config_type.h
+++ b/include/sycamorelb/mesh/config_type.h
@@ -44,6 +44,7 @@
 /** Properties of the targets of a service. */
 struct service_rule {
   service_id Name;                     ///< Name, unique.
+  std::string HealthPath;              ///< Path of a target's health check.
   std::uint32_t ConnectionLimit = 100; ///< Connections that a target accepts.
   millis Warmup{0};       ///< Time for which a started target is cold.
   double ColdCallsPerSecond = 0; ///< Calls that a cold target bears.
--- a/src/cli/verb_sidecar.cpp
+++ b/src/cli/verb_sidecar.cpp
@@ -5,6 +5,7 @@
 #include "platform/settings_file.h"
 #include "sycamorelb/sidecar/sidecar.h"
 
+#include <cstdlib>
 #include <fstream>
 #include <sstream>
 
@@ -30,7 +31,9 @@
     return reportError(errorOf(Node));
   }
   valueOf(Node)->run();
-  return exit_code::Done;
+  // All connections have ended and the log is written. The destructors of
+  // linked libraries may wait for threads that the platform no longer runs.
+  std::_Exit(static_cast<int>(exit_code::Done));
 }
 
 } // namespace sycamorelb::cli
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -14,6 +14,7 @@
 #include "sidecar/target_watch.h"
 #include "sycamorelb/core/clock_func.h"
 #include "sycamorelb/core/hash_func.h"
+#include "sycamorelb/http/client_connection.h"
 
 #include <algorithm>
 #include <fstream>
@@ -41,6 +42,8 @@
 static constexpr auto StopIdleTime = micros(2'500'000);
 /** Part of the time for a stop that is left unused. */
 static constexpr auto StopMargin = micros(300'000);
+/** Longest body of a target's health answer, in bytes. */
+static constexpr auto MaxHealthBytes = std::size_t{4096};
 /** Interval of the checks during a stop. */
 static constexpr auto StopCheckInterval = micros(100'000);
 
@@ -97,6 +100,7 @@
   auto answerControl(const http::request &Request) -> http::response;
   auto answerMetrics(const http::request &Request) -> http::response;
   void handleHeartbeat(const target_heartbeat &Heartbeat);
+  void askTarget(const target_heartbeat &Heartbeat);
   void handleLeave(const mesh::target_id &Id, std::string_view Body);
   void publishTarget();
   void publishTargetLost();
@@ -317,6 +321,10 @@
                      {"service", Heartbeat.Target.Service.Value}});
     return;
   }
+  if (needsProof(Watch, Heartbeat)) {
+    Watch.Unproved = Heartbeat;
+    return askTarget(Heartbeat);
+  }
   if (!acceptHeartbeat(Watch, Heartbeat)) {
     State.Log.write(
         log_class::State, "heartbeat.outdated",
@@ -329,6 +337,43 @@
   Admission.setTarget(State.Own.Target, Heartbeat.ColdFor);
 }
 
+void sidecar::implementation::askTarget(const target_heartbeat &Heartbeat) {
+  const auto *Rule =
+      State.Routes ? State.Routes->findService(State.Settings.Service)
+                   : nullptr;
+  State.Log.write(
+      log_class::State, "heartbeat.unproved",
+      {{"target", Heartbeat.Target.Id.Value},
+       {"sequence", static_cast<std::int64_t>(Heartbeat.Sequence)},
+       {"asked", std::int64_t{Rule != nullptr ? 1 : 0}}});
+  if (Rule == nullptr) {
+    // The next heartbeat proves it.
+    return;
+  }
+  auto Options = http::client_options();
+  Options.MaxBodyBytes = MaxHealthBytes;
+  Options.SameHost = true;
+  auto Probe =
+      http::client_connection::open(Loop, State.Settings.Target, Options);
+  auto Timer = Loop.addTimer(Loop.now() + State.Settings.HeartbeatInterval,
+                             [Probe] { Probe->close(); });
+  Probe->exchange(
+      platform::healthRequest(Rule->HealthPath),
+      [this, Heartbeat, Timer](const http::exchange_result &Result) {
+        Loop.cancelTimer(Timer);
+        const auto *Response = std::get_if<http::response>(&Result);
+        auto Proved = Response != nullptr &&
+                      platform::isHealthy(*Response, Heartbeat.Target.Id);
+        auto Current = Watch.Unproved &&
+                       Watch.Unproved->Sequence == Heartbeat.Sequence &&
+                       Watch.Known.State == mesh::target_state::Absent;
+        if (Proved && Current && acceptHeartbeat(Watch, Heartbeat)) {
+          publishTarget();
+          Admission.setTarget(State.Own.Target, Heartbeat.ColdFor);
+        }
+      });
+}
+
 void sidecar::implementation::handleLeave(const mesh::target_id &Id,
                                           std::string_view Body) {
   if (!acceptLeave(Watch, Id, platform::decodeLeaveBirth(Body))) {
--- a/src/sidecar/target_watch.cpp
+++ b/src/sidecar/target_watch.cpp
@@ -3,6 +3,21 @@
 
 namespace sycamorelb::sidecar {
 
+/** Sequence up to which a heartbeat shows that its target has just started. */
+static constexpr auto FirstSequences = std::uint64_t{2};
+
+auto needsProof(const target_watch &Watch, const target_heartbeat &Heartbeat)
+    -> bool {
+  if (Watch.Known.State != mesh::target_state::Absent ||
+      Heartbeat.Target.State != mesh::target_state::Ready ||
+      Heartbeat.Sequence <= FirstSequences) {
+    return false;
+  }
+  const auto &Earlier = Watch.Unproved;
+  return !Earlier || Earlier->Target.BornAt != Heartbeat.Target.BornAt ||
+         Earlier->Sequence >= Heartbeat.Sequence;
+}
+
 auto acceptHeartbeat(target_watch &Watch, const target_heartbeat &Heartbeat)
     -> bool {
   const auto &News = Heartbeat.Target;
@@ -11,6 +26,13 @@
   if (SameStart && Heartbeat.Sequence < Watch.Sequence) {
     return false;
   }
+  auto Left = Watch.Known.State == mesh::target_state::Gone &&
+              Watch.Known.BornAt == 0 && Watch.Known.Id == News.Id;
+  if (Left && Heartbeat.Sequence > FirstSequences) {
+    // A late heartbeat of the start that has left without telling its birth.
+    Watch.Known.BornAt = News.BornAt;
+    return false;
+  }
   auto Next = mesh::advanceTarget(Watch.Known, News);
   if (!Next) {
     return false;
--- a/src/sidecar/target_watch.h
+++ b/src/sidecar/target_watch.h
@@ -12,8 +12,21 @@
 struct target_watch {
   mesh::target_record Known;  ///< Newest start and its state.
   std::uint64_t Sequence = 0; ///< Greatest sequence of that start.
+  /** Heartbeat that waits for a proof; see needsProof(). */
+  std::optional<target_heartbeat> Unproved;
 };
 
+/**
+ * A node that has just started may get a heartbeat that was held up on the way,
+ * of a target whose leave an earlier process has acknowledged. Only the first
+ * heartbeats of a target, a second one, or the target itself prove that it is
+ * ready.
+ * @return whether the heartbeat must not be taken over yet.
+ */
+auto needsProof(const target_watch &Watch, const target_heartbeat &Heartbeat)
+    -> bool;
+
+
 /** Takes a heartbeat over unless it is outdated: of an earlier start, older
  * than one seen before, or of a target that has said that it leaves.
  * @return whether it holds. */
