Fix: [Rollout] A completed move was forgotten by nodes that learned of it before its order

Cause: nodes that start list the mesh topic first and the operators' topic second; the decision on an order that was not known yet was dropped. Change: progress that is told before its order is kept and taken over with the order. Tests of the new packages. Ruled out: the proof of heartbeats (targets were ready within 0.8 s).

--- a/src/sidecar/node_state.cpp
+++ b/src/sidecar/node_state.cpp
@@ -101,6 +101,11 @@
   News.Order = valueOf(Order);
   News.OrderOffset = Record->Offset;
   News.SeenAt = State.Loop.now();
+  auto Told = State.ToldProgress.find(News.Order.Service);
+  if (Told != State.ToldProgress.end() &&
+      Told->second.OrderOffset == News.OrderOffset) {
+    rollout::mergeRollout(News, Told->second);
+  }
   auto [Held, IsNew] = State.Rollouts.try_emplace(News.Order.Service, News);
   auto Changed = IsNew || rollout::mergeRollout(Held->second, News);
   // A peer may have told of the order before its document was read.
--- a/src/sidecar/node_state.h
+++ b/src/sidecar/node_state.h
@@ -37,6 +37,8 @@
   steady_time ConfigAt{};        ///< When Routes were applied.
   std::set<zone_id> Evacuated;   ///< Zones whose targets get nothing.
   std::map<service_id, rollout::rollout_state> Rollouts; ///< Newest orders.
+  /** Progress of orders that was told before the order itself was known. */
+  std::map<service_id, rollout::rollout_state> ToldProgress;
   bool Stopping = false;      ///< SIGTERM came.
   double LinkBusy = 0;        ///< Share of the link in use lately.
   double BulkShare = 1;       ///< Share of large requests that it bears.
--- a/src/sidecar/rollout_control.cpp
+++ b/src/sidecar/rollout_control.cpp
@@ -344,9 +344,17 @@
 
 void rollout_control::mergeProgress(const rollout::rollout_state &News) {
   auto Found = Impl->State.Rollouts.find(News.Order.Service);
-  // The order itself comes from the operators' records.
+  // The order itself comes from the operators' records, perhaps later.
   if (Found == Impl->State.Rollouts.end() ||
-      Found->second.OrderOffset != News.OrderOffset) {
+      Found->second.OrderOffset < News.OrderOffset) {
+    auto [Told, IsNew] =
+        Impl->State.ToldProgress.try_emplace(News.Order.Service, News);
+    if (!IsNew) {
+      rollout::mergeRollout(Told->second, News);
+    }
+    return;
+  }
+  if (Found->second.OrderOffset != News.OrderOffset) {
     return;
   }
   auto &Held = Found->second;
--- /dev/null
+++ b/test/dispatch_cold_test.cpp
@@ -0,0 +1,56 @@
+/** @file dispatch_cold_test.cpp Tests of the rate of calls to a cold target. */
+#include "sycamorelb/dispatch/cold_rate.h"
+
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+#include <vector>
+
+using namespace sycamorelb;
+using namespace sycamorelb::dispatch;
+
+static auto at(std::int64_t Micros) -> steady_time {
+  return steady_time(micros(Micros));
+}
+
+// Guards against more calls in any second than a cold target bears, at any
+// phase of the window.
+Test(dispatch_cold, no_second_holds_more_than_the_rate) {
+  cr_assert(rc::check("sliding second", [] {
+    auto Rate = cold_rate();
+    auto PerSecond = *rc::gen::inRange(1, 30);
+    auto Sent = std::vector<std::int64_t>();
+    auto Now = std::int64_t{0};
+    for (auto Step = 0; Step < 200; ++Step) {
+      Now += *rc::gen::inRange(0, 60'000);
+      if (nextColdCall(Rate, PerSecond, at(Now)) <= at(Now)) {
+        noteCall(Rate, at(Now));
+        Sent.push_back(Now);
+      }
+    }
+    for (auto First = std::size_t{0}; First < Sent.size(); ++First) {
+      auto Count = 0;
+      for (auto Each : Sent) {
+        Count += Each >= Sent[First] && Each < Sent[First] + 1'000'000 ? 1 : 0;
+      }
+      RC_ASSERT(Count <= PerSecond);
+    }
+  }));
+}
+
+// Guards against a restarted node that sends a full second's calls on top of
+// those of its former process.
+Test(dispatch_cold, restarted_node_waits_for_a_whole_window) {
+  auto Rate = cold_rate();
+  assumeFull(Rate, 12, at(0));
+  cr_assert(nextColdCall(Rate, 12, at(0)) >= at(1'000'000));
+}
+
+// Guards against a rate limit that forgets to let calls through again.
+Test(dispatch_cold, window_opens_again) {
+  auto Rate = cold_rate();
+  for (auto Index = 0; Index < 12; ++Index) {
+    noteCall(Rate, at(Index * 1000));
+  }
+  cr_assert(nextColdCall(Rate, 12, at(20'000)) > at(1'000'000));
+  cr_assert(nextColdCall(Rate, 12, at(1'060'000)) <= at(1'060'000));
+}
--- /dev/null
+++ b/test/mesh_route_test.cpp
@@ -0,0 +1,119 @@
+/** @file mesh_route_test.cpp Tests of routes and their parts. */
+#include "sycamorelb/mesh/route_table.h"
+
+#include <criterion/criterion.h>
+#include <cmath>
+#include <rapidcheck.h>
+
+using namespace sycamorelb;
+using namespace sycamorelb::mesh;
+
+static auto routeTo(const std::string &Host, const std::string &Prefix)
+    -> route_rule {
+  auto Route = route_rule();
+  Route.Name = {Host + Prefix};
+  Route.Host = Host;
+  Route.PathPrefix = Prefix;
+  Route.Timeout = millis(1000);
+  Route.Objective = millis(500);
+  Route.Services = {{{"s"}, 1}};
+  return Route;
+}
+
+static auto configOf(std::vector<route_rule> Routes) -> mesh_config {
+  auto Config = mesh_config();
+  Config.Routes = std::move(Routes);
+  Config.Services = {{{"s"}, "/health", 100, millis(0), 0}};
+  return Config;
+}
+
+// Guards against the route of a shorter prefix, or of another host.
+Test(mesh_route, longest_prefix_of_the_host_wins) {
+  auto Table = route_table(std::make_shared<const mesh_config>(
+      configOf({routeTo("a.example", "/x/"), routeTo("a.example", "/x/y/"),
+                routeTo("b.example", "/")})));
+  cr_assert_str_eq(Table.find("a.example", "/x/y/z")->PathPrefix.c_str(),
+                   "/x/y/");
+  cr_assert_str_eq(Table.find("A.Example:80", "/x/q")->PathPrefix.c_str(),
+                   "/x/");
+  cr_assert_null(Table.find("a.example", "/xy/"));
+  cr_assert_null(Table.find("a.example", "/x"));
+  cr_assert_not_null(Table.find("b.example", "/anything"));
+  cr_assert_null(Table.find("c.example", "/"));
+  cr_assert_null(Table.find("", ""));
+}
+
+// Guards against differences from the plain definition of the lookup.
+Test(mesh_route, lookup_equals_a_search_over_all_routes) {
+  cr_assert(rc::check("lookup", [] {
+    auto Piece = [] {
+      return *rc::gen::element<std::string>("a", "b", "ab", "");
+    };
+    auto Routes = std::vector<route_rule>();
+    auto Count = *rc::gen::inRange(0, 12);
+    for (auto Index = 0; Index < Count; ++Index) {
+      auto Prefix = std::string("/");
+      for (auto Left = *rc::gen::inRange(0, 3); Left > 0; --Left) {
+        Prefix += Piece() + "/";
+      }
+      Routes.push_back(routeTo(*rc::gen::element<std::string>("h", "g"),
+                               Prefix));
+    }
+    auto Path = std::string("/");
+    for (auto Left = *rc::gen::inRange(0, 5); Left > 0; --Left) {
+      Path += Piece() + *rc::gen::element<std::string>("/", "");
+    }
+    const auto *Naive = static_cast<const route_rule *>(nullptr);
+    for (const auto &Route : Routes) {
+      if (Route.Host == "h" && Path.starts_with(Route.PathPrefix) &&
+          (Naive == nullptr ||
+           Naive->PathPrefix.size() < Route.PathPrefix.size())) {
+        Naive = &Route;
+      }
+    }
+    auto Table = route_table(
+        std::make_shared<const mesh_config>(configOf(Routes)));
+    const auto *Found = Table.find("h", Path);
+    RC_ASSERT((Found == nullptr) == (Naive == nullptr));
+    RC_ASSERT((Found == nullptr || Found->PathPrefix == Naive->PathPrefix));
+  }));
+}
+
+// Guards against parts that miss their share in any stretch of calls.
+Test(mesh_route, parts_get_their_share_in_every_stretch) {
+  cr_assert(rc::check("shares", [] {
+    auto Parts = std::vector<weighted_service>();
+    auto Count = *rc::gen::inRange(1, 5);
+    auto Total = 0.0;
+    for (auto Index = 0; Index < Count; ++Index) {
+      auto Weight = *rc::gen::inRange(1U, 100U);
+      Total += Weight;
+      Parts.push_back({{"s" + std::to_string(Index)}, Weight});
+    }
+    auto State = split_state();
+    auto Counts = std::vector<double>(Parts.size());
+    for (auto Calls = 1; Calls <= 400; ++Calls) {
+      ++Counts[chooseWeighted(Parts, State)];
+      for (auto Part = std::size_t{0}; Part < Parts.size(); ++Part) {
+        auto Wanted = Calls * Parts[Part].Weight / Total;
+        RC_ASSERT(std::abs(Counts[Part] - Wanted) <= Count);
+      }
+    }
+  }));
+}
+
+// Guards against a configuration that is applied although a route names what
+// the configuration lacks.
+Test(mesh_route, faults_are_found) {
+  cr_assert_not(findFault(configOf({routeTo("h", "/a/")})).has_value());
+  auto Bare = routeTo("h", "/a");
+  cr_assert(findFault(configOf({Bare})).has_value());
+  auto Unknown = routeTo("h", "/a/");
+  Unknown.Services = {{{"other"}, 1}};
+  cr_assert(findFault(configOf({Unknown})).has_value());
+  auto NoTimeout = routeTo("h", "/a/");
+  NoTimeout.Timeout = millis(0);
+  cr_assert(findFault(configOf({NoTimeout})).has_value());
+  cr_assert(findFault(configOf({routeTo("h", "/a/"), routeTo("H", "/a/")}))
+                .has_value());
+}
--- /dev/null
+++ b/test/mesh_tables_test.cpp
@@ -0,0 +1,162 @@
+/** @file mesh_tables_test.cpp Tests of the tables that nodes merge. */
+#include "sycamorelb/mesh/compress.h"
+#include "sycamorelb/mesh/host_table.h"
+#include "sycamorelb/mesh/operator_table.h"
+#include "sycamorelb/mesh/reader_func.h"
+#include "sycamorelb/mesh/record_delta.h"
+
+#include <algorithm>
+#include <criterion/criterion.h>
+#include <rapidcheck.h>
+
+using namespace sycamorelb;
+using namespace sycamorelb::mesh;
+
+static auto host(const std::string &Name, std::uint64_t Incarnation,
+                 std::uint64_t Revision) -> host_record {
+  auto Host = host_record();
+  Host.Node = {Name};
+  Host.Incarnation = Incarnation;
+  Host.Revision = Revision;
+  return Host;
+}
+
+// Guards against tables that depend on the order in which records arrive, and
+// against digests that differ although the tables are equal.
+Test(mesh_tables, hosts_converge_in_any_order) {
+  cr_assert(rc::check("hosts", [] {
+    auto Records = std::vector<host_record>();
+    auto Count = *rc::gen::inRange(0, 30);
+    for (auto Index = 0; Index < Count; ++Index) {
+      Records.push_back(host(*rc::gen::element<std::string>("a", "b", "c"),
+                             *rc::gen::inRange(1U, 4U),
+                             *rc::gen::inRange(1U, 4U)));
+    }
+    auto Left = host_table();
+    auto Right = host_table();
+    for (const auto &Record : Records) {
+      Left.merge(Record);
+    }
+    std::reverse(Records.begin(), Records.end());
+    for (const auto &Record : Records) {
+      Right.merge(Record);
+      Right.merge(Record);
+    }
+    RC_ASSERT(Left.digest() == Right.digest());
+    RC_ASSERT(Left.records() == Right.records());
+  }));
+}
+
+static auto record(const std::string &Key, std::uint64_t Offset,
+                   std::string Value) -> operator_record {
+  return {Key, {Offset}, Value.empty(), std::move(Value), std::nullopt};
+}
+
+// Guards against an older record that replaces a newer one.
+Test(mesh_tables, operator_records_never_go_back) {
+  auto Table = operator_table();
+  cr_assert(Table.merge(record("config", 5, "new")));
+  cr_assert_not(Table.merge(record("config", 3, "old")));
+  cr_assert_str_eq(Table.find("config")->Value.c_str(), "new");
+}
+
+// Guards against an evacuation that is never taken back where the removal was
+// not seen, and against losing a record written during the listing.
+Test(mesh_tables, listing_drops_what_it_lacks) {
+  auto Table = operator_table();
+  Table.merge(record("evacuate/a", 2, "{}"));
+  Table.merge(record("evacuate/b", 9, "{}"));
+  auto Changed =
+      Table.mergeListing({record("config", 4, "c")}, {8}, {10});
+  cr_assert_null(Table.find("evacuate/a"));
+  cr_assert_not_null(Table.find("evacuate/b"));
+  cr_assert_eq(Changed.size(), 2U);
+  cr_assert(Table.merge(record("evacuate/a", 11, "{}")));
+  cr_assert_not_null(Table.find("evacuate/a"));
+}
+
+/** @return a document like a configuration, with one resource per number. */
+static auto document(const std::vector<int> &Numbers) -> std::string {
+  auto Text = std::string("{\"version\":\"r1\",\"resources\":[");
+  for (auto Number : Numbers) {
+    Text += "{\"name\":\"route-" + std::to_string(Number) +
+            "\",\"prefix\":\"/a-long-enough-prefix/\"},";
+  }
+  return Text + "]}";
+}
+
+// Guards against deltas that do not give back the content.
+Test(mesh_tables, deltas_give_back_the_text) {
+  cr_assert(rc::check("delta", [] {
+    auto Numbers = rc::gen::container<std::vector<int>>(
+        rc::gen::inRange(0, 50));
+    auto Base = document(*Numbers);
+    auto Text = document(*Numbers);
+    auto Delta = encodeDelta(Base, Text);
+    RC_ASSERT(applyDelta(Base, Delta) == Text);
+    Delta[*rc::gen::inRange<std::size_t>(0, Delta.size())] ^= 1;
+    auto Damaged = applyDelta(Base, Delta);
+    RC_ASSERT((!Damaged || *Damaged == Text));
+  }));
+}
+
+// Guards against crashes on bytes from a faulty node.
+Test(mesh_tables, malformed_deltas_and_packed_texts_are_refused) {
+  cr_assert(rc::check("malformed", [] {
+    auto Bytes = *rc::gen::string<std::string>();
+    applyDelta("base", Bytes);
+    expandText(Bytes);
+  }));
+  cr_assert_not(expandText(compressText("text").substr(0, 9)).has_value());
+  cr_assert(expandText(compressText("text")) == "text");
+}
+
+// Guards against a delta against the record at offset 0 that is taken for
+// content: it was, and the whole configuration was rejected.
+Test(mesh_tables, changes_from_the_first_record_on) {
+  auto Numbers = std::vector<int>(100);
+  for (auto Index = 0; Index < 100; ++Index) {
+    Numbers[static_cast<std::size_t>(Index)] = Index;
+  }
+  auto Reader = operator_table();
+  auto Other = operator_table();
+  auto First = record("config", 0, document(Numbers));
+  Reader.merge(First);
+  Other.merge(First);
+  Other.noteEnd({1});
+  Numbers[50] = 1000;
+  Reader.merge(record("config", 1, document(Numbers)));
+  auto Changes = Reader.changesFrom({1});
+  cr_assert_eq(Changes.size(), 1U);
+  cr_assert(Changes[0].Base == log_offset{0});
+  cr_assert_lt(Changes[0].Value.size(), 500U);
+  auto Whole = Other.expand(Changes[0]);
+  cr_assert(Whole.has_value());
+  cr_assert(Whole->Value == document(Numbers));
+  // A node without the base gets nothing from the delta, and asks for all.
+  cr_assert_not(operator_table().expand(Changes[0]).has_value());
+  auto All = Reader.changesFrom({0});
+  cr_assert(All[0].Compressed);
+  cr_assert(operator_table().expand(All[0])->Value == document(Numbers));
+}
+
+// Guards against zones without reader, and against readers that can't read.
+Test(mesh_tables, each_zone_has_readers) {
+  auto Hosts = host_table();
+  for (auto Index = 0; Index < 20; ++Index) {
+    auto Host = host("h" + std::to_string(Index), 1, 1);
+    Host.Zone = {Index % 2 == 0 ? "a" : "b"};
+    Host.Capable = Index >= 16;
+    Host.StoreLost = Index == 16;
+    Hosts.merge(Host);
+  }
+  auto Readers = std::vector<std::string>();
+  for (const auto &[Node, Host] : Hosts.records()) {
+    if (!Host.StoreLost && isReader(Hosts, Host)) {
+      Readers.push_back(Node.Value);
+    }
+  }
+  cr_assert_eq(Readers.size(), 4U);
+  cr_assert(std::count(Readers.begin(), Readers.end(), "h18") == 1);
+  cr_assert(std::count(Readers.begin(), Readers.end(), "h16") == 0);
+}
