--- /dev/null
+++ b/test/http_connection_test.cpp
@@ -0,0 +1,204 @@
+/** @file http_connection_test.cpp Tests of whole messages over loopback. */
+#include "sycamorelb/http/client_connection.h"
+#include "sycamorelb/http/server_connection.h"
+
+#include "proxy/message_head.h"
+
+#include <criterion/criterion.h>
+#include <functional>
+#include <optional>
+#include <set>
+
+using namespace sycamorelb;
+using namespace sycamorelb::http;
+
+/** Longest time that a test may take. */
+static constexpr auto TestTime = micros(10'000'000);
+
+/** @return a loopback address on which nothing listens yet. */
+static auto freeAddress() -> event::endpoint {
+  static auto Next = std::uint16_t{28'400};
+  return {"127.0.0.1", Next++};
+}
+
+/** Listens where a port is free. */
+static auto listenAnywhere(event::loop &Loop, event::endpoint &Address,
+                           const event::listener::accept_callback &Accept)
+    -> std::unique_ptr<event::listener> {
+  for (;;) {
+    Address = freeAddress();
+    auto Opened = event::listener::open(Loop, Address, Accept);
+    if (isOk(Opened)) {
+      return std::move(valueOf(Opened));
+    }
+  }
+}
+
+/** Server that answers each request with fixed bytes. */
+struct raw_server {
+  event::loop &Loop;
+  std::string Answer;      ///< Bytes for each request.
+  bool CloseAfter = false; ///< Closes in good order after them.
+  event::endpoint Address{};
+  std::set<std::shared_ptr<event::stream>> Streams{};
+  std::unique_ptr<event::listener> Listener{};
+
+  void start() {
+    Listener = listenAnywhere(
+        Loop, Address, [this](std::shared_ptr<event::stream> Stream) {
+          Streams.insert(Stream);
+          auto *Raw = Stream.get();
+          Stream->OnData = [this, Raw] {
+            Raw->consume(Raw->input().size());
+            Raw->send(Answer);
+            if (CloseAfter) {
+              Raw->close();
+            }
+          };
+        });
+  }
+};
+
+/** Sends one request and waits for its result. */
+static auto exchangeOnce(const std::string &Answer, bool CloseAfter,
+                         bool &Reusable) -> exchange_result {
+  auto Loop = event::loop();
+  auto Server = raw_server{Loop, Answer, CloseAfter};
+  Server.start();
+  auto Options = client_options();
+  Options.MaxBodyBytes = 1000;
+  auto Client = client_connection::open(Loop, Server.Address, Options);
+  Client->setBelongs([](const proxy::header_list &Headers) {
+    auto Id = proxy::findHeader(Headers, "Request-Id");
+    return !Id || *Id == "mine";
+  });
+  auto Request = http::request();
+  Request.Method = "GET";
+  Request.Target = "/";
+  auto Result = std::optional<exchange_result>();
+  Client->exchange(Request, [&](exchange_result Got) {
+    Result = std::move(Got);
+    Loop.stop();
+  });
+  Loop.addTimer(Loop.now() + TestTime, [&] { Loop.stop(); });
+  Loop.run();
+  Reusable = Client->isReusable();
+  cr_assert(Result.has_value(), "no result in time");
+  return std::move(*Result);
+}
+
+static auto bodyOf(const exchange_result &Result) -> std::string {
+  const auto *Response = std::get_if<response>(&Result);
+  return Response == nullptr ? "(failed)" : Response->Body;
+}
+
+// Guards against an answer to another request that is taken for this one's.
+Test(http_connection, late_answer_of_another_request_is_skipped) {
+  auto Reusable = false;
+  auto Result = exchangeOnce("HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
+                             "Content-Length: 3\r\n\r\nold"
+                             "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n"
+                             "Content-Length: 3\r\n\r\nnew",
+                             false, Reusable);
+  cr_assert_str_eq(bodyOf(Result).c_str(), "new");
+  cr_assert(Reusable);
+}
+
+// Guards against bytes after an answer that are taken for the next one.
+Test(http_connection, bytes_after_an_answer_end_the_connection) {
+  auto Reusable = true;
+  auto Result = exchangeOnce("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+                             "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nx",
+                             false, Reusable);
+  cr_assert_str_eq(bodyOf(Result).c_str(), "ok");
+  cr_assert_not(Reusable);
+}
+
+// Guards against an answer without length that is lost, and against one that
+// was cut short and looks whole.
+Test(http_connection, end_of_connection_ends_only_unframed_answers) {
+  auto Reusable = true;
+  auto Whole = exchangeOnce("HTTP/1.1 200 OK\r\n\r\nto the end", true,
+                            Reusable);
+  cr_assert_str_eq(bodyOf(Whole).c_str(), "to the end");
+  cr_assert_not(Reusable);
+  auto Cut = exchangeOnce("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut",
+                          true, Reusable);
+  const auto *Failure = std::get_if<exchange_failure>(&Cut);
+  cr_assert(Failure != nullptr && Failure->Connected && Failure->Answering);
+  auto Chunked = exchangeOnce("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked"
+                              "\r\n\r\n3\r\nabc\r\n",
+                              true, Reusable);
+  cr_assert(std::holds_alternative<exchange_failure>(Chunked));
+}
+
+// Guards against bytes that are no answer, and against endless ones.
+Test(http_connection, malformed_and_too_long_answers_fail) {
+  auto Reusable = true;
+  for (const auto *Bytes :
+       {"garbage\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2000\r\n\r\n"}) {
+    auto Text = std::string(Bytes) + std::string(1500, 'x');
+    auto Result = exchangeOnce(Text, true, Reusable);
+    cr_assert(std::holds_alternative<exchange_failure>(Result), "%s", Bytes);
+    cr_assert_not(Reusable);
+  }
+}
+
+// Guards against a refused connection that counts as a request that may have
+// run.
+Test(http_connection, refused_connection_is_known_as_such) {
+  auto Loop = event::loop();
+  auto Client = client_connection::open(Loop, {"127.0.0.1", 1}, {});
+  auto Result = std::optional<exchange_result>();
+  auto Request = http::request();
+  Request.Method = "GET";
+  Request.Target = "/";
+  Client->exchange(Request, [&](exchange_result Got) {
+    Result = std::move(Got);
+    Loop.stop();
+  });
+  Loop.addTimer(Loop.now() + TestTime, [&] { Loop.stop(); });
+  Loop.run();
+  cr_assert(Result.has_value());
+  cr_assert_not(std::get<exchange_failure>(*Result).Connected);
+}
+
+// Guards against requests that reach the handler although their framing is
+// ambiguous, and against one pipelined request that gets another's answer.
+Test(http_connection, server_reads_whole_requests_one_at_a_time) {
+  auto Loop = event::loop();
+  auto Address = event::endpoint();
+  auto Seen = std::vector<std::string>();
+  auto Server = std::shared_ptr<server_connection>();
+  auto Listener = listenAnywhere(
+      Loop, Address, [&](std::shared_ptr<event::stream> Stream) {
+        Server = server_connection::create(
+            std::move(Stream), {},
+            [&](const std::shared_ptr<server_connection> &Caller,
+                const request &Request) {
+              Seen.push_back(Request.Target + " " + Request.Body);
+              Caller->respond({200, "", {}, Request.Target}, false);
+            });
+      });
+  auto Client = event::stream::connect(Loop, Address, millis(1000));
+  auto Got = std::string();
+  Client->OnData = [&] {
+    Got.append(Client->input());
+    Client->consume(Client->input().size());
+  };
+  Client->OnClosed = [&](event::close_reason) { Loop.stop(); };
+  Client->send("POST /1 HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n"
+               "\r\n3\r\nabc\r\n0\r\n\r\n"
+               "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n"
+               "POST /3 HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n"
+               "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  Loop.addTimer(Loop.now() + TestTime, [&] { Loop.stop(); });
+  Loop.run();
+  cr_assert_eq(Seen.size(), 2U);
+  cr_assert_str_eq(Seen[0].c_str(), "/1 abc");
+  cr_assert_str_eq(Seen[1].c_str(), "/2 ");
+  cr_assert(Got.find("/1") < Got.find("/2"));
+  cr_assert(Got.find("400") != std::string::npos);
+}
--- /dev/null
+++ b/test/platform_document_test.cpp
@@ -0,0 +1,269 @@
+/** @file platform_document_test.cpp Tests of the formats of the platform. */
+#include "platform/call_header.h"
+#include "platform/config_document.h"
+#include "platform/document_split.h"
+#include "platform/field.h"
+#include "platform/heartbeat.h"
+#include "platform/log_store.h"
+#include "platform/settings_file.h"
+#include "proxy/message_head.h"
+
+#include <criterion/criterion.h>
+#include <nlohmann/json.hpp>
+#include <rapidcheck.h>
+
+using namespace sycamorelb;
+using namespace sycamorelb::platform;
+
+/** @return any JSON value of limited depth. */
+static auto anyJson(int Depth) -> nlohmann::json {
+  switch (*rc::gen::inRange(0, Depth > 0 ? 6 : 4)) {
+  case 0:
+    return *rc::gen::inRange(-9, 9);
+  case 1:
+    return *rc::gen::element<std::string>("", "a\"b", "]},{", "\\", "x");
+  case 2:
+    return nullptr;
+  case 3:
+    return *rc::gen::arbitrary<bool>();
+  case 4: {
+    auto List = nlohmann::json::array();
+    for (auto Left = *rc::gen::inRange(0, 4); Left > 0; --Left) {
+      List.push_back(anyJson(Depth - 1));
+    }
+    return List;
+  }
+  default: {
+    auto Object = nlohmann::json::object();
+    for (auto Left = *rc::gen::inRange(0, 4); Left > 0; --Left) {
+      Object[*rc::gen::element<std::string>("a", "b{", "items")] =
+          anyJson(Depth - 1);
+    }
+    return Object;
+  }
+  }
+}
+
+// Guards against a document that is cut at brackets within texts: compared
+// with the JSON library.
+Test(platform_document, split_equals_the_parsed_document) {
+  cr_assert(rc::check("split", [] {
+    auto Json = nlohmann::json::object();
+    Json["before"] = anyJson(2);
+    Json["items"] = nlohmann::json::array();
+    for (auto Left = *rc::gen::inRange(0, 6); Left > 0; --Left) {
+      Json["items"].push_back(anyJson(2));
+    }
+    Json["zz"] = anyJson(2);
+    auto Text = Json.dump(*rc::gen::element(-1, 2));
+    auto Split = splitDocument(Text, "items");
+    RC_ASSERT(Split.has_value());
+    RC_ASSERT(Split->Items.size() == Json["items"].size());
+    for (auto Index = std::size_t{0}; Index < Split->Items.size(); ++Index) {
+      RC_ASSERT(nlohmann::json::parse(Split->Items[Index]) ==
+                Json["items"][Index]);
+    }
+    auto Rest = Json;
+    Rest["items"] = nlohmann::json::array();
+    RC_ASSERT(nlohmann::json::parse(Split->Rest) == Rest);
+  }));
+}
+
+// Guards against reading beyond the end of a document that was cut short.
+Test(platform_document, cut_documents_are_refused) {
+  const auto Text = std::string(
+      R"({"version":"r1","resources":[{"a":"b\"]"},{"c":[1,2]}],"x":1})");
+  auto Cache = config_cache();
+  for (auto Size = std::size_t{0}; Size < Text.size(); ++Size) {
+    auto Cut = Text.substr(0, Size);
+    splitDocument(Cut, "resources");
+    cr_assert_not(isOk(decodeConfig(Cut, Cache)), "%s", Cut.c_str());
+  }
+  cr_assert_not(splitDocument("[]", "resources").has_value());
+  cr_assert_not(splitDocument(R"({"resources":{}})", "resources").has_value());
+}
+
+static auto routeText(const std::string &Members) -> std::string {
+  return R"({"version":"r12","resources":[{"resourceType":"services",)"
+         R"("metadata":{"name":"s"},"specification":{"healthCheckPath":"/h",)"
+         R"("connectionLimit":120,"warmup":"3s","coldPerS":12.0}},)"
+         R"({"resourceType":"routes","metadata":{"name":"r"},)"
+         R"("specification":{"host":"h","pathPrefix":"/p/",)" +
+         Members + "}}]}";
+}
+
+static const auto GoodRoute = std::string(
+    R"("kind":"upload","timeout":"1.5s","targetLatency":"600ms",)"
+    R"("priority":1,"attempts":2,"weightedServices":)"
+    R"([{"service":"s","weight":90},{"service":"s","weight":10}])");
+
+// Guards against members that are read under a wrong name or unit.
+Test(platform_document, configuration_is_decoded) {
+  auto Cache = config_cache();
+  for (auto Round = 0; Round < 2; ++Round) {
+    auto Config = decodeConfig(routeText(GoodRoute), Cache);
+    cr_assert(isOk(Config));
+    const auto &Route = valueOf(Config).Routes.at(0);
+    cr_assert_eq(valueOf(Config).Version.Value, 12U);
+    cr_assert(Route.Kind == mesh::call_kind::Upload);
+    cr_assert_eq(Route.Timeout.count(), 1500);
+    cr_assert_eq(Route.Objective.count(), 600);
+    cr_assert_eq(Route.Services.size(), 2U);
+    cr_assert_eq(Route.Services[0].Weight, 90U);
+    cr_assert_float_eq(valueOf(Config).Services.at(0).ColdCallsPerSecond, 12,
+                       1e-9);
+  }
+  cr_assert_eq(Cache.size(), 2U);
+}
+
+// Guards against a faulty member that is taken for a default.
+Test(platform_document, faulty_members_are_named) {
+  auto Replaced = [](const std::string &From, const std::string &To) {
+    auto Text = routeText(GoodRoute);
+    Text.replace(Text.find(From), From.size(), To);
+    auto Cache = config_cache();
+    auto Config = decodeConfig(Text, Cache);
+    return isOk(Config) ? std::string() : errorOf(Config).Message;
+  };
+  cr_assert(Replaced("\"upload\"", "\"odd\"").find("kind") !=
+            std::string::npos);
+  cr_assert(Replaced("\"1.5s\"", "1500").find("timeout") != std::string::npos);
+  cr_assert(Replaced("\"priority\":1", "\"priority\":-1").find("priority") !=
+            std::string::npos);
+  cr_assert(Replaced("\"attempts\"", "\"tries\"").find("attempts") !=
+            std::string::npos);
+  cr_assert(Replaced("\"r12\"", "\"12\"").find("version") !=
+            std::string::npos);
+}
+
+// Guards against times that are read in the wrong unit.
+Test(platform_document, durations) {
+  cr_assert(parseDuration("1500ms") == millis(1500));
+  cr_assert(parseDuration("2.5s") == millis(2500));
+  cr_assert(parseDuration("0ms") == millis(0));
+  for (const auto *Text : {"", "s", "5", "-1s", "5m", "1e9s", "nan"}) {
+    cr_assert_not(parseDuration(Text).has_value(), "%s", Text);
+  }
+}
+
+// Guards against heartbeats of other writers that change what is believed.
+Test(platform_document, heartbeats) {
+  const auto Good = std::string(
+      R"({"address":"10.0.0.1:80","born":1700000000000,"information":)"
+      R"({"service":"s","version":"v1","zone":"z","slots":9},"status":)"
+      R"({"state":"draining","sequence":4,"coldRemaining":"1.5s"}})");
+  auto Beat = decodeHeartbeat({"i-1"}, Good);
+  cr_assert(isOk(Beat));
+  cr_assert(valueOf(Beat).Target.State == mesh::target_state::Draining);
+  cr_assert_eq(valueOf(Beat).ColdFor.count(), 1'500'000);
+  cr_assert_eq(valueOf(Beat).Target.Slots, 9U);
+  for (const auto *Text : {"", "[]", "{}", "{\"born\":1}"}) {
+    cr_assert_not(isOk(decodeHeartbeat({"i-1"}, Text)));
+  }
+  auto Odd = Good;
+  Odd.replace(Odd.find("draining"), 8, "sleeping");
+  cr_assert_not(isOk(decodeHeartbeat({"i-1"}, Odd)));
+  auto Request = http::request();
+  Request.Path = "/instances/i-1";
+  cr_assert(targetOfRequest(Request) == mesh::target_id{"i-1"});
+  Request.Path = "/instances/";
+  cr_assert_not(targetOfRequest(Request).has_value());
+}
+
+/** @return a number as the store writes it. */
+static auto bigEndian(std::uint64_t Number, int Bytes) -> std::string {
+  auto Out = std::string();
+  for (auto Shift = (Bytes - 1) * 8; Shift >= 0; Shift -= 8) {
+    Out += static_cast<char>(Number >> static_cast<unsigned>(Shift));
+  }
+  return Out;
+}
+
+// Guards against records that are read with a wrong offset or key, and against
+// responses that were cut short.
+Test(platform_document, store_responses) {
+  auto Sent = appendRequest(store_topic::Mesh, "key", "value", log_offset{7});
+  cr_assert(Sent.Target.ends_with("&at=7"));
+  auto Dropped = bigEndian(4, 4) + std::string("\x03key");
+  auto Body = bigEndian(12, 8) + bigEndian(3, 8) + Sent.Body + Dropped;
+  auto Page = decodeRead({200, "", {}, Body}, {10});
+  cr_assert(isOk(Page));
+  cr_assert_eq(valueOf(Page).End.Value, 12U);
+  cr_assert_eq(valueOf(Page).Records.size(), 2U);
+  cr_assert_str_eq(valueOf(Page).Records[0].Value.c_str(), "value");
+  cr_assert_eq(valueOf(Page).Records[1].Offset.Value, 11U);
+  cr_assert(valueOf(Page).Records[1].Dropped);
+  for (auto Size = std::size_t{0}; Size < 16; ++Size) {
+    cr_assert_not(isOk(decodeRead({200, "", {}, Body.substr(0, Size)}, {10})));
+  }
+  cr_assert(errorOf(decodeRead({410, "", {}, "{}"}, {1})).Code ==
+            error_code::NotFound);
+  cr_assert(errorOf(decodeRead({503, "", {}, ""}, {1})).Code ==
+            error_code::Overloaded);
+  auto Ack = decodeAppend({412, "", {}, R"({"end":9})"});
+  cr_assert_not(valueOf(Ack).Done);
+  cr_assert_eq(valueOf(Ack).End.Value, 9U);
+  auto List = decodeList(
+      {200, "", {}, R"({"items":[{"key":"a","value":"eA==","offset":1},)"
+                    R"({"key":7}],"more":true,"end":5})"});
+  cr_assert(isOk(List));
+  cr_assert_eq(valueOf(List).Records.size(), 1U);
+  cr_assert_not(valueOf(List).Unreadable.empty());
+}
+
+// Guards against headers of a caller that a target takes for the node's.
+Test(platform_document, call_headers) {
+  auto Request = http::request();
+  Request.Headers = {{"Host", "h"},
+                     {"request-id", "abc"},
+                     {"Deadline-Milliseconds", "1200"},
+                     {"Calling-Service", "forged"},
+                     {"Connection", "X-Hop"},
+                     {"X-Hop", "1"},
+                     {"X-Kept", "2"}};
+  auto Header = decodeCallHeader(Request);
+  cr_assert_str_eq(Header.Id.Value.c_str(), "abc");
+  cr_assert_eq(Header.Left->count(), 1'200'000);
+  auto Sent = encodeTargetHeader(Request.Headers,
+                                 {micros(900'500), {"i-1"}, {"svc"}});
+  auto Value = [&Sent](const char *Name) {
+    return std::string(proxy::findHeader(Sent, Name).value_or(""));
+  };
+  cr_assert_str_eq(Value("Calling-Service").c_str(), "svc");
+  cr_assert_str_eq(Value("Deadline-Milliseconds").c_str(), "900");
+  cr_assert_str_eq(Value("Expected-Instance").c_str(), "i-1");
+  cr_assert_str_eq(Value("X-Hop").c_str(), "");
+  cr_assert_str_eq(Value("X-Kept").c_str(), "2");
+  cr_assert_eq(std::count_if(Sent.begin(), Sent.end(),
+                             [](const auto &Field) {
+                               return proxy::equalNames(Field.Name,
+                                                        "calling-service");
+                             }),
+               1);
+}
+
+// Guards against a process that starts with settings it can't use.
+Test(platform_document, settings_name_the_member_at_fault) {
+  const auto Good = std::string(
+      R"({"nodeName":"n","zone":"z","service":"s","ipAddress":"127.0.0.1",)"
+      R"("listenAddresses":{"outbound":"127.0.0.1:1","readiness":)"
+      R"("127.0.0.1:2","controlPlane":"127.0.0.1:3"},"internalPortRange":)"
+      R"([10,20],"application":"127.0.0.1:4","heartbeatInterval":"1500ms",)"
+      R"("limits":{"memoryMb":260,"linkMbps":10.0,"cpuShare":0.2},"bounds":)"
+      R"({"drain":"2s","gracePeriod":"6s","retryBudgetRatio":0.2,)"
+      R"("retryBudgetSlack":60,"budgetWindow":"10s","coldRateFactor":1.5},)"
+      R"("platform":{"address":"127.0.0.1:5"}})");
+  auto Settings = decodeSettings(Good);
+  cr_assert(isOk(Settings));
+  cr_assert_eq(valueOf(Settings).Metrics.Port, 20);
+  cr_assert_eq(valueOf(Settings).Bounds.StopGrace.count(), 6000);
+  for (const auto *Name : {"nodeName", "application", "internalPortRange",
+                           "gracePeriod", "outbound", "linkMbps"}) {
+    auto Text = Good;
+    Text.replace(Text.find(Name), 4, "gone");
+    auto Faulty = decodeSettings(Text);
+    cr_assert_not(isOk(Faulty), "%s", Name);
+    cr_assert(errorOf(Faulty).Message.find(Name) != std::string::npos, "%s",
+              errorOf(Faulty).Message.c_str());
+  }
+}
