--- a/include/sycamorelb/dispatch/cold_rate.h
+++ b/include/sycamorelb/dispatch/cold_rate.h
@@ -25,7 +25,7 @@
 
 /** @return the time from which another call may be sent to a cold target, at
  * most Now if one may be sent at once. */
-auto nextColdCall(const cold_rate &Rate, double CallsPerSecond,
-                  steady_time Now) -> steady_time;
+auto nextColdCall(const cold_rate &Rate, double CallsPerSecond, steady_time Now)
+    -> steady_time;
 
 } // namespace sycamorelb::dispatch
--- a/include/sycamorelb/dispatch/pick.h
+++ b/include/sycamorelb/dispatch/pick.h
@@ -17,27 +17,27 @@
 
 /** Load of a target as its node told it with an answer or a refusal. */
 struct load_report {
-  std::uint32_t Running = 0; ///< Calls that it ran.
-  std::uint32_t Queued = 0;  ///< Calls that waited for a slot.
-  std::uint32_t Slots = 0;   ///< Calls that it runs at once.
-  micros MeanRun{0};         ///< Mean time that a call holds a slot.
-  std::uint32_t FailurePpm = 0; ///< Share of calls that it failed lately.
-  bool Cold = false;         ///< Starts are limited to a rate.
-  std::uint32_t LinkKbps = 0;    ///< Bandwidth of the host; 0 if unknown.
-  std::uint32_t LinkBusyPpm = 0; ///< Share of it in use lately.
+  std::uint32_t Running = 0;         ///< Calls that it ran.
+  std::uint32_t Queued = 0;          ///< Calls that waited for a slot.
+  std::uint32_t Slots = 0;           ///< Calls that it runs at once.
+  micros MeanRun{0};                 ///< Mean time that a call holds a slot.
+  std::uint32_t FailurePpm = 0;      ///< Share of calls that it failed lately.
+  bool Cold = false;                 ///< Starts are limited to a rate.
+  std::uint32_t LinkKbps = 0;        ///< Bandwidth of the host; 0 if unknown.
+  std::uint32_t LinkBusyPpm = 0;     ///< Share of it in use lately.
   std::uint32_t BulkPpm = 1'000'000; ///< Share of large requests it bears.
 };
 
 /** What an entry node believes of a target. */
 struct target_view {
-  load_report Load;            ///< Last report.
-  steady_time ReportedAt{};    ///< When it arrived.
-  std::uint32_t Outstanding = 0;   ///< Own calls without outcome.
-  std::uint32_t SinceReport = 0;   ///< Own calls sent since the report.
+  load_report Load;                  ///< Last report.
+  steady_time ReportedAt{};          ///< When it arrived.
+  std::uint32_t Outstanding = 0;     ///< Own calls without outcome.
+  std::uint32_t SinceReport = 0;     ///< Own calls sent since the report.
   std::uint32_t BulkOutstanding = 0; ///< Own large requests without outcome.
-  std::uint32_t Silences = 0; ///< Connections that went silent in a row.
-  double Slowness = 1.0;       ///< Run time relative to the route's mean.
-  steady_time AvoidUntil{};    ///< No calls before this time.
+  std::uint32_t Silences = 0;        ///< Connections that went silent in a row.
+  double Slowness = 1.0;             ///< Run time relative to the route's mean.
+  steady_time AvoidUntil{};          ///< No calls before this time.
 };
 
 /** A target that may take a call. */
@@ -50,9 +50,9 @@
 
 /** What matters of a call. */
 struct pick_request {
-  micros MeanRun{0};    ///< Mean run time of its route.
-  micros TimeOnTime{0}; ///< Time left for an answer on time; may be negative.
-  micros TimeLeft{0};   ///< Time left at all.
+  micros MeanRun{0};     ///< Mean run time of its route.
+  micros TimeOnTime{0};  ///< Time left for an answer on time; may be negative.
+  micros TimeLeft{0};    ///< Time left at all.
   std::size_t Bytes = 0; ///< Size of the request.
 };
 
--- a/include/sycamorelb/http/client_connection.h
+++ b/include/sycamorelb/http/client_connection.h
@@ -22,9 +22,9 @@
 
 /** What a client expects of the server. */
 struct client_options {
-  millis ConnectTimeout{1000};    ///< For a new connection.
-  std::size_t MaxBodyBytes = 0;   ///< Longer bodies are a failure.
-  bool SameHost = false;          ///< The server is on this host.
+  millis ConnectTimeout{1000};  ///< For a new connection.
+  std::size_t MaxBodyBytes = 0; ///< Longer bodies are a failure.
+  bool SameHost = false;        ///< The server is on this host.
 };
 
 /**
--- a/include/sycamorelb/http/message_type.h
+++ b/include/sycamorelb/http/message_type.h
@@ -10,12 +10,12 @@
 
 /** A request with its whole body. */
 struct request {
-  std::string Method;           ///< Method, case-sensitive.
-  std::string Target;           ///< Path and query.
-  std::string Path;             ///< Target without the query.
-  proxy::header_list Headers;   ///< All header fields.
-  std::string Body;             ///< Body without transfer coding.
-  bool HasBody = false;         ///< A body was framed, even an empty one.
+  std::string Method;         ///< Method, case-sensitive.
+  std::string Target;         ///< Path and query.
+  std::string Path;           ///< Target without the query.
+  proxy::header_list Headers; ///< All header fields.
+  std::string Body;           ///< Body without transfer coding.
+  bool HasBody = false;       ///< A body was framed, even an empty one.
 };
 
 /** A response with its whole body. */
--- a/include/sycamorelb/inner/mesh_message_type.h
+++ b/include/sycamorelb/inner/mesh_message_type.h
@@ -23,17 +23,17 @@
 
 /** Asks the node beside a target to run a call. */
 struct forward_message {
-  call_number Call;             ///< Number of the call.
-  service_id Service;           ///< Service that must run it.
-  version_id Version;           ///< Version of the target that was chosen.
-  route_id Route;               ///< Route that it came by.
-  service_id CallerService;     ///< Service of the host where it began.
-  http::request Request;        ///< The request of the caller.
+  call_number Call;         ///< Number of the call.
+  service_id Service;       ///< Service that must run it.
+  version_id Version;       ///< Version of the target that was chosen.
+  route_id Route;           ///< Route that it came by.
+  service_id CallerService; ///< Service of the host where it began.
+  http::request Request;    ///< The request of the caller.
   mesh::call_kind Kind = mesh::call_kind::NonIdempotent; ///< May it repeat.
-  std::uint32_t Priority = 0;   ///< Rank of the route.
-  micros TimeOnTime{0};         ///< Left until the answer is late.
-  micros TimeToStart{0};        ///< Left until it must have started.
-  micros TimeLeft{0};           ///< Left until the caller gives up.
+  std::uint32_t Priority = 0;                            ///< Rank of the route.
+  micros TimeOnTime{0};  ///< Left until the answer is late.
+  micros TimeToStart{0}; ///< Left until it must have started.
+  micros TimeLeft{0};    ///< Left until the caller gives up.
 };
 
 /** What became of a forwarded call. */
@@ -47,7 +47,7 @@
 struct reply_message {
   call_number Call;                              ///< Number of the call.
   reply_outcome Outcome = reply_outcome::NotRun; ///< What is known.
-  bool Arrived = false;       ///< It was sent to the target.
+  bool Arrived = false;                          ///< It was sent to the target.
   http::response Response;    ///< The answer, if there is one.
   std::string Reason;         ///< Cause, where there is no answer.
   dispatch::load_report Load; ///< Load of the target now.
@@ -84,17 +84,17 @@
 
 /** Exchange of state between two nodes. */
 struct gossip_message {
-  mesh::host_record Sender;          ///< Record of the sender.
-  log_offset OperatorEnd{0};         ///< Sender's end of the operators' topic.
+  mesh::host_record Sender;     ///< Record of the sender.
+  log_offset OperatorEnd{0};    ///< Sender's end of the operators' topic.
   std::uint64_t HostDigest = 0; ///< Digest of its host table; 0 if not told.
   std::vector<host_revision> Summary;           ///< All its hosts, if told.
   std::vector<mesh::host_record> Hosts;         ///< Records of hosts.
   std::vector<mesh::operator_record> Records;   ///< Records of operators.
   std::vector<rollout::rollout_state> Rollouts; ///< Orders; SeenAt is local.
   log_offset RecordsFrom{0}; ///< Records holds all changes from here on.
-  bool Reader = false;               ///< The sender reads the store.
-  bool WantHosts = false;            ///< Asks for all hosts.
-  bool WantRecords = false;          ///< Asks for records from OperatorEnd.
+  bool Reader = false;       ///< The sender reads the store.
+  bool WantHosts = false;    ///< Asks for all hosts.
+  bool WantRecords = false;  ///< Asks for records from OperatorEnd.
   std::vector<evidence_report> Evidence; ///< Tallies for those that decide.
 };
 
@@ -108,9 +108,8 @@
 struct pong_message {};
 
 using mesh_message =
-    std::variant<forward_message, reply_message, cancel_message,
-                 resume_message, gossip_message, opened_message, ping_message,
-                 pong_message>;
+    std::variant<forward_message, reply_message, cancel_message, resume_message,
+                 gossip_message, opened_message, ping_message, pong_message>;
 
 /** Longest message, in bytes. */
 inline constexpr std::size_t MaxMeshMessageBytes =
--- a/include/sycamorelb/mesh/config_type.h
+++ b/include/sycamorelb/mesh/config_type.h
@@ -29,12 +29,12 @@
 
 /** Where the calls of one host and path prefix go. */
 struct route_rule {
-  route_id Name;            ///< Name, unique in a configuration.
-  std::string Host;         ///< Host header, lower case.
-  std::string PathPrefix;   ///< Begins and ends with a slash.
+  route_id Name;          ///< Name, unique in a configuration.
+  std::string Host;       ///< Host header, lower case.
+  std::string PathPrefix; ///< Begins and ends with a slash.
   call_kind Kind = call_kind::NonIdempotent; ///< What may be repeated.
-  millis Timeout{0};        ///< Longest time until the final answer.
-  millis Objective{0};      ///< Time within which an answer is on time.
+  millis Timeout{0};          ///< Longest time until the final answer.
+  millis Objective{0};        ///< Time within which an answer is on time.
   std::uint32_t Attempts = 1; ///< Targets that one call may be sent to.
   std::uint32_t Priority = 0; ///< Rank; 0 is the most urgent.
   std::vector<weighted_service> Services; ///< At least one part.
@@ -46,7 +46,7 @@
   service_id Name;                     ///< Name, unique.
   std::string HealthPath;              ///< Path of a target's health check.
   std::uint32_t ConnectionLimit = 100; ///< Connections that a target accepts.
-  millis Warmup{0};       ///< Time for which a started target is cold.
+  millis Warmup{0};              ///< Time for which a started target is cold.
   double ColdCallsPerSecond = 0; ///< Calls that a cold target bears.
   auto operator==(const service_rule &) const -> bool = default;
 };
--- a/include/sycamorelb/mesh/host_table.h
+++ b/include/sycamorelb/mesh/host_table.h
@@ -25,26 +25,26 @@
 
 /** The target beside a node. */
 struct target_record {
-  target_id Id;                ///< Name of this start.
-  std::int64_t BornAt = 0;     ///< Wall time of its start, in Unix ms.
-  service_id Service;          ///< Service that it runs.
-  version_id Version;          ///< Version of its software.
-  std::uint32_t Slots = 0;     ///< Calls that it runs at once.
+  target_id Id;            ///< Name of this start.
+  std::int64_t BornAt = 0; ///< Wall time of its start, in Unix ms.
+  service_id Service;      ///< Service that it runs.
+  version_id Version;      ///< Version of its software.
+  std::uint32_t Slots = 0; ///< Calls that it runs at once.
   target_state State = target_state::Absent; ///< Last known state.
   auto operator==(const target_record &) const -> bool = default;
 };
 
 /** What a node says of itself; only the node itself writes it. */
 struct host_record {
-  node_id Node;               ///< Name of the host.
-  event::endpoint Peer;       ///< Where other nodes reach it.
-  zone_id Zone;               ///< Its availability zone.
+  node_id Node;                  ///< Name of the host.
+  event::endpoint Peer;          ///< Where other nodes reach it.
+  zone_id Zone;                  ///< Its availability zone.
   std::uint64_t Incarnation = 0; ///< Grows with each start of the node.
   std::uint64_t Revision = 0;    ///< Grows with each change of the record.
-  bool StoreLost = false;     ///< The node can't read the platform's store.
-  bool Leaving = false;       ///< The node stops.
+  bool StoreLost = false;        ///< The node can't read the platform's store.
+  bool Leaving = false;          ///< The node stops.
   bool Capable = false; ///< It has the means to read the store for others.
-  target_record Target;       ///< The target beside it.
+  target_record Target; ///< The target beside it.
   auto operator==(const host_record &) const -> bool = default;
 };
 
--- a/include/sycamorelb/mesh/operator_table.h
+++ b/include/sycamorelb/mesh/operator_table.h
@@ -14,10 +14,10 @@
 
 /** A record of the operators' topic. */
 struct operator_record {
-  std::string Key;          ///< What it is about.
-  log_offset Offset{0};     ///< Position in the topic.
-  bool Dropped = false;     ///< The key was removed.
-  std::string Value;        ///< Content, as the operator wrote it.
+  std::string Key;      ///< What it is about.
+  log_offset Offset{0}; ///< Position in the topic.
+  bool Dropped = false; ///< The key was removed.
+  std::string Value;    ///< Content, as the operator wrote it.
   /** Record against which Value is a delta, on the way between nodes; nothing
    * for the content itself. */
   std::optional<log_offset> Base;
--- a/include/sycamorelb/rollout/rollout_type.h
+++ b/include/sycamorelb/rollout/rollout_type.h
@@ -1,4 +1,5 @@
-/** @file rollout_type.h Traffic moves that operators order through the store. */
+/** @file rollout_type.h Traffic moves that operators order through the store.
+ */
 #pragma once
 
 #include "sycamorelb/mesh/config_type.h"
@@ -19,10 +20,10 @@
 
 /** State of the newest order of a service. */
 struct rollout_state {
-  mesh::version_order Order;             ///< What was ordered.
-  log_offset OrderOffset{0};             ///< Position of the order.
+  mesh::version_order Order;                    ///< What was ordered.
+  log_offset OrderOffset{0};                    ///< Position of the order.
   rollout_stage Stage = rollout_stage::Testing; ///< Progress.
-  steady_time SeenAt{};                  ///< When the order was first seen.
+  steady_time SeenAt{}; ///< When the order was first seen.
 };
 
 /** @return whether the stage is final. */
@@ -37,9 +38,9 @@
 
 /** Calls of one route that a version answered. */
 struct route_tally {
-  std::uint32_t Calls = 0;    ///< Calls that arrived at a target.
-  std::uint32_t Failures = 0; ///< Calls that the target failed.
-  std::uint32_t Timed = 0;    ///< Answered calls of warm targets.
+  std::uint32_t Calls = 0;     ///< Calls that arrived at a target.
+  std::uint32_t Failures = 0;  ///< Calls that the target failed.
+  std::uint32_t Timed = 0;     ///< Answered calls of warm targets.
   std::uint64_t RunMicros = 0; ///< Sum of their run times.
 };
 
@@ -57,16 +58,15 @@
  * @return Bad as soon as it fails clearly more often or takes much longer;
  * Good if there are enough calls and it is not bad.
  */
-auto judge(const version_evidence &New, const version_evidence &Old)
-    -> verdict;
+auto judge(const version_evidence &New, const version_evidence &Old) -> verdict;
 
 /** What the nodes that lead an order do next. */
 enum class rollout_step : std::uint8_t { Wait, Switch, Complete, RollBack };
 
 /** Inputs of a decision on an order. */
 struct rollout_inputs {
-  micros Elapsed{0};        ///< Since the order was seen.
-  micros SinceSwitch{0};    ///< Since the switch; 0 before it.
+  micros Elapsed{0};          ///< Since the order was seen.
+  micros SinceSwitch{0};      ///< Since the switch; 0 before it.
   std::uint32_t NewSlots = 0; ///< Slots of warm targets of the new version.
   std::uint32_t OldSlots = 0; ///< Slots of ready targets of the old one.
   verdict Verdict = verdict::Unclear; ///< What the evidence says.
--- a/include/sycamorelb/sidecar/heartbeat_type.h
+++ b/include/sycamorelb/sidecar/heartbeat_type.h
@@ -9,9 +9,9 @@
 
 /** Heartbeat of the target beside a node. */
 struct target_heartbeat {
-  mesh::target_record Target;  ///< Identity and state.
-  std::uint64_t Sequence = 0;  ///< Grows with each call of one start.
-  micros ColdFor{0};           ///< How long it stays cold.
+  mesh::target_record Target; ///< Identity and state.
+  std::uint64_t Sequence = 0; ///< Grows with each call of one start.
+  micros ColdFor{0};          ///< How long it stays cold.
 };
 
 } // namespace sycamorelb::sidecar
--- a/src/cli/verb_table.cpp
+++ b/src/cli/verb_table.cpp
@@ -17,7 +17,8 @@
       {"sidecar",
        "[--settings=FILE]",
        "Runs a node on the users' platform until SIGTERM or SIGINT.\n"
-       "  --settings is the platform's settings file; by default the path that\n"
+       "  --settings is the platform's settings file; by default the path "
+       "that\n"
        "  the platform gives in the environment.",
        {"settings"},
        0,
--- a/src/dispatch/call_queue.cpp
+++ b/src/dispatch/call_queue.cpp
@@ -47,11 +47,11 @@
 
 auto call_queue::push(const queued_call &Call, const target_pace &Pace,
                       steady_time Now) -> bool {
-  auto Place = std::upper_bound(
-      Calls.begin(), Calls.end(), Call,
-      [Now](const queued_call &New, const queued_call &Held) {
-        return startsBefore(New, Held, Now);
-      });
+  auto Place =
+      std::upper_bound(Calls.begin(), Calls.end(), Call,
+                       [Now](const queued_call &New, const queued_call &Held) {
+                         return startsBefore(New, Held, Now);
+                       });
   auto Ahead = static_cast<std::size_t>(Place - Calls.begin());
   if (!startsInTime(Call, expectedWait(Pace, Ahead), Now)) {
     return false;
@@ -104,11 +104,11 @@
   if (Calls.empty()) {
     return std::nullopt;
   }
-  return std::min_element(Calls.begin(), Calls.end(),
-                          [](const queued_call &Left,
-                             const queued_call &Right) {
-                            return Left.StartBy < Right.StartBy;
-                          })
+  return std::min_element(
+             Calls.begin(), Calls.end(),
+             [](const queued_call &Left, const queued_call &Right) {
+               return Left.StartBy < Right.StartBy;
+             })
       ->StartBy;
 }
 
--- a/src/dispatch/cold_rate.cpp
+++ b/src/dispatch/cold_rate.cpp
@@ -26,8 +26,8 @@
   Rate.Sent.assign(windowLimit(CallsPerSecond), Now);
 }
 
-auto nextColdCall(const cold_rate &Rate, double CallsPerSecond,
-                  steady_time Now) -> steady_time {
+auto nextColdCall(const cold_rate &Rate, double CallsPerSecond, steady_time Now)
+    -> steady_time {
   auto Limit = windowLimit(CallsPerSecond);
   if (Rate.Sent.size() < Limit) {
     return Now;
--- a/src/dispatch/pick.cpp
+++ b/src/dispatch/pick.cpp
@@ -124,10 +124,9 @@
 /** @return the cost of a candidate in microseconds. */
 static auto scoreOf(const candidate &Candidate, const pick_request &Request,
                     micros Wait, steady_time Now) -> double {
-  auto Run = static_cast<double>(Request.MeanRun.count()) *
-             Candidate.View.Slowness;
-  auto OnTime =
-      std::max(0.0, static_cast<double>(Request.TimeOnTime.count()));
+  auto Run =
+      static_cast<double>(Request.MeanRun.count()) * Candidate.View.Slowness;
+  auto OnTime = std::max(0.0, static_cast<double>(Request.TimeOnTime.count()));
   auto Slots = std::max<double>(1, Candidate.View.Load.Slots);
   auto Transfer = Candidate.Local
                       ? micros(0)
@@ -137,9 +136,9 @@
            std::min(1.0, believedOccupancy(Candidate.View, Now) / Slots);
   Score += FailureWeight * OnTime * believedFailure(Candidate.View, Now);
   if (!Candidate.SameZone) {
-    Score += ZoneShare *
-             std::max(0.0, OnTime - static_cast<double>(
-                                        Request.MeanRun.count()));
+    Score +=
+        ZoneShare *
+        std::max(0.0, OnTime - static_cast<double>(Request.MeanRun.count()));
   }
   return Score;
 }
@@ -171,8 +170,7 @@
   return Best;
 }
 
-auto retryAfter(micros Wait, micros TimeLeft, random_source &Random)
-    -> micros {
+auto retryAfter(micros Wait, micros TimeLeft, random_source &Random) -> micros {
   auto Longest = static_cast<double>(TimeLeft.count()) * LongestReturnShare;
   auto Wanted = std::max(static_cast<double>(Wait.count()),
                          static_cast<double>(ShortestReturn.count()));
--- a/src/event/loop.cpp
+++ b/src/event/loop.cpp
@@ -20,8 +20,8 @@
 auto bootTime() -> steady_time {
   auto Now = timespec();
   clock_gettime(CLOCK_BOOTTIME, &Now);
-  return steady_time(micros(std::int64_t{Now.tv_sec} * 1'000'000 +
-                            Now.tv_nsec / 1000));
+  return steady_time(
+      micros(std::int64_t{Now.tv_sec} * 1'000'000 + Now.tv_nsec / 1000));
 }
 
 struct loop::implementation {
@@ -152,12 +152,11 @@
   while (!Impl->Stopping) {
     auto Wait = Impl->waitMs();
     auto Before = Impl->Now;
-    auto Count = epoll_wait(Impl->Epoll, Events.data(),
-                            static_cast<int>(Events.size()),
-                            static_cast<int>(Wait));
+    auto Count =
+        epoll_wait(Impl->Epoll, Events.data(), static_cast<int>(Events.size()),
+                   static_cast<int>(Wait));
     Impl->Now = bootTime();
-    Impl->Stall =
-        std::max(micros(0), Impl->Now - Before - micros(Wait * 1000));
+    Impl->Stall = std::max(micros(0), Impl->Now - Before - micros(Wait * 1000));
     Impl->runDue();
     auto SerialBound = Impl->NextSerial;
     for (auto Index = 0; Index < Count; ++Index) {
--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -353,8 +353,8 @@
 
   void acceptReady() {
     for (auto Count = 0; Count < AcceptBatch; ++Count) {
-      auto Accepted = ::accept4(Descriptor, nullptr, nullptr,
-                                SOCK_NONBLOCK | SOCK_CLOEXEC);
+      auto Accepted =
+          ::accept4(Descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (Accepted < 0) {
         return;
       }
@@ -388,9 +388,8 @@
     return error{error_code::Unreachable, "listen", formatEndpoint(Address),
                  Cause};
   }
-  auto Listener = std::unique_ptr<listener>(
-      new listener(std::make_unique<implementation>(Loop, Descriptor,
-                                                    std::move(Accept))));
+  auto Listener = std::unique_ptr<listener>(new listener(
+      std::make_unique<implementation>(Loop, Descriptor, std::move(Accept))));
   auto *State = Listener->Impl.get();
   Loop.watch(Descriptor, EPOLLIN,
              [State](std::uint32_t) { State->acceptReady(); });
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -59,8 +59,8 @@
                              client_options Options)
     -> std::shared_ptr<client_connection> {
   auto Timeout = Options.ConnectTimeout;
-  auto Connection = std::shared_ptr<client_connection>(new client_connection(
-      std::make_unique<implementation>(Loop, Options)));
+  auto Connection = std::shared_ptr<client_connection>(
+      new client_connection(std::make_unique<implementation>(Loop, Options)));
   auto Weak = Connection->weak_from_this();
   auto &Stream = Connection->Impl->Stream;
   Stream = event::stream::connect(Loop, Server, Timeout);
@@ -100,8 +100,7 @@
   Impl->Stream->send(renderRequest(Request));
 }
 
-auto client_connection::implementation::readHead(std::string &Failure)
-    -> bool {
+auto client_connection::implementation::readHead(std::string &Failure) -> bool {
   auto Input = Stream->input();
   auto End = proxy::findHeadEnd(Input);
   if (!End.Found) {
@@ -132,8 +131,7 @@
   return true;
 }
 
-auto client_connection::implementation::readStep(std::string &Failure)
-    -> bool {
+auto client_connection::implementation::readStep(std::string &Failure) -> bool {
   while (Failure.empty()) {
     if (!ReadingBody) {
       if (!readHead(Failure)) {
@@ -178,9 +176,9 @@
   auto Failure = std::string();
   if (Impl->readStep(Failure)) {
     Impl->noteIdleTimeout();
-    auto Response = response{Impl->Head.Status, std::move(Impl->Head.Reason),
-                             std::move(Impl->Head.Headers),
-                             std::move(Impl->Body)};
+    auto Response =
+        response{Impl->Head.Status, std::move(Impl->Head.Reason),
+                 std::move(Impl->Head.Headers), std::move(Impl->Body)};
     // An answer before the whole request was read leaves a connection on which
     // the server still expects the rest of it.
     auto Reusable = Impl->Head.KeepAlive && Impl->Stream->input().empty() &&
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -30,9 +30,8 @@
   auto Out = std::string();
   Out.reserve(512 + Response.Body.size());
   Out.append("HTTP/1.1 ").append(std::to_string(Response.Status)).append(" ");
-  Out.append(Response.Reason.empty()
-                 ? proxy::reasonPhrase(Response.Status)
-                 : std::string_view(Response.Reason));
+  Out.append(Response.Reason.empty() ? proxy::reasonPhrase(Response.Status)
+                                     : std::string_view(Response.Reason));
   Out.append("\r\n");
   appendHeaders(Out, Response.Headers);
   auto Bodiless = Response.Status == 204 || Response.Status == 304;
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -146,8 +146,7 @@
   Impl->Busy = false;
   Impl->ChangedAt = event::bootTime();
   auto Closing = Close || !Impl->KeepAlive;
-  Impl->Stream->send(
-      renderResponse(Response, Impl->Method, Closing));
+  Impl->Stream->send(renderResponse(Response, Impl->Method, Closing));
   if (Closing) {
     Impl->Draining = true;
     Impl->Stream->closeAfterOutput();
@@ -165,8 +164,7 @@
 auto server_connection::isBusy() const -> bool { return Impl->Busy; }
 
 auto server_connection::isReading() const -> bool {
-  return Impl->ReadingBody ||
-         (!Impl->Busy && !Impl->Stream->input().empty());
+  return Impl->ReadingBody || (!Impl->Busy && !Impl->Stream->input().empty());
 }
 
 auto server_connection::changedAt() const -> steady_time {
--- a/src/inner/mesh_codec.cpp
+++ b/src/inner/mesh_codec.cpp
@@ -105,14 +105,10 @@
 }
 
 auto readLoad(mesh_wire::Load::Reader In) -> dispatch::load_report {
-  return {In.getRunning(),
-          In.getQueued(),
-          In.getSlots(),
-          micros(In.getMeanRunMicros()),
-          In.getFailurePpm(),
-          In.getCold(),
-          In.getLinkKbps(),
-          In.getLinkBusyPpm(),
+  return {In.getRunning(),    In.getQueued(),
+          In.getSlots(),      micros(In.getMeanRunMicros()),
+          In.getFailurePpm(), In.getCold(),
+          In.getLinkKbps(),   In.getLinkBusyPpm(),
           In.getBulkPpm()};
 }
 
@@ -185,9 +181,8 @@
   Host.Target.Service.Value = textOf(In.getService());
   Host.Target.Version.Value = textOf(In.getVersion());
   Host.Target.Slots = In.getSlots();
-  Host.Target.State =
-      static_cast<mesh::target_state>(std::min<std::uint16_t>(
-          In.getState(), static_cast<std::uint16_t>(mesh::target_state::Gone)));
+  Host.Target.State = static_cast<mesh::target_state>(std::min<std::uint16_t>(
+      In.getState(), static_cast<std::uint16_t>(mesh::target_state::Gone)));
   return Host;
 }
 
@@ -197,8 +192,7 @@
   Out.setService(Report.Service.Value);
   Out.setOrderOffset(Report.OrderOffset.Value);
   Out.setVersion(Report.Version.Value);
-  auto Tallies =
-      Out.initTallies(static_cast<unsigned>(Report.Evidence.size()));
+  auto Tallies = Out.initTallies(static_cast<unsigned>(Report.Evidence.size()));
   auto Index = 0U;
   for (const auto &[Route, Tally] : Report.Evidence) {
     auto Item = Tallies[Index++];
@@ -313,12 +307,9 @@
     }
   }
   for (auto Item : In.getRecords()) {
-    auto Record = mesh::operator_record{textOf(Item.getKey()),
-                                        {Item.getOffset()},
-                                        Item.getDropped(),
-                                        dataOf(Item.getValue()),
-                                        std::nullopt,
-                                        Item.getCompressed()};
+    auto Record = mesh::operator_record{
+        textOf(Item.getKey()),   {Item.getOffset()}, Item.getDropped(),
+        dataOf(Item.getValue()), std::nullopt,       Item.getCompressed()};
     if (Item.getBaseAfter() > 0) {
       Record.Base = log_offset{Item.getBaseAfter() - 1};
     }
@@ -330,9 +321,8 @@
     }
   }
   for (auto Item : In.getSummary()) {
-    Message.Summary.push_back({{textOf(Item.getNode())},
-                               Item.getIncarnation(),
-                               Item.getRevision()});
+    Message.Summary.push_back(
+        {{textOf(Item.getNode())}, Item.getIncarnation(), Item.getRevision()});
   }
   Message.RecordsFrom.Value = In.getRecordsFrom();
   Message.Reader = In.getReader();
@@ -445,8 +435,7 @@
       return corrupt("unknown or incomplete message");
     }
     return std::optional<decoded_mesh>(
-        decoded_mesh{std::move(*Message),
-                     steady_time(micros(Root.getSentAt())),
+        decoded_mesh{std::move(*Message), steady_time(micros(Root.getSentAt())),
                      LengthBytes + Length});
   } catch (const kj::Exception &Failure) {
     return corrupt(Failure.getDescription().cStr());
--- a/src/mesh/compress.cpp
+++ b/src/mesh/compress.cpp
@@ -35,9 +35,9 @@
   }
   auto Text = std::string(Size, '\0');
   auto Length = static_cast<uLongf>(Size);
-  auto Status = uncompress(reinterpret_cast<Bytef *>(Text.data()), &Length,
-                           reinterpret_cast<const Bytef *>(Bytes.data()),
-                           Bytes.size());
+  auto Status =
+      uncompress(reinterpret_cast<Bytef *>(Text.data()), &Length,
+                 reinterpret_cast<const Bytef *>(Bytes.data()), Bytes.size());
   if (Status != Z_OK || Length != Size) {
     return std::nullopt;
   }
--- a/src/mesh/operator_table.cpp
+++ b/src/mesh/operator_table.cpp
@@ -52,8 +52,8 @@
   if (!Text) {
     return std::nullopt;
   }
-  return operator_record{Record.Key, Record.Offset, Record.Dropped,
-                         std::move(*Text), {}};
+  return operator_record{
+      Record.Key, Record.Offset, Record.Dropped, std::move(*Text), {}};
 }
 
 auto operator_table::changesFrom(log_offset From)
@@ -66,17 +66,18 @@
       continue;
     }
     Changes.push_back(Record);
-    auto Base = std::find_if(
-        Replaced.rbegin(), Replaced.rend(), [&](const auto &Former) {
-          return Former.Key == Key && Former.Offset < From;
-        });
+    auto Base = std::find_if(Replaced.rbegin(), Replaced.rend(),
+                             [&](const auto &Former) {
+                               return Former.Key == Key && Former.Offset < From;
+                             });
     if (Base != Replaced.rend() && !Record.Dropped) {
       // The newest former record before From is what the other node holds.
       Changes.back().Base = Base->Offset;
       Changes.back().Value = encodeDelta(Base->Value, Record.Value);
     } else if (Record.Value.size() >= DeltaBytes) {
       if (Packed.Key != Key || Packed.Offset != Record.Offset) {
-        Packed = {Key, Record.Offset, false, compressText(Record.Value),
+        Packed = {Key,          Record.Offset,
+                  false,        compressText(Record.Value),
                   std::nullopt, true};
       }
       Changes.back() = Packed;
--- a/src/mesh/reader.cpp
+++ b/src/mesh/reader.cpp
@@ -8,8 +8,7 @@
 namespace sycamorelb::mesh {
 
 /** @return the rank of a host; those with the means for it come first. */
-static auto rankOf(const host_record &Host)
-    -> std::pair<bool, std::uint64_t> {
+static auto rankOf(const host_record &Host) -> std::pair<bool, std::uint64_t> {
   return {Host.Capable, rendezvousScore(Host.Zone.Value, Host.Node.Value)};
 }
 
--- a/src/mesh/route_table.cpp
+++ b/src/mesh/route_table.cpp
@@ -12,10 +12,9 @@
 /** @return the host without port, in lower case. */
 static auto plainHost(std::string_view Host) -> std::string {
   auto Plain = std::string(Host.substr(0, Host.find(':')));
-  std::transform(Plain.begin(), Plain.end(), Plain.begin(),
-                 [](unsigned char Byte) {
-                   return static_cast<char>(std::tolower(Byte));
-                 });
+  std::transform(
+      Plain.begin(), Plain.end(), Plain.begin(),
+      [](unsigned char Byte) { return static_cast<char>(std::tolower(Byte)); });
   return Plain;
 }
 
--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -62,9 +62,8 @@
 
 /** @return the share of failed calls; 0 without calls. */
 static auto failureShare(const route_tally &Tally) -> double {
-  return Tally.Calls == 0
-             ? 0
-             : static_cast<double>(Tally.Failures) / Tally.Calls;
+  return Tally.Calls == 0 ? 0
+                          : static_cast<double>(Tally.Failures) / Tally.Calls;
 }
 
 static auto isFailing(const route_tally &New, const route_tally &Old) -> bool {
@@ -106,8 +105,7 @@
     -> rollout_step {
   auto Passed = static_cast<double>(Inputs.Elapsed.count()) /
                 static_cast<double>(micros(State.Order.Duration).count());
-  if (State.Stage == rollout_stage::Braked ||
-      Inputs.Verdict == verdict::Bad) {
+  if (State.Stage == rollout_stage::Braked || Inputs.Verdict == verdict::Bad) {
     return rollout_step::RollBack;
   }
   if (State.Stage == rollout_stage::Switching) {
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -287,9 +287,9 @@
   Call->Reply = std::move(Reply);
   Call->ArrivedAt = Now;
   Call->DeadlineAt = Now + Forward.TimeLeft;
-  auto Waiting = dispatch::queued_call{
-      Call->Serial, Forward.Priority, Now + Forward.TimeOnTime,
-      Now + Forward.TimeToStart, Now};
+  auto Waiting = dispatch::queued_call{Call->Serial, Forward.Priority,
+                                       Now + Forward.TimeOnTime,
+                                       Now + Forward.TimeToStart, Now};
   Call->Id = platform::decodeCallHeader(Forward.Request).Id;
   Call->Forward = std::move(Forward);
   Impl->Serials.emplace(Key, Call->Serial);
@@ -345,8 +345,8 @@
   while (Queue.size() > 0 && Running < std::max(1U, Target.Slots)) {
     if (isCold()) {
       auto Rate = coldRate();
-      auto Next = Rate > 0 ? dispatch::nextColdCall(this->Rate, Rate, Now)
-                           : Now;
+      auto Next =
+          Rate > 0 ? dispatch::nextColdCall(this->Rate, Rate, Now) : Now;
       if (Next > Now) {
         planPump(Next);
         break;
@@ -391,12 +391,12 @@
     auto Answered = platform::decodeAnswerHeader(Headers).Id;
     return !Answered || *Answered == Id;
   });
-  Call->Connection->exchange(
-      Forward.Request, [this, Weak](http::exchange_result Result) {
-        if (auto Self = Weak.lock()) {
-          handleResult(*Self, std::move(Result));
-        }
-      });
+  Call->Connection->exchange(Forward.Request,
+                             [this, Weak](http::exchange_result Result) {
+                               if (auto Self = Weak.lock()) {
+                                 handleResult(*Self, std::move(Result));
+                               }
+                             });
   Forward.Request.Body = std::string();
   Call->Timer =
       State.Loop.addTimer(Call->DeadlineAt + DeadlineMargin, [this, Weak] {
@@ -556,8 +556,7 @@
   }
 }
 
-void admission::noteOriginLost(const node_id &Node,
-                               std::uint64_t Incarnation) {
+void admission::noteOriginLost(const node_id &Node, std::uint64_t Incarnation) {
   // A call that is submitted again gets a new handler; the others keep the
   // one whose connection has ended.
   auto Orphans = std::vector<std::weak_ptr<admitted_call>>();
@@ -572,25 +571,25 @@
   if (Orphans.empty()) {
     return;
   }
-  Impl->State.Loop.addTimer(
-      Impl->State.Loop.now() + OriginGrace,
-      [this, Orphans = std::move(Orphans)] {
-        for (const auto &Weak : Orphans) {
-          auto Call = Weak.lock();
-          if (Call && Call->Stage != call_stage::Done && !Call->Reply) {
-            Impl->breakOff(*Call);
-          }
-        }
-        Impl->pump();
-      });
+  Impl->State.Loop.addTimer(Impl->State.Loop.now() + OriginGrace,
+                            [this, Orphans = std::move(Orphans)] {
+                              for (const auto &Weak : Orphans) {
+                                auto Call = Weak.lock();
+                                if (Call && Call->Stage != call_stage::Done &&
+                                    !Call->Reply) {
+                                  Impl->breakOff(*Call);
+                                }
+                              }
+                              Impl->pump();
+                            });
 }
 
 void admission::setTarget(const mesh::target_record &Target,
                           std::optional<micros> ColdFor) {
   auto &State = *Impl;
   auto Now = State.State.Loop.now();
-  auto IsNew = Target.Id != State.Target.Id ||
-               Target.BornAt != State.Target.BornAt;
+  auto IsNew =
+      Target.Id != State.Target.Id || Target.BornAt != State.Target.BornAt;
   if (IsNew) {
     State.Pool.clear();
     State.MeanRun = FirstRun;
--- a/src/sidecar/decision_log.cpp
+++ b/src/sidecar/decision_log.cpp
@@ -137,8 +137,8 @@
     return;
   }
   // A reader that does not keep up costs lines, never time.
-  auto Written = ::write(STDOUT_FILENO, Impl->Buffer.data(),
-                         Impl->Buffer.size());
+  auto Written =
+      ::write(STDOUT_FILENO, Impl->Buffer.data(), Impl->Buffer.size());
   auto Count = Written < 0 ? std::size_t{0} : static_cast<std::size_t>(Written);
   Impl->Buffer.erase(0, Count);
 }
--- a/src/sidecar/decision_log.h
+++ b/src/sidecar/decision_log.h
@@ -21,7 +21,7 @@
 
 /** Member of a log line. */
 struct log_field {
-  std::string_view Name;                           ///< Member name.
+  std::string_view Name;                              ///< Member name.
   std::variant<std::string_view, std::int64_t> Value; ///< Text or number.
 };
 
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -49,15 +49,15 @@
   steady_time OnTimeBy{};
   steady_time GiveUpAt{};
   event::timer_id Timer{0};
-  std::set<node_id> Tried;       // Hosts that refused or failed it.
-  node_id Host;                  // Host that has it; empty for none.
-  node_id LastHost;              // Host whose reply came last.
-  std::uint32_t Arrivals = 0;    // Targets that it reached.
+  std::set<node_id> Tried;    // Hosts that refused or failed it.
+  node_id Host;               // Host that has it; empty for none.
+  node_id LastHost;           // Host whose reply came last.
+  std::uint32_t Arrivals = 0; // Targets that it reached.
   std::uint32_t Bounces = 0;
   std::uint32_t Resumes = 0;
-  bool Late = false;             // An answer on time is not expected.
-  bool MayHaveRun = false;       // Some target may have run it.
-  bool Trial = false;            // It is one for the version on trial.
+  bool Late = false;                     // An answer on time is not expected.
+  bool MayHaveRun = false;               // Some target may have run it.
+  bool Trial = false;                    // It is one for the version on trial.
   std::optional<http::response> Failure; // Answer of a target that failed it.
 };
 
@@ -116,11 +116,11 @@
 
 auto entry::listen() -> result<done> {
   auto *Self = Impl.get();
-  auto Opened = event::listener::open(
-      Impl->State.Loop, Impl->State.Settings.Callers,
-      [Self](std::shared_ptr<event::stream> Stream) {
-        Self->accept(std::move(Stream));
-      });
+  auto Opened =
+      event::listener::open(Impl->State.Loop, Impl->State.Settings.Callers,
+                            [Self](std::shared_ptr<event::stream> Stream) {
+                              Self->accept(std::move(Stream));
+                            });
   if (!isOk(Opened)) {
     return errorOf(Opened);
   }
@@ -149,10 +149,9 @@
     const request_id &Id, int Status, std::optional<micros> Return,
     const char *Reason) {
   ++State.Counters.Calls[std::string("rejected: ") + Reason];
-  State.Log.write(log_class::Decision, "call.rejected",
-                  {{"id", Id.Value},
-                   {"status", std::int64_t{Status}},
-                   {"reason", Reason}});
+  State.Log.write(
+      log_class::Decision, "call.rejected",
+      {{"id", Id.Value}, {"status", std::int64_t{Status}}, {"reason", Reason}});
   Caller->respond(platform::encodeOwnAnswer(Status, Id, Return, Reason),
                   State.Stopping);
 }
@@ -172,8 +171,8 @@
   if (Route == nullptr) {
     return reject(Caller, Header.Id, 404, std::nullopt, "no route");
   }
-  auto Left = std::min<micros>(Header.Left.value_or(Route->Timeout),
-                               Route->Timeout);
+  auto Left =
+      std::min<micros>(Header.Left.value_or(Route->Timeout), Route->Timeout);
   auto Call = std::make_shared<open_call>();
   Call->Serial = NextNumber++;
   Call->Caller = Caller;
@@ -210,9 +209,8 @@
   auto Request = dispatch::pick_request();
   Request.MeanRun = expectedRun(Board, *Call->Route);
   Request.TimeOnTime = Call->OnTimeBy - Now;
-  Request.TimeLeft =
-      Call->Late ? Call->GiveUpAt - Now
-                 : std::max(Request.TimeOnTime, Request.MeanRun);
+  Request.TimeLeft = Call->Late ? Call->GiveUpAt - Now
+                                : std::max(Request.TimeOnTime, Request.MeanRun);
   Request.Bytes = Call->Request.Body.size();
   auto Filter = target_filter{Call->Service, Call->Trial, &Call->Tried};
   auto Choice = chooseTargets(State, Board, Filter);
@@ -220,8 +218,8 @@
     Call->Trial = false;
     return pick(Call);
   }
-  auto Picked = dispatch::pickTarget(Choice.Candidates, Request, Now,
-                                     State.Random);
+  auto Picked =
+      dispatch::pickTarget(Choice.Candidates, Request, Now, State.Random);
   return Picked ? Choice.Hosts[Picked->Index] : nullptr;
 }
 
@@ -361,8 +359,8 @@
   dispatchCall(Call);
 }
 
-auto entry::implementation::mayRepeat(const open_call &Call,
-                                      repeat_cause Cause) -> bool {
+auto entry::implementation::mayRepeat(const open_call &Call, repeat_cause Cause)
+    -> bool {
   auto Run = expectedRun(Board, *Call.Route);
   return Call.Arrivals < Call.Route->Attempts &&
          State.Loop.now() + Run < Call.GiveUpAt &&
@@ -422,7 +420,8 @@
     auto Response = std::move(*Call->Failure);
     return answer(Call, Response, "failed by target");
   }
-  answer(Call, platform::encodeOwnAnswer(Status, Call->Id, std::nullopt, Reason),
+  answer(Call,
+         platform::encodeOwnAnswer(Status, Call->Id, std::nullopt, Reason),
          "failed");
 }
 
@@ -434,19 +433,18 @@
   auto Took = State.Loop.now() - Call->ArrivedAt;
   ++State.Counters.Calls[Outcome];
   observe(State.Counters.Latency[Call->Route->Name], Took);
-  State.Log.write(Response.Status < 400 ? log_class::Routine
-                                        : log_class::Decision,
-                  "call.ended",
-                  {{"id", Call->Id.Value},
-                   {"route", Call->Route->Name.Value},
-                   {"outcome", Outcome},
-                   {"status", std::int64_t{Response.Status}},
-                   {"host", Call->LastHost.Value},
-                   {"arrivals", std::int64_t{Call->Arrivals}},
-                   {"bounces", std::int64_t{Call->Bounces}},
-                   {"body", static_cast<std::int64_t>(
-                                Call->Request.Body.size())},
-                   {"took_us", Took.count()}});
+  State.Log.write(
+      Response.Status < 400 ? log_class::Routine : log_class::Decision,
+      "call.ended",
+      {{"id", Call->Id.Value},
+       {"route", Call->Route->Name.Value},
+       {"outcome", Outcome},
+       {"status", std::int64_t{Response.Status}},
+       {"host", Call->LastHost.Value},
+       {"arrivals", std::int64_t{Call->Arrivals}},
+       {"bounces", std::int64_t{Call->Bounces}},
+       {"body", static_cast<std::int64_t>(Call->Request.Body.size())},
+       {"took_us", Took.count()}});
   auto Caller = Call->Caller.lock();
   if (!Caller) {
     return;
@@ -491,8 +489,7 @@
   State.Log.write(log_class::Decision, "call.abandoned",
                   {{"id", Call->Id.Value},
                    {"host", Call->Host.Value},
-                   {"after_us",
-                    (State.Loop.now() - Call->ArrivedAt).count()}});
+                   {"after_us", (State.Loop.now() - Call->ArrivedAt).count()}});
   withdraw(Call);
 }
 
@@ -523,14 +520,14 @@
 }
 
 void entry::implementation::sweep() {
-  auto Limits = State.Routes ? State.Routes->config().Limits
-                             : mesh::caller_limits();
+  auto Limits =
+      State.Routes ? State.Routes->config().Limits : mesh::caller_limits();
   auto Now = State.Loop.now();
   auto Expired = std::vector<std::shared_ptr<http::server_connection>>();
   for (const auto &Connection : Connections) {
     auto Age = Now - Connection->changedAt();
-    auto Limit = Connection->isReading() ? Limits.HeadTimeout * 2
-                                         : Limits.IdleTimeout;
+    auto Limit =
+        Connection->isReading() ? Limits.HeadTimeout * 2 : Limits.IdleTimeout;
     if (!Connection->isBusy() && Age > Limit) {
       Expired.push_back(Connection);
     }
--- a/src/sidecar/gossip.cpp
+++ b/src/sidecar/gossip.cpp
@@ -180,8 +180,8 @@
     Impl->Links.send(Node, Message);
   }
   // Many nodes may start at once; this spreads the work of the greetings.
-  auto Delay = FarGreetingDelay + micros(randomBelow(
-                                      State.Random, FarGreetingSpreadMicros));
+  auto Delay = FarGreetingDelay +
+               micros(randomBelow(State.Random, FarGreetingSpreadMicros));
   State.Loop.addTimer(State.Loop.now() + Delay, [this] {
     auto Late = Impl->message();
     for (const auto &Node : Impl->others(false)) {
@@ -266,8 +266,8 @@
 
 void gossip::implementation::mergeRecords(const gossip_message &Message) {
   auto Keys = std::vector<std::string>();
-  auto Complete = Message.RecordsFrom <= State.Operator.end() &&
-                  !Message.Records.empty();
+  auto Complete =
+      Message.RecordsFrom <= State.Operator.end() && !Message.Records.empty();
   auto LacksBase = false;
   for (const auto &Record : Message.Records) {
     auto Held = State.Operator.records().find(Record.Key);
@@ -334,18 +334,17 @@
 /** @return whether the sender of the summary knows more of some host. */
 static auto lacksSome(const node_state &State,
                       const std::vector<host_revision> &Summary) -> bool {
-  return std::any_of(
-      Summary.begin(), Summary.end(), [&State](const host_revision &Entry) {
-        const auto *Held = State.Hosts.find(Entry.Node);
-        return Held == nullptr ||
-               std::tie(Entry.Incarnation, Entry.Revision) >
-                   std::tie(Held->Incarnation, Held->Revision);
-      });
+  return std::any_of(Summary.begin(), Summary.end(),
+                     [&State](const host_revision &Entry) {
+                       const auto *Held = State.Hosts.find(Entry.Node);
+                       return Held == nullptr ||
+                              std::tie(Entry.Incarnation, Entry.Revision) >
+                                  std::tie(Held->Incarnation, Held->Revision);
+                     });
 }
 
-void gossip::handle(
-    const gossip_message &Message,
-    const std::function<void(const mesh_message &)> &Answer) {
+void gossip::handle(const gossip_message &Message,
+                    const std::function<void(const mesh_message &)> &Answer) {
   auto &State = Impl->State;
   if (Message.Reader && Message.Sender.Zone == State.Own.Zone) {
     Impl->ReaderHeardAt = State.Loop.now();
--- a/src/sidecar/node_counters.cpp
+++ b/src/sidecar/node_counters.cpp
@@ -22,8 +22,7 @@
   return {Name, Help, Type, {}};
 }
 
-static auto counterFamily(const char *Name, const char *Help,
-                          const char *Label,
+static auto counterFamily(const char *Name, const char *Help, const char *Label,
                           const std::map<std::string, std::uint64_t> &Values)
     -> prometheus::MetricFamily {
   auto Family = family(Name, Help, prometheus::MetricType::Counter);
@@ -63,7 +62,8 @@
           {Count, static_cast<double>(LatencyBucketsMs.at(Index)) / 1e3});
     }
     Metric.histogram.sample_count = Count + Histogram.Buckets.back();
-    Metric.histogram.sample_sum = static_cast<double>(Histogram.SumMicros) / 1e6;
+    Metric.histogram.sample_sum =
+        static_cast<double>(Histogram.SumMicros) / 1e6;
     Family.metric.push_back(std::move(Metric));
   }
   return Family;
--- a/src/sidecar/node_counters.h
+++ b/src/sidecar/node_counters.h
@@ -26,14 +26,14 @@
 
 /** Counters of one node. */
 struct node_counters {
-  std::map<std::string, std::uint64_t> Calls; ///< By final outcome.
+  std::map<std::string, std::uint64_t> Calls;      ///< By final outcome.
   std::map<std::string, std::uint64_t> Admissions; ///< By outcome here.
   std::map<std::string, std::uint64_t> StoreCalls; ///< By call and outcome.
-  std::map<std::string, std::uint64_t> BadInput; ///< By source.
-  std::uint64_t Repeats = 0;                  ///< Calls sent once more.
-  std::uint64_t Bounces = 0;                  ///< Refusals by other nodes.
-  std::uint64_t LinksLost = 0;                ///< Connections to nodes lost.
-  std::uint64_t TargetConnections = 0;        ///< Opened to the target.
+  std::map<std::string, std::uint64_t> BadInput;   ///< By source.
+  std::uint64_t Repeats = 0;                       ///< Calls sent once more.
+  std::uint64_t Bounces = 0;                       ///< Refusals by other nodes.
+  std::uint64_t LinksLost = 0;                   ///< Connections to nodes lost.
+  std::uint64_t TargetConnections = 0;           ///< Opened to the target.
   std::map<route_id, latency_histogram> Latency; ///< By route.
 };
 
--- a/src/sidecar/node_state.cpp
+++ b/src/sidecar/node_state.cpp
@@ -33,8 +33,8 @@
   auto Base = std::optional<version_id>();
   for (const auto &[Node, Record] : State.Hosts.records()) {
     const auto &Target = Record.Target;
-    auto Known = Target.Service == Service &&
-                 Target.State != mesh::target_state::Absent;
+    auto Known =
+        Target.Service == Service && Target.State != mesh::target_state::Absent;
     if (Known && (!Base || rollout::isOlderVersion(Target.Version, *Base))) {
       Base = Target.Version;
     }
@@ -45,8 +45,8 @@
 auto useOfTarget(const node_state &State, const mesh::target_record &Target)
     -> rollout::version_use {
   const auto *Rollout = findRollout(State, Target.Service);
-  auto Base = Rollout == nullptr ? baseVersion(State, Target.Service)
-                                 : version_id();
+  auto Base =
+      Rollout == nullptr ? baseVersion(State, Target.Service) : version_id();
   return rollout::useOfVersion(Target.Version, Rollout, Base);
 }
 
@@ -78,12 +78,11 @@
   State.Routes = std::make_shared<const mesh::route_table>(
       std::make_shared<const mesh::mesh_config>(std::move(valueOf(Config))));
   State.ConfigAt = State.Loop.now();
-  State.Log.write(
-      log_class::State, "config.applied",
-      {{"version", static_cast<std::int64_t>(Version.Value)},
-       {"offset", static_cast<std::int64_t>(Record->Offset.Value)},
-       {"routes",
-        static_cast<std::int64_t>(State.Routes->config().Routes.size())}});
+  State.Log.write(log_class::State, "config.applied",
+                  {{"version", static_cast<std::int64_t>(Version.Value)},
+                   {"offset", static_cast<std::int64_t>(Record->Offset.Value)},
+                   {"routes", static_cast<std::int64_t>(
+                                  State.Routes->config().Routes.size())}});
   return true;
 }
 
@@ -127,9 +126,9 @@
   auto Changed = Evacuated ? State.Evacuated.insert(Zone).second
                            : State.Evacuated.erase(Zone) > 0;
   if (Changed) {
-    State.Log.write(log_class::State, "zone.evacuation",
-                    {{"zone", Zone.Value},
-                     {"evacuated", std::int64_t{Evacuated ? 1 : 0}}});
+    State.Log.write(
+        log_class::State, "zone.evacuation",
+        {{"zone", Zone.Value}, {"evacuated", std::int64_t{Evacuated ? 1 : 0}}});
   }
   return Changed;
 }
--- a/src/sidecar/node_state.h
+++ b/src/sidecar/node_state.h
@@ -23,26 +23,26 @@
 struct node_state {
   node_state(event::loop &Loop, node_settings Settings, std::uint64_t Seed);
 
-  event::loop &Loop;          ///< Loop of the only thread.
-  node_settings Settings;     ///< Settings in force.
-  random_source Random;       ///< For all random choices.
-  decision_log Log;           ///< Log of decisions.
-  node_counters Counters;     ///< Counters for the metrics.
+  event::loop &Loop;      ///< Loop of the only thread.
+  node_settings Settings; ///< Settings in force.
+  random_source Random;   ///< For all random choices.
+  decision_log Log;       ///< Log of decisions.
+  node_counters Counters; ///< Counters for the metrics.
 
-  mesh::host_record Own;      ///< Record of this node, also in Hosts.
-  mesh::host_table Hosts;     ///< All hosts.
+  mesh::host_record Own;         ///< Record of this node, also in Hosts.
+  mesh::host_table Hosts;        ///< All hosts.
   mesh::operator_table Operator; ///< What operators wrote.
   std::shared_ptr<const mesh::route_table> Routes; ///< Null before the first.
   platform::config_cache ConfigCache; ///< Parsed parts of the last document.
-  steady_time ConfigAt{};        ///< When Routes were applied.
-  std::set<zone_id> Evacuated;   ///< Zones whose targets get nothing.
+  steady_time ConfigAt{};             ///< When Routes were applied.
+  std::set<zone_id> Evacuated;        ///< Zones whose targets get nothing.
   std::map<service_id, rollout::rollout_state> Rollouts; ///< Newest orders.
   /** Progress of orders that was told before the order itself was known. */
   std::map<service_id, rollout::rollout_state> ToldProgress;
-  bool Stopping = false;      ///< SIGTERM came.
-  double LinkBusy = 0;        ///< Share of the link in use lately.
-  double BulkShare = 1;       ///< Share of large requests that it bears.
-  bool StoreListed = false;   ///< The store or a peer told what it holds.
+  bool Stopping = false;    ///< SIGTERM came.
+  double LinkBusy = 0;      ///< Share of the link in use lately.
+  double BulkShare = 1;     ///< Share of large requests that it bears.
+  bool StoreListed = false; ///< The store or a peer told what it holds.
 };
 
 /** @return the newest order of a service, or null. */
--- a/src/sidecar/peer_links.cpp
+++ b/src/sidecar/peer_links.cpp
@@ -60,10 +60,10 @@
 /** Connection that this node opened. */
 struct outbound_link {
   std::shared_ptr<event::stream> Stream; ///< Null while there is none.
-  steady_time HeardAt{};   ///< Last bytes from the host.
-  steady_time AwaitedAt{}; ///< Since when an answer is awaited.
-  steady_time PingedAt{};  ///< Last ping without pong; zero for none.
-  steady_time RetryAt{};   ///< No connection attempts before this.
+  steady_time HeardAt{};                 ///< Last bytes from the host.
+  steady_time AwaitedAt{};               ///< Since when an answer is awaited.
+  steady_time PingedAt{};     ///< Last ping without pong; zero for none.
+  steady_time RetryAt{};      ///< No connection attempts before this.
   std::uint32_t Awaited = 0;  ///< Answers awaited.
   std::uint32_t Failures = 0; ///< Attempts that failed in a row.
 };
@@ -98,11 +98,11 @@
 
 auto peer_links::listen() -> result<done> {
   auto *State = Impl.get();
-  auto Opened = event::listener::open(
-      Impl->State.Loop, Impl->State.Settings.Peer,
-      [State](std::shared_ptr<event::stream> Stream) {
-        State->accept(std::move(Stream));
-      });
+  auto Opened =
+      event::listener::open(Impl->State.Loop, Impl->State.Settings.Peer,
+                            [State](std::shared_ptr<event::stream> Stream) {
+                              State->accept(std::move(Stream));
+                            });
   if (!isOk(Opened)) {
     return errorOf(Opened);
   }
@@ -110,8 +110,7 @@
   return done();
 }
 
-void peer_links::implementation::accept(
-    std::shared_ptr<event::stream> Stream) {
+void peer_links::implementation::accept(std::shared_ptr<event::stream> Stream) {
   auto Session =
       std::make_shared<peer_session>(peer_session{std::move(Stream), {}, {}});
   auto Weak = std::weak_ptr<peer_session>(Session);
@@ -207,12 +206,11 @@
   auto Stream = Link.Stream;
   Link.HeardAt = State.Loop.now();
   Link.PingedAt = steady_time();
-  auto Valid = readMessages(*Stream, State.Loop.now(),
-                            [&](decoded_mesh Decoded) {
-                              Events.OnLinkMessage(Node,
-                                                   std::move(Decoded.Message));
-                              return Links[Node].Stream == Stream;
-                            });
+  auto Valid =
+      readMessages(*Stream, State.Loop.now(), [&](decoded_mesh Decoded) {
+        Events.OnLinkMessage(Node, std::move(Decoded.Message));
+        return Links[Node].Stream == Stream;
+      });
   if (!Valid) {
     ++State.Counters.BadInput["peer"];
     Stream->close();
--- a/src/sidecar/rollout_control.cpp
+++ b/src/sidecar/rollout_control.cpp
@@ -30,9 +30,9 @@
     log_offset OrderOffset{0};
     steady_time SwitchedAt{};
     steady_time FinalAt{};
-    bool Writing = false;          // A call to the store is in progress.
-    bool RunningTold = false;      // The status says that it runs.
-    bool FinalTold = false;        // The status says how it ended.
+    bool Writing = false;     // A call to the store is in progress.
+    bool RunningTold = false; // The status says that it runs.
+    bool FinalTold = false;   // The status says how it ended.
     std::map<node_id, evidence_report> Reports;
   };
 
@@ -250,8 +250,8 @@
   auto &Book = book(Rollout);
   auto Service = Rollout.Order.Service;
   Book.Writing = true;
-  Store.list(store_topic::Mesh, [this, Service, Stage](
-                                    result<platform::store_page> Page) {
+  Store.list(store_topic::Mesh, [this, Service,
+                                 Stage](result<platform::store_page> Page) {
     auto &Held = State.Rollouts[Service];
     if (!isOk(Page)) {
       book(Held).Writing = false;
@@ -308,8 +308,8 @@
     Book.RunningTold = Book.RunningTold || Told;
     Book.FinalTold = Book.FinalTold || (Told && rollout::isFinal(Stage));
   };
-  Store.list(store_topic::Status, [this, Service, Stage, Finish](
-                                      result<platform::store_page> Page) {
+  Store.list(store_topic::Status, [this, Service, Stage,
+                                   Finish](result<platform::store_page> Page) {
     auto Missing = !isOk(Page) && errorOf(Page).Code == error_code::NotFound;
     if (!isOk(Page) && !Missing) {
       return Finish(false);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -56,8 +56,7 @@
 struct sidecar::implementation {
   implementation(const node_settings &Settings, std::string Path,
                  std::uint64_t Start)
-      : Path(std::move(Path)),
-        State(Loop, Settings, seedOf(Settings, Start)),
+      : Path(std::move(Path)), State(Loop, Settings, seedOf(Settings, Start)),
         Admission(
             State, [this] { publishTargetLost(); }, [this] { brake(); }),
         Links(State, linkEvents()), Entry(State, Admission, Links),
@@ -295,13 +294,12 @@
   State.Own.Target = Watch.Known;
   if (Changed) {
     publishOwn(State);
-    State.Log.write(
-        log_class::State, "target.changed",
-        {{"target", Watch.Known.Id.Value},
-         {"version", Watch.Known.Version.Value},
-         {"state", static_cast<std::int64_t>(Watch.Known.State)},
-         {"born", Watch.Known.BornAt},
-         {"sequence", static_cast<std::int64_t>(Watch.Sequence)}});
+    State.Log.write(log_class::State, "target.changed",
+                    {{"target", Watch.Known.Id.Value},
+                     {"version", Watch.Known.Version.Value},
+                     {"state", static_cast<std::int64_t>(Watch.Known.State)},
+                     {"born", Watch.Known.BornAt},
+                     {"sequence", static_cast<std::int64_t>(Watch.Sequence)}});
     Gossip.tellOwnRecord();
   }
 }
@@ -338,14 +336,13 @@
 }
 
 void sidecar::implementation::askTarget(const target_heartbeat &Heartbeat) {
-  const auto *Rule =
-      State.Routes ? State.Routes->findService(State.Settings.Service)
-                   : nullptr;
-  State.Log.write(
-      log_class::State, "heartbeat.unproved",
-      {{"target", Heartbeat.Target.Id.Value},
-       {"sequence", static_cast<std::int64_t>(Heartbeat.Sequence)},
-       {"asked", std::int64_t{Rule != nullptr ? 1 : 0}}});
+  const auto *Rule = State.Routes
+                         ? State.Routes->findService(State.Settings.Service)
+                         : nullptr;
+  State.Log.write(log_class::State, "heartbeat.unproved",
+                  {{"target", Heartbeat.Target.Id.Value},
+                   {"sequence", static_cast<std::int64_t>(Heartbeat.Sequence)},
+                   {"asked", std::int64_t{Rule != nullptr ? 1 : 0}}});
   if (Rule == nullptr) {
     // The next heartbeat proves it.
     return;
@@ -377,8 +374,7 @@
 void sidecar::implementation::handleLeave(const mesh::target_id &Id,
                                           std::string_view Body) {
   if (!acceptLeave(Watch, Id, platform::decodeLeaveBirth(Body))) {
-    State.Log.write(log_class::State, "leave.outdated",
-                    {{"target", Id.Value}});
+    State.Log.write(log_class::State, "leave.outdated", {{"target", Id.Value}});
     return;
   }
   publishTarget();
@@ -398,9 +394,9 @@
   auto Heartbeat = platform::decodeHeartbeat(*Id, Request.Body);
   if (!isOk(Heartbeat)) {
     ++State.Counters.BadInput["heartbeat"];
-    State.Log.write(log_class::State, "heartbeat.malformed",
-                    {{"target", Id->Value},
-                     {"fault", errorOf(Heartbeat).Message}});
+    State.Log.write(
+        log_class::State, "heartbeat.malformed",
+        {{"target", Id->Value}, {"fault", errorOf(Heartbeat).Message}});
     return {400, "", {}, errorOf(Heartbeat).Message + "\n"};
   }
   handleHeartbeat(valueOf(Heartbeat));
@@ -490,8 +486,8 @@
   LinkSent += Sent;
   // Mbit/s are bits per microsecond.
   auto Bits = 8.0 * static_cast<double>(std::max(Received, Sent));
-  auto Capacity = State.Settings.LinkMbps *
-                  static_cast<double>(LinkInterval.count());
+  auto Capacity =
+      State.Settings.LinkMbps * static_cast<double>(LinkInterval.count());
   auto Busy = Capacity > 0 ? std::min(1.0, Bits / Capacity) : 0;
   State.LinkBusy += LinkWeight * (Busy - State.LinkBusy);
   State.BulkShare = dispatch::adaptBulkShare(State.BulkShare, State.LinkBusy);
@@ -532,9 +528,9 @@
   Held.Bounds = Value.Bounds;
   Held.HeartbeatInterval = Value.HeartbeatInterval;
   Held.Store = Value.Store;
-  State.Log.write(log_class::State, "settings.reloaded",
-                  {{"path", Path},
-                   {"needs_restart", std::int64_t{NeedsRestart ? 1 : 0}}});
+  State.Log.write(
+      log_class::State, "settings.reloaded",
+      {{"path", Path}, {"needs_restart", std::int64_t{NeedsRestart ? 1 : 0}}});
 }
 
 void sidecar::implementation::beginStop() {
@@ -543,10 +539,9 @@
   }
   State.Stopping = true;
   StopAt = Loop.now();
-  State.Log.write(
-      log_class::State, "process.stopping",
-      {{"open_calls", static_cast<std::int64_t>(Entry.openCalls())},
-       {"busy", static_cast<std::int64_t>(Admission.busy())}});
+  State.Log.write(log_class::State, "process.stopping",
+                  {{"open_calls", static_cast<std::int64_t>(Entry.openCalls())},
+                   {"busy", static_cast<std::int64_t>(Admission.busy())}});
   State.Own.Leaving = true;
   publishOwn(State);
   Gossip.tellOwnRecord();
@@ -564,10 +559,10 @@
   auto Idle = Entry.openCalls() == 0 && Admission.busy() == 0;
   auto Over = micros(State.Settings.Bounds.StopGrace) - StopMargin;
   if ((Passed >= StopServeTime && Idle) || Passed >= Over) {
-    State.Log.write(log_class::State, "process.stopped",
-                    {{"after_us", Passed.count()},
-                     {"open_calls",
-                      static_cast<std::int64_t>(Entry.openCalls())}});
+    State.Log.write(
+        log_class::State, "process.stopped",
+        {{"after_us", Passed.count()},
+         {"open_calls", static_cast<std::int64_t>(Entry.openCalls())}});
     State.Log.flush();
     return Loop.stop();
   }
@@ -577,8 +572,8 @@
 auto sidecar::create(const node_settings &Settings,
                      const std::string &SettingsPath)
     -> result<std::unique_ptr<sidecar>> {
-  auto Start = static_cast<std::uint64_t>(std::max<std::int64_t>(
-      1, wallNow().Value));
+  auto Start =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(1, wallNow().Value));
   auto Impl = std::make_unique<implementation>(Settings, SettingsPath, Start);
   auto Listening = Impl->listen();
   if (!isOk(Listening)) {
@@ -595,8 +590,7 @@
       log_class::State, "process.started",
       {{"service", Self.State.Settings.Service.Value},
        {"zone", Self.State.Settings.Zone.Value},
-       {"incarnation",
-        static_cast<std::int64_t>(Self.State.Own.Incarnation)}});
+       {"incarnation", static_cast<std::int64_t>(Self.State.Own.Incarnation)}});
   Self.Store.start();
   Self.Gossip.start();
   Self.checkSettings();
--- a/src/sidecar/state_view.h
+++ b/src/sidecar/state_view.h
@@ -10,9 +10,9 @@
 
 /** What a dump shows. */
 struct state_view {
-  const node_state &State;     ///< Shared state.
-  dispatch::load_report Load;  ///< Load of the target.
-  std::size_t OpenCalls = 0;   ///< Calls of own callers.
+  const node_state &State;    ///< Shared state.
+  dispatch::load_report Load; ///< Load of the target.
+  std::size_t OpenCalls = 0;  ///< Calls of own callers.
 };
 
 /** @return the state as JSON. */
--- a/src/sidecar/store_feed.cpp
+++ b/src/sidecar/store_feed.cpp
@@ -38,10 +38,10 @@
 
   node_state &State;
   store_events Events;
-  connection Idle;                 // Kept between calls that don't wait.
+  connection Idle; // Kept between calls that don't wait.
   std::set<connection> Busy;
   connection Poll;
-  std::uint64_t Run = 0;           // Grows with each start.
+  std::uint64_t Run = 0; // Grows with each start.
   std::uint32_t Failures = 0;
   bool Lost = false;
   bool Closed = false;
@@ -115,8 +115,8 @@
     store_topic Topic, const std::shared_ptr<platform::store_page> &Sum,
     const list_handler &Handle) {
   auto After = Sum->Records.empty() ? std::string() : Sum->Records.back().Key;
-  auto Connection = Idle && Idle->isReusable() ? std::exchange(Idle, nullptr)
-                                               : connect();
+  auto Connection =
+      Idle && Idle->isReusable() ? std::exchange(Idle, nullptr) : connect();
   call(platform::listRequest(Topic, After), CallTimeout, "list", Connection,
        [this, Topic, Sum, Handle](result<http::response> Response) {
          if (!isOk(Response)) {
@@ -183,8 +183,8 @@
   auto Pause = std::min(
       micros(FirstPause * (1LL << std::min(Failures, 4U)) / 2), LongestPause);
   auto Spread = 0.75 + 0.5 * randomUnit(State.Random);
-  auto Wait = micros(static_cast<std::int64_t>(
-      static_cast<double>(Pause.count()) * Spread));
+  auto Wait = micros(
+      static_cast<std::int64_t>(static_cast<double>(Pause.count()) * Spread));
   State.Loop.addTimer(State.Loop.now() + Wait,
                       [this, Started, Again = std::move(Again)] {
                         if (Started == Run && !Closed) {
@@ -197,25 +197,24 @@
   if (Started != Run || Closed) {
     return;
   }
-  listPages(store_topic::Operator, std::make_shared<platform::store_page>(),
-            [this, Started](result<platform::store_page> Page) {
-              if (Started != Run) {
-                return;
-              }
-              auto Ok = isOk(Page);
-              noteResult(Ok, Ok ? "" : describe(errorOf(Page)));
-              if (!Ok) {
-                return retry(Started, [this, Started] {
-                  listOperator(Started);
-                });
-              }
-              auto &Value = valueOf(Page);
-              auto From = State.Operator.end();
-              auto Keys = State.Operator.mergeListing(Value.Records, Value.End,
-                                                      Value.End);
-              Events.OnOperatorKeys(Keys, From);
-              poll(Started);
-            });
+  listPages(
+      store_topic::Operator, std::make_shared<platform::store_page>(),
+      [this, Started](result<platform::store_page> Page) {
+        if (Started != Run) {
+          return;
+        }
+        auto Ok = isOk(Page);
+        noteResult(Ok, Ok ? "" : describe(errorOf(Page)));
+        if (!Ok) {
+          return retry(Started, [this, Started] { listOperator(Started); });
+        }
+        auto &Value = valueOf(Page);
+        auto From = State.Operator.end();
+        auto Keys =
+            State.Operator.mergeListing(Value.Records, Value.End, Value.End);
+        Events.OnOperatorKeys(Keys, From);
+        poll(Started);
+      });
 }
 
 void store_feed::implementation::listMesh(std::uint64_t Started) {
@@ -238,11 +237,10 @@
               if (!Events.CanRely()) {
                 return listOperator(Started);
               }
-              State.Loop.addTimer(State.Loop.now() + RelyAtStart,
-                                  [this, Started] {
-                                    State.Routes ? poll(Started)
-                                                 : listOperator(Started);
-                                  });
+              State.Loop.addTimer(
+                  State.Loop.now() + RelyAtStart, [this, Started] {
+                    State.Routes ? poll(Started) : listOperator(Started);
+                  });
             });
 }
 
--- a/src/sidecar/target_board.cpp
+++ b/src/sidecar/target_board.cpp
@@ -29,11 +29,11 @@
       Rollout == nullptr ? baseVersion(State, Filter.Service) : version_id();
   for (const auto &[Node, Host] : State.Hosts.records()) {
     const auto &Target = Host.Target;
-    auto Usable = Target.Service == Filter.Service &&
-                  Target.State == mesh::target_state::Ready && !Host.Leaving &&
-                  !State.Evacuated.contains(Host.Zone) &&
-                  rollout::useOfVersion(Target.Version, Rollout, Base) ==
-                      Wanted;
+    auto Usable =
+        Target.Service == Filter.Service &&
+        Target.State == mesh::target_state::Ready && !Host.Leaving &&
+        !State.Evacuated.contains(Host.Zone) &&
+        rollout::useOfVersion(Target.Version, Rollout, Base) == Wanted;
     if (!Usable || (Filter.Tried != nullptr && Filter.Tried->contains(Node))) {
       continue;
     }
@@ -121,11 +121,11 @@
   }
   Mean = micros(static_cast<std::int64_t>(
       blend(static_cast<double>(Mean.count()), Reported, RunWeight)));
-  auto Ratio = Reported / static_cast<double>(std::max<std::int64_t>(
-                              1, Mean.count()));
-  View.Slowness = blend(View.Slowness,
-                        std::clamp(Ratio, LeastSlowness, MostSlowness),
-                        SlownessWeight);
+  auto Ratio =
+      Reported / static_cast<double>(std::max<std::int64_t>(1, Mean.count()));
+  View.Slowness =
+      blend(View.Slowness, std::clamp(Ratio, LeastSlowness, MostSlowness),
+            SlownessWeight);
 }
 
 void noteSilence(target_board &Board, const node_id &Node, steady_time Now) {
@@ -145,8 +145,7 @@
   auto Nodes = static_cast<double>(
       std::max<std::size_t>(1, State.Hosts.records().size()));
   auto Rule = limits::budget_config();
-  Rule.Percent =
-      static_cast<std::uint32_t>(Bounds.RetryRatio * Share * 100);
+  Rule.Percent = static_cast<std::uint32_t>(Bounds.RetryRatio * Share * 100);
   Rule.MaxTokens = std::max(1.0, Bounds.RetrySlack * Share / Nodes);
   Rule.MinPerSecond = Bounds.RetrySlack * Share / Nodes /
                       (static_cast<double>(Bounds.RetryWindow.count()) / 1e3);
--- a/src/sidecar/target_board.h
+++ b/src/sidecar/target_board.h
@@ -27,24 +27,23 @@
 /** Beliefs of an entry node, fed by the outcomes of its calls. */
 struct target_board {
   std::map<node_id, dispatch::target_view> Views; ///< By host.
-  std::map<node_id, mesh::target_id> Seen;     ///< Target that a view is of.
+  std::map<node_id, mesh::target_id> Seen;        ///< Target that a view is of.
   std::unordered_map<route_id, route_stats> Routes; ///< By route.
   /** By service and cause. */
-  std::map<std::pair<service_id, repeat_cause>, limits::attempt_budget>
-      Repeats;
+  std::map<std::pair<service_id, repeat_cause>, limits::attempt_budget> Repeats;
   std::map<service_id, std::uint32_t> TrialCredit; ///< For the trial share.
 };
 
 /** Which targets of a service may get a call. */
 struct target_filter {
-  service_id Service;                ///< Service that runs it.
-  bool Trial = false;                ///< Those of the version on trial.
+  service_id Service;                       ///< Service that runs it.
+  bool Trial = false;                       ///< Those of the version on trial.
   const std::set<node_id> *Tried = nullptr; ///< Hosts that are left out.
 };
 
 /** Candidates with the hosts that they stand for. */
 struct target_choice {
-  std::vector<dispatch::candidate> Candidates; ///< Index counts Hosts.
+  std::vector<dispatch::candidate> Candidates;  ///< Index counts Hosts.
   std::vector<const mesh::host_record *> Hosts; ///< Valid until a merge.
 };
 
--- a/src/sidecar/target_pool.cpp
+++ b/src/sidecar/target_pool.cpp
@@ -40,9 +40,9 @@
 
 auto target_pool::take(bool Fresh) -> std::shared_ptr<http::client_connection> {
   removeUnusable();
-  auto MayUse = !Idle.empty() &&
-                (!Fresh || State.Loop.now() - Idle.back()->idleSince() <=
-                               FreshIdle);
+  auto MayUse =
+      !Idle.empty() &&
+      (!Fresh || State.Loop.now() - Idle.back()->idleSince() <= FreshIdle);
   if (MayUse) {
     auto Connection = std::move(Idle.back());
     Idle.pop_back();
--- a/src/sidecar/target_watch.cpp
+++ b/src/sidecar/target_watch.cpp
@@ -45,8 +45,8 @@
 auto acceptLeave(target_watch &Watch, const mesh::target_id &Id,
                  std::optional<std::int64_t> BornAt) -> bool {
   auto Unknown = Watch.Known.State == mesh::target_state::Absent;
-  auto SameStart = Watch.Known.Id == Id &&
-                   (!BornAt || *BornAt == Watch.Known.BornAt);
+  auto SameStart =
+      Watch.Known.Id == Id && (!BornAt || *BornAt == Watch.Known.BornAt);
   if (!Unknown && !SameStart) {
     return false;
   }
@@ -59,8 +59,8 @@
 void rememberTarget(target_watch &Watch, const mesh::target_record &Earlier) {
   auto Leaving = Earlier.State == mesh::target_state::Draining ||
                  Earlier.State == mesh::target_state::Gone;
-  auto SameStart = Watch.Known.BornAt == Earlier.BornAt &&
-                   Watch.Known.Id == Earlier.Id;
+  auto SameStart =
+      Watch.Known.BornAt == Earlier.BornAt && Watch.Known.Id == Earlier.Id;
   if (Leaving && (Watch.Known.State == mesh::target_state::Absent ||
                   (SameStart && Earlier.State > Watch.Known.State))) {
     Watch.Known = Earlier;
--- a/src/sidecar/target_watch.h
+++ b/src/sidecar/target_watch.h
@@ -26,7 +26,6 @@
 auto needsProof(const target_watch &Watch, const target_heartbeat &Heartbeat)
     -> bool;
 
-
 /** Takes a heartbeat over unless it is outdated: of an earlier start, older
  * than one seen before, or of a target that has said that it leaves.
  * @return whether it holds. */
--- a/test/dispatch_queue_test.cpp
+++ b/test/dispatch_queue_test.cpp
@@ -99,9 +99,9 @@
     auto Pace = pace(1, 0);
     auto Count = *rc::gen::inRange(0, 30);
     for (auto Key = 1; Key <= Count; ++Key) {
-      auto Each = call(static_cast<std::uint64_t>(Key),
-                       *rc::gen::inRange(0U, 4U), *rc::gen::inRange(-50, 500),
-                       1'000'000);
+      auto Each =
+          call(static_cast<std::uint64_t>(Key), *rc::gen::inRange(0U, 4U),
+               *rc::gen::inRange(-50, 500), 1'000'000);
       RC_ASSERT(Queue.push(Each, Pace, at(0)));
       Naive.push_back(Each);
     }
--- a/test/http_connection_test.cpp
+++ b/test/http_connection_test.cpp
@@ -44,18 +44,18 @@
   std::unique_ptr<event::listener> Listener{};
 
   void start() {
-    Listener = listenAnywhere(
-        Loop, Address, [this](std::shared_ptr<event::stream> Stream) {
-          Streams.insert(Stream);
-          auto *Raw = Stream.get();
-          Stream->OnData = [this, Raw] {
-            Raw->consume(Raw->input().size());
-            Raw->send(Answer);
-            if (CloseAfter) {
-              Raw->close();
-            }
-          };
-        });
+    Listener = listenAnywhere(Loop, Address,
+                              [this](std::shared_ptr<event::stream> Stream) {
+                                Streams.insert(Stream);
+                                auto *Raw = Stream.get();
+                                Stream->OnData = [this, Raw] {
+                                  Raw->consume(Raw->input().size());
+                                  Raw->send(Answer);
+                                  if (CloseAfter) {
+                                    Raw->close();
+                                  }
+                                };
+                              });
   }
 };
 
@@ -118,8 +118,8 @@
 // was cut short and looks whole.
 Test(http_connection, end_of_connection_ends_only_unframed_answers) {
   auto Reusable = true;
-  auto Whole = exchangeOnce("HTTP/1.1 200 OK\r\n\r\nto the end", true,
-                            Reusable);
+  auto Whole =
+      exchangeOnce("HTTP/1.1 200 OK\r\n\r\nto the end", true, Reusable);
   cr_assert_str_eq(bodyOf(Whole).c_str(), "to the end");
   cr_assert_not(Reusable);
   auto Cut = exchangeOnce("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\ncut",
@@ -172,8 +172,8 @@
   auto Address = event::endpoint();
   auto Seen = std::vector<std::string>();
   auto Server = std::shared_ptr<server_connection>();
-  auto Listener = listenAnywhere(
-      Loop, Address, [&](std::shared_ptr<event::stream> Stream) {
+  auto Listener =
+      listenAnywhere(Loop, Address, [&](std::shared_ptr<event::stream> Stream) {
         Server = server_connection::create(
             std::move(Stream), {},
             [&](const std::shared_ptr<server_connection> &Caller,
--- a/test/mesh_route_test.cpp
+++ b/test/mesh_route_test.cpp
@@ -1,8 +1,8 @@
 /** @file mesh_route_test.cpp Tests of routes and their parts. */
 #include "sycamorelb/mesh/route_table.h"
 
-#include <criterion/criterion.h>
 #include <cmath>
+#include <criterion/criterion.h>
 #include <rapidcheck.h>
 
 using namespace sycamorelb;
@@ -56,8 +56,8 @@
       for (auto Left = *rc::gen::inRange(0, 3); Left > 0; --Left) {
         Prefix += Piece() + "/";
       }
-      Routes.push_back(routeTo(*rc::gen::element<std::string>("h", "g"),
-                               Prefix));
+      Routes.push_back(
+          routeTo(*rc::gen::element<std::string>("h", "g"), Prefix));
     }
     auto Path = std::string("/");
     for (auto Left = *rc::gen::inRange(0, 5); Left > 0; --Left) {
@@ -71,8 +71,8 @@
         Naive = &Route;
       }
     }
-    auto Table = route_table(
-        std::make_shared<const mesh_config>(configOf(Routes)));
+    auto Table =
+        route_table(std::make_shared<const mesh_config>(configOf(Routes)));
     const auto *Found = Table.find("h", Path);
     RC_ASSERT((Found == nullptr) == (Naive == nullptr));
     RC_ASSERT((Found == nullptr || Found->PathPrefix == Naive->PathPrefix));
--- a/test/mesh_tables_test.cpp
+++ b/test/mesh_tables_test.cpp
@@ -66,8 +66,7 @@
   auto Table = operator_table();
   Table.merge(record("evacuate/a", 2, "{}"));
   Table.merge(record("evacuate/b", 9, "{}"));
-  auto Changed =
-      Table.mergeListing({record("config", 4, "c")}, {8}, {10});
+  auto Changed = Table.mergeListing({record("config", 4, "c")}, {8}, {10});
   cr_assert_null(Table.find("evacuate/a"));
   cr_assert_not_null(Table.find("evacuate/b"));
   cr_assert_eq(Changed.size(), 2U);
@@ -88,8 +87,8 @@
 // Guards against deltas that do not give back the content.
 Test(mesh_tables, deltas_give_back_the_text) {
   cr_assert(rc::check("delta", [] {
-    auto Numbers = rc::gen::container<std::vector<int>>(
-        rc::gen::inRange(0, 50));
+    auto Numbers =
+        rc::gen::container<std::vector<int>>(rc::gen::inRange(0, 50));
     auto Base = document(*Numbers);
     auto Text = document(*Numbers);
     auto Delta = encodeDelta(Base, Text);
--- a/test/platform_document_test.cpp
+++ b/test/platform_document_test.cpp
@@ -79,9 +79,8 @@
     splitDocument(Cut, "resources");
     cr_assert_not(isOk(decodeConfig(Cut, Cache)), "%s", Cut.c_str());
   }
-  for (const auto *Text :
-       {R"({"resources":[{]})", R"({"resources":[,]})", R"({"resources":[1}]})",
-        R"({"resources":[}]})"}) {
+  for (const auto *Text : {R"({"resources":[{]})", R"({"resources":[,]})",
+                           R"({"resources":[1}]})", R"({"resources":[}]})"}) {
     cr_assert_not(splitDocument(Text, "resources").has_value(), "%s", Text);
   }
   cr_assert_not(splitDocument("[]", "resources").has_value());
@@ -97,10 +96,10 @@
          Members + "}}]}";
 }
 
-static const auto GoodRoute = std::string(
-    R"("kind":"upload","timeout":"1.5s","targetLatency":"600ms",)"
-    R"("priority":1,"attempts":2,"weightedServices":)"
-    R"([{"service":"s","weight":90},{"service":"s","weight":10}])");
+static const auto GoodRoute =
+    std::string(R"("kind":"upload","timeout":"1.5s","targetLatency":"600ms",)"
+                R"("priority":1,"attempts":2,"weightedServices":)"
+                R"([{"service":"s","weight":90},{"service":"s","weight":10}])");
 
 // Guards against members that are read under a wrong name or unit.
 Test(platform_document, configuration_is_decoded) {
@@ -137,8 +136,7 @@
             std::string::npos);
   cr_assert(Replaced("\"attempts\"", "\"tries\"").find("attempts") !=
             std::string::npos);
-  cr_assert(Replaced("\"r12\"", "\"12\"").find("version") !=
-            std::string::npos);
+  cr_assert(Replaced("\"r12\"", "\"12\"").find("version") != std::string::npos);
 }
 
 // Guards against times that are read in the wrong unit.
@@ -208,9 +206,11 @@
   auto Ack = decodeAppend({412, "", {}, R"({"end":9})"});
   cr_assert_not(valueOf(Ack).Done);
   cr_assert_eq(valueOf(Ack).End.Value, 9U);
-  auto List = decodeList(
-      {200, "", {}, R"({"items":[{"key":"a","value":"eA==","offset":1},)"
-                    R"({"key":7}],"more":true,"end":5})"});
+  auto List = decodeList({200,
+                          "",
+                          {},
+                          R"({"items":[{"key":"a","value":"eA==","offset":1},)"
+                          R"({"key":7}],"more":true,"end":5})"});
   cr_assert(isOk(List));
   cr_assert_eq(valueOf(List).Records.size(), 1U);
   cr_assert_not(valueOf(List).Unreadable.empty());
@@ -229,8 +229,8 @@
   auto Header = decodeCallHeader(Request);
   cr_assert_str_eq(Header.Id.Value.c_str(), "abc");
   cr_assert_eq(Header.Left->count(), 1'200'000);
-  auto Sent = encodeTargetHeader(Request.Headers,
-                                 {micros(900'500), {"i-1"}, {"svc"}});
+  auto Sent =
+      encodeTargetHeader(Request.Headers, {micros(900'500), {"i-1"}, {"svc"}});
   auto Value = [&Sent](const char *Name) {
     return std::string(proxy::findHeader(Sent, Name).value_or(""));
   };
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -23,8 +23,8 @@
 Test(rollout, failing_on_one_route_is_bad) {
   auto Old = version_evidence{{{"a"}, tally(500, 2, 100)},
                               {{"b"}, tally(200, 1, 100)}};
-  auto New = version_evidence{{{"a"}, tally(40, 0, 100)},
-                              {{"b"}, tally(8, 4, 100)}};
+  auto New =
+      version_evidence{{{"a"}, tally(40, 0, 100)}, {{"b"}, tally(8, 4, 100)}};
   cr_assert(judge(New, Old) == verdict::Bad);
 }
 
--- a/test/sidecar_state_test.cpp
+++ b/test/sidecar_state_test.cpp
@@ -35,7 +35,8 @@
          R"({"resourceType":"routes","metadata":{"name":"r"},"specification":)"
          R"({"host":"h.example","pathPrefix":"/a/","kind":"idempotent",)"
          R"("timeout":"1200ms","targetLatency":"500ms","priority":1,)"
-         R"("service":")" + Service + R"(","attempts":2}}]})";
+         R"("service":")" +
+         Service + R"(","attempts":2}}]})";
 }
 
 // Guards against a version that is applied in part, or that goes back.
@@ -82,8 +83,7 @@
   const auto Order =
       R"({"service":"svc","targetVersion":"v2","duration":"14s"})";
   write(State, "rollout/svc", 6, Order);
-  cr_assert(State.Rollouts[{"svc"}].Stage ==
-            rollout::rollout_stage::Completed);
+  cr_assert(State.Rollouts[{"svc"}].Stage == rollout::rollout_stage::Completed);
   cr_assert_eq(State.Rollouts[{"svc"}].Order.Duration.count(), 14'000);
   // A later order of the same version starts anew.
   write(State, "rollout/svc", 9, Order);
--- a/test/sidecar_watch_test.cpp
+++ b/test/sidecar_watch_test.cpp
@@ -50,8 +50,7 @@
   cr_assert(needsProof(Watch, Late));
   Watch.Unproved = Late;
   cr_assert(needsProof(Watch, Late));
-  cr_assert_not(
-      needsProof(Watch, heartbeat("a", 5, 18, target_state::Ready)));
+  cr_assert_not(needsProof(Watch, heartbeat("a", 5, 18, target_state::Ready)));
   cr_assert_not(needsProof(Watch, heartbeat("b", 9, 1, target_state::Ready)));
   cr_assert_not(
       needsProof(Watch, heartbeat("a", 5, 18, target_state::Draining)));
@@ -105,10 +104,10 @@
     auto LeftBorn = std::int64_t{-1};
     for (auto Step = 0; Step < 40; ++Step) {
       auto Born = *rc::gen::inRange<std::int64_t>(1, 4);
-      auto State = *rc::gen::element(target_state::Ready,
-                                     target_state::Draining);
-      auto Beat = heartbeat("a", Born,
-                            *rc::gen::inRange<std::uint64_t>(1, 20), State);
+      auto State =
+          *rc::gen::element(target_state::Ready, target_state::Draining);
+      auto Beat =
+          heartbeat("a", Born, *rc::gen::inRange<std::uint64_t>(1, 20), State);
       if (*rc::gen::inRange(0, 10) == 0) {
         if (acceptLeave(Watch, {"a"}, Born)) {
           LeftBorn = std::max(LeftBorn, Watch.Known.BornAt);
@@ -117,7 +116,7 @@
         acceptHeartbeat(Watch, Beat);
       }
       RC_ASSERT((Watch.Known.State != target_state::Ready ||
-                Watch.Known.BornAt > LeftBorn));
+                 Watch.Known.BornAt > LeftBorn));
     }
   }));
 }
