--- a/src/dispatch/pick.cpp
+++ b/src/dispatch/pick.cpp
@@ -8,7 +8,7 @@
 
 /** Share of the spare time of a call that it may wait in its own zone before
  * it goes to another one. */
-static constexpr auto ZoneShare = 0.6;
+static constexpr auto ZoneShare = 0.75;
 /** Weight of a target's occupancy among targets with free slots. */
 static constexpr auto OccupancyWeight = 0.6;
 /** Cost of a certain failure in units of the time for an answer on time. */
