--- a/src/dispatch/pick.cpp
+++ b/src/dispatch/pick.cpp
@@ -35,7 +35,7 @@
 static constexpr auto FirstAvoidance = micros(400'000);
 static constexpr auto LongestAvoidance = micros(6'400'000);
 /** Use of a link above which a host bears fewer large requests. */
-static constexpr auto LinkTarget = 0.8;
+static constexpr auto LinkTarget = 0.7;
 /** Least share of large requests, so that the end of an overload is noticed. */
 static constexpr auto LeastBulkShare = 0.05;
 /** Growth of the share with each measurement below the target. */
