--- a/src/cli/verb_explain.cpp
+++ b/src/cli/verb_explain.cpp
@@ -45,7 +45,8 @@
     }
     auto Text = Value.is_string() ? Value.get<std::string>() : Value.dump();
     if (!Text.empty()) {
-      Words += (Words.empty() ? "" : " ") + Name + "=" + Text;
+      Words.append(Words.empty() ? "" : " ").append(Name);
+      Words.append("=").append(Text);
     }
   }
   return Words;
--- a/src/sidecar/store_feed.cpp
+++ b/src/sidecar/store_feed.cpp
@@ -146,9 +146,8 @@
        });
 }
 
-void store_feed::list(store_topic Topic, list_handler Handle) {
-  Impl->listPages(Topic, std::make_shared<platform::store_page>(),
-                  std::move(Handle));
+void store_feed::list(store_topic Topic, const list_handler &Handle) {
+  Impl->listPages(Topic, std::make_shared<platform::store_page>(), Handle);
 }
 
 void store_feed::append(store_topic Topic, const std::string &Key,
--- a/src/sidecar/store_feed.h
+++ b/src/sidecar/store_feed.h
@@ -42,7 +42,7 @@
   /** Lists and polls again on new connections, after a pause of the process. */
   void restart();
   /** Lists a whole topic. */
-  void list(platform::store_topic Topic, list_handler Handle);
+  void list(platform::store_topic Topic, const list_handler &Handle);
   /** Appends one record. An error other than Overloaded leaves open whether it
    * was taken. */
   void append(platform::store_topic Topic, const std::string &Key,
--- a/test/dispatch_cold_test.cpp
+++ b/test/dispatch_cold_test.cpp
@@ -49,7 +49,7 @@
 Test(dispatch_cold, window_opens_again) {
   auto Rate = cold_rate();
   for (auto Index = 0; Index < 12; ++Index) {
-    noteCall(Rate, at(Index * 1000));
+    noteCall(Rate, at(std::int64_t{Index} * 1000));
   }
   cr_assert(nextColdCall(Rate, 12, at(20'000)) > at(1'000'000));
   cr_assert(nextColdCall(Rate, 12, at(1'060'000)) <= at(1'060'000));
--- a/test/http_connection_test.cpp
+++ b/test/http_connection_test.cpp
@@ -44,18 +44,18 @@
   std::unique_ptr<event::listener> Listener{};
 
   void start() {
-    Listener = listenAnywhere(Loop, Address,
-                              [this](std::shared_ptr<event::stream> Stream) {
-                                Streams.insert(Stream);
-                                auto *Raw = Stream.get();
-                                Stream->OnData = [this, Raw] {
-                                  Raw->consume(Raw->input().size());
-                                  Raw->send(Answer);
-                                  if (CloseAfter) {
-                                    Raw->close();
-                                  }
-                                };
-                              });
+    Listener = listenAnywhere(
+        Loop, Address, [this](const std::shared_ptr<event::stream> &Stream) {
+          Streams.insert(Stream);
+          auto *Raw = Stream.get();
+          Stream->OnData = [this, Raw] {
+            Raw->consume(Raw->input().size());
+            Raw->send(Answer);
+            if (CloseAfter) {
+              Raw->close();
+            }
+          };
+        });
   }
 };
 
