Fix: [Sidecar] A node that had restarted could tell a call as not run that its former process had run

Change: the question bears the call's age; a process that is younger answers that it can't tell. Ruled out: late copies within one process (remembered numbers).

--- a/include/sycamorelb/inner/mesh_message_type.h
+++ b/include/sycamorelb/inner/mesh_message_type.h
@@ -64,6 +64,7 @@
  * has not got the call answers that it is not run, and never runs it. */
 struct resume_message {
   call_number Call; ///< Number of the call.
+  micros Age{0};    ///< Time since it was sent.
 };
 
 /** Tallies of one version of a service by one node. */
--- a/src/inner/mesh.capnp
+++ b/src/inner/mesh.capnp
@@ -52,6 +52,11 @@
   routeMeanMicros @9 :UInt32;
 }
 
+struct Resume {
+  call @0 :UInt64;
+  ageMicros @1 :Int64;      # Since the call was sent.
+}
+
 struct Host {
   node @0 :Text;
   peer @1 :Text;
@@ -133,6 +138,6 @@
     ping @4 :Void;
     pong @5 :Void;
     opened @6 :Host;        # First message of a connection.
-    resume @8 :UInt64;      # Call whose outcome was lost with a connection.
+    resume @8 :Resume;      # Call whose outcome was lost with a connection.
   }
 }
--- a/src/inner/mesh_codec.cpp
+++ b/src/inner/mesh_codec.cpp
@@ -349,7 +349,9 @@
     Out.setCancel(Message.Call.Value);
   }
   void operator()(const resume_message &Message) {
-    Out.setResume(Message.Call.Value);
+    auto Resume = Out.initResume();
+    Resume.setCall(Message.Call.Value);
+    Resume.setAgeMicros(Message.Age.count());
   }
   void operator()(const gossip_message &Message) {
     writeGossip(Out.initGossip(), Message, Now);
@@ -371,7 +373,8 @@
   case mesh_wire::Message::CANCEL:
     return cancel_message{{In.getCancel()}};
   case mesh_wire::Message::RESUME:
-    return resume_message{{In.getResume()}};
+    return resume_message{{In.getResume().getCall()},
+                          micros(In.getResume().getAgeMicros())};
   case mesh_wire::Message::GOSSIP:
     if (auto Gossip = readGossip(In.getGossip(), Now)) {
       return std::move(*Gossip);
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -22,6 +22,8 @@
  * longer, as unacknowledged ones break it. */
 static constexpr auto KeepNumber = micros(60'000'000);
 
+/** Margin between the age of a call and that of the process, for the way. */
+static constexpr auto UptimeMargin = micros(1'000'000);
 /** Time after a lost connection in which the entry node may come back before
  * its calls are dropped. */
 static constexpr auto OriginGrace = micros(400'000);
@@ -214,7 +216,7 @@
   Impl->pump();
 }
 
-void admission::resume(const call_key &Key, reply_handler Reply) {
+void admission::resume(const call_key &Key, micros Age, reply_handler Reply) {
   Impl->dropOldOutcomes();
   if (auto Known = Impl->find(Key)) {
     if (Known->Stage == call_stage::Done) {
@@ -227,7 +229,11 @@
   Outcome.Call = Key.Call;
   Outcome.Load = Impl->load();
   Outcome.Reason = "did not arrive";
-  if (Impl->Ended.contains(Key)) {
+  auto Uptime = Impl->State.Loop.now() - Impl->State.StartedAt;
+  if (Uptime < Age + UptimeMargin) {
+    Outcome.Outcome = reply_outcome::Unknown;
+    Outcome.Reason = "node restarted since";
+  } else if (Impl->Ended.contains(Key)) {
     Outcome.Outcome = reply_outcome::Unknown;
     Outcome.Reason = "ended long ago";
   } else {
--- a/src/sidecar/admission.h
+++ b/src/sidecar/admission.h
@@ -41,8 +41,10 @@
   void submit(const call_key &Key, inner::forward_message Call,
               reply_handler Reply);
   /** Gives the outcome of a call whose connection was lost. A call that has
-   * not arrived is told as not run, and a late copy of it is not run. */
-  void resume(const call_key &Key, reply_handler Reply);
+   * not arrived is told as not run, and a late copy of it is not run. A process
+   * that is younger than the call can't tell what the former one did with it.
+   * @param Age time since the call was sent. */
+  void resume(const call_key &Key, micros Age, reply_handler Reply);
   /** The caller no longer waits: a waiting call is dropped, an idempotent one
    * is broken off, any other is left to finish. */
   void cancel(const call_key &Key);
--- a/src/sidecar/call_dispatch.cpp
+++ b/src/sidecar/call_dispatch.cpp
@@ -89,6 +89,7 @@
   // A new number for each attempt: a node does not run a number again.
   Call->Attempt = {NextNumber++};
   Call->Host = Node;
+  Call->SentAt = State.Loop.now();
   Attempts.emplace(Call->Attempt.Value, Call);
   auto Forward = forwardOf(*Call, Host);
   noteSent(Board, Node, Call->Request.Body.size());
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -135,7 +135,9 @@
   }
   for (const auto &Call : Affected) {
     if (Established && Call->Resumes < MaxResumes &&
-        Impl->Links.send(Node, resume_message{Call->Attempt})) {
+        Impl->Links.send(
+            Node,
+            resume_message{Call->Attempt, State.Loop.now() - Call->SentAt})) {
       ++Call->Resumes;
       continue;
     }
--- a/src/sidecar/entry_state.h
+++ b/src/sidecar/entry_state.h
@@ -30,6 +30,7 @@
   steady_time ArrivedAt{};
   steady_time OnTimeBy{};
   steady_time GiveUpAt{};
+  steady_time SentAt{}; // When Host got it.
   event::timer_id Timer{0};
   std::set<node_id> Tried;    // Hosts that refused or failed it.
   node_id Host;               // Host that has it; empty for none.
--- a/src/sidecar/node_state.cpp
+++ b/src/sidecar/node_state.cpp
@@ -14,6 +14,7 @@
                        std::uint64_t Seed)
     : Loop(Loop), Settings(std::move(Settings)), Random(Seed),
       Log(Loop, this->Settings.Node) {
+  StartedAt = Loop.now();
   Own.Node = this->Settings.Node;
   Own.Peer = this->Settings.Peer;
   Own.Zone = this->Settings.Zone;
--- a/src/sidecar/node_state.h
+++ b/src/sidecar/node_state.h
@@ -39,6 +39,7 @@
   std::map<service_id, rollout::rollout_state> Rollouts; ///< Newest orders.
   /** Progress of orders that was told before the order itself was known. */
   std::map<service_id, rollout::rollout_state> ToldProgress;
+  steady_time StartedAt{};  ///< Start of this process.
   bool Stopping = false;    ///< SIGTERM came.
   double LinkBusy = 0;      ///< Share of the link in use lately.
   double BulkShare = 1;     ///< Share of large requests that it bears.
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -91,7 +91,7 @@
     Admission.cancel(Key);
   } else if (auto *Resume = std::get_if<resume_message>(&Message)) {
     Key.Call = Resume->Call;
-    Admission.resume(Key, replyTo(Session));
+    Admission.resume(Key, Resume->Age, replyTo(Session));
   } else if (auto *News = std::get_if<gossip_message>(&Message)) {
     Gossip.handle(*News, [this, Session](const mesh_message &Answer) {
       sendOn(*Session, Answer, Loop.now());
