Fix: [Sidecar] The end of an old connection took back the replies that a newer one waited for

Change: a call remembers the connection that its reply goes to; only the end of that one drops it. Test: end_of_the_old_connection_leaves_the_newer_one (the old interface could not tell the two apart).

--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -173,7 +173,7 @@
 }
 
 void admission::submit(const call_key &Key, forward_message Forward,
-                       reply_handler Reply) {
+                       reply_handler Reply, origin Origin) {
   auto &State = Impl->State;
   Impl->dropOldOutcomes();
   if (auto Known = Impl->find(Key)) {
@@ -181,6 +181,7 @@
       return Reply(Known->Outcome);
     }
     Known->Reply = std::move(Reply);
+    Known->Origin = Origin;
     return;
   }
   auto Now = State.Loop.now();
@@ -195,6 +196,7 @@
   Call->Key = Key;
   Call->Serial = Impl->NextSerial++;
   Call->Reply = std::move(Reply);
+  Call->Origin = Origin;
   Call->ArrivedAt = Now;
   Call->DeadlineAt = Now + Forward.TimeLeft;
   auto Waiting = dispatch::queued_call{Call->Serial, Forward.Priority,
@@ -216,13 +218,15 @@
   Impl->pump();
 }
 
-void admission::resume(const call_key &Key, micros Age, reply_handler Reply) {
+void admission::resume(const call_key &Key, micros Age, reply_handler Reply,
+                       origin Origin) {
   Impl->dropOldOutcomes();
   if (auto Known = Impl->find(Key)) {
     if (Known->Stage == call_stage::Done) {
       return Reply(Known->Outcome);
     }
     Known->Reply = std::move(Reply);
+    Known->Origin = Origin;
     return;
   }
   auto Outcome = reply_message();
@@ -310,14 +314,10 @@
   }
 }
 
-void admission::noteOriginLost(const node_id &Node, std::uint64_t Incarnation) {
-  // A call that is submitted again gets a new handler; the others keep the
-  // one whose connection has ended.
+void admission::noteOriginLost(origin Origin) {
   auto Orphans = std::vector<std::weak_ptr<admitted_call>>();
-  for (const auto &[Key, Serial] : Impl->Serials) {
-    auto &Call = Impl->Calls.at(Serial);
-    if (Key.Node == Node && Key.Incarnation == Incarnation &&
-        Call->Stage != call_stage::Done) {
+  for (const auto &[Serial, Call] : Impl->Calls) {
+    if (Call->Origin == Origin && Call->Stage != call_stage::Done) {
       Call->Reply = nullptr;
       Orphans.push_back(Call);
     }
--- a/src/sidecar/admission.h
+++ b/src/sidecar/admission.h
@@ -27,6 +27,8 @@
 class admission {
 public:
   using reply_handler = std::function<void(const inner::reply_message &)>;
+  /** Identifies the connection by which a call came; null for this host. */
+  using origin = const void *;
 
   /** @param OnTargetLost called when the target can't be reached.
    * @param OnBrake called when the target's version failed too often. */
@@ -39,18 +41,20 @@
   /** Runs a call, or tells at once that it is not run. A call that was
    * submitted before is not run again: Reply gets its outcome. */
   void submit(const call_key &Key, inner::forward_message Call,
-              reply_handler Reply);
+              reply_handler Reply, origin Origin = nullptr);
   /** Gives the outcome of a call whose connection was lost. A call that has
    * not arrived is told as not run, and a late copy of it is not run. A process
    * that is younger than the call can't tell what the former one did with it.
    * @param Age time since the call was sent. */
-  void resume(const call_key &Key, micros Age, reply_handler Reply);
+  void resume(const call_key &Key, micros Age, reply_handler Reply,
+              origin Origin = nullptr);
   /** The caller no longer waits: a waiting call is dropped, an idempotent one
    * is broken off, any other is left to finish. */
   void cancel(const call_key &Key);
-  /** The entry node's connection has ended. Its calls are dropped as by
-   * cancel() unless they are submitted again soon. */
-  void noteOriginLost(const node_id &Node, std::uint64_t Incarnation);
+  /** A connection has ended. Calls that came by it, and that were not asked for
+   * by another one since, are dropped as by cancel() unless they are asked for
+   * soon. */
+  void noteOriginLost(origin Origin);
 
   /** Takes over what a heartbeat or another node says of the target.
    * @param ColdFor how long it stays cold; nothing if that is unknown. */
--- a/src/sidecar/admission_state.h
+++ b/src/sidecar/admission_state.h
@@ -26,6 +26,7 @@
   call_key Key;
   inner::forward_message Forward;
   admission::reply_handler Reply;
+  admission::origin Origin = nullptr; // Connection that Reply sends on.
   call_stage Stage = call_stage::Queued;
   std::uint64_t Serial = 0;
   steady_time ArrivedAt{};
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -65,7 +65,7 @@
     handleSession(Session, std::move(Message));
   };
   Events.OnSessionLost = [this](const std::shared_ptr<peer_session> &Session) {
-    Admission.noteOriginLost(Session->Peer.Node, Session->Peer.Incarnation);
+    Admission.noteOriginLost(Session.get());
   };
   return Events;
 }
@@ -85,13 +85,13 @@
   auto Key = call_key{Session->Peer.Node, Session->Peer.Incarnation, {}};
   if (auto *Forward = std::get_if<forward_message>(&Message)) {
     Key.Call = Forward->Call;
-    Admission.submit(Key, std::move(*Forward), replyTo(Session));
+    Admission.submit(Key, std::move(*Forward), replyTo(Session), Session.get());
   } else if (auto *Cancel = std::get_if<cancel_message>(&Message)) {
     Key.Call = Cancel->Call;
     Admission.cancel(Key);
   } else if (auto *Resume = std::get_if<resume_message>(&Message)) {
     Key.Call = Resume->Call;
-    Admission.resume(Key, Resume->Age, replyTo(Session));
+    Admission.resume(Key, Resume->Age, replyTo(Session), Session.get());
   } else if (auto *News = std::get_if<gossip_message>(&Message)) {
     Gossip.handle(*News, [this, Session](const mesh_message &Answer) {
       sendOn(*Session, Answer, Loop.now());
--- a/test/sidecar_admission_test.cpp
+++ b/test/sidecar_admission_test.cpp
@@ -25,6 +25,18 @@
     Settings.Service = {"svc"};
     return Settings;
   }
+  /** Makes the target ready and warm, so that calls wait or run. */
+  void start() {
+    auto Target = mesh::target_record();
+    Target.Id = {"i-1"};
+    Target.BornAt = 1;
+    Target.Service = {"svc"};
+    Target.Slots = 1;
+    Target.State = mesh::target_state::Ready;
+    State.Own.Target = Target;
+    State.Hosts.merge(State.Own);
+    Admission.setTarget(Target, micros(0));
+  }
   auto submit(const call_key &Key) -> std::optional<reply_outcome> {
     auto Forward = inner::forward_message();
     Forward.Call = Key.Call;
@@ -68,3 +80,27 @@
   cr_assert(Node.resume(Key, micros(400'000)) == reply_outcome::NotRun);
   cr_assert(Node.submit(Key) == reply_outcome::NotRun);
 }
+
+// Guards against a reply that is lost because the connection by which a call
+// came ends after the call was asked for on a newer one.
+Test(sidecar_admission, end_of_the_old_connection_leaves_the_newer_one) {
+  auto Node = admission_fixture();
+  Node.start();
+  auto Forward = inner::forward_message();
+  Forward.Service = {"svc"};
+  Forward.TimeLeft = micros(300'000);
+  auto Old = 0;
+  auto New = 0;
+  auto Replies = std::string();
+  // Nothing listens at the target's address, so the call ends in a reply.
+  Node.State.Settings.Target = {"127.0.0.1", 1};
+  Node.Admission.submit(
+      Key, Forward, [&Replies](const auto &) { Replies += "old"; }, &Old);
+  Node.Admission.resume(
+      Key, micros(0), [&Replies](const auto &) { Replies += "new"; }, &New);
+  Node.Admission.noteOriginLost(&Old);
+  Node.Loop.addTimer(Node.Loop.now() + micros(1'000'000),
+                     [&Node] { Node.Loop.stop(); });
+  Node.Loop.run();
+  cr_assert_str_eq(Replies.c_str(), "new");
+}
