--- a/include/sycamorelb/dispatch/cold_rate.h
+++ b/include/sycamorelb/dispatch/cold_rate.h
@@ -23,6 +23,10 @@
  * earlier process sent. */
 void assumeFull(cold_rate &Rate, double CallsPerSecond, steady_time Now);
 
+/** @return when a target counts as warm that said it stays cold for ColdFor.
+ * Later than it said: what it says is rounded, and its clock is not ours. */
+auto coldEnd(steady_time Now, micros ColdFor) -> steady_time;
+
 /** @return the time from which another call may be sent to a cold target, at
  * most Now if one may be sent at once. */
 auto nextColdCall(const cold_rate &Rate, double CallsPerSecond, steady_time Now)
--- a/src/dispatch/cold_rate.cpp
+++ b/src/dispatch/cold_rate.cpp
@@ -10,6 +10,13 @@
  * reach the target earlier or later than they were sent. */
 static constexpr auto Window = micros(1'050'000);
 
+/** Time beyond what a target said for which it still counts as cold. */
+static constexpr auto ColdMargin = micros(300'000);
+
+auto coldEnd(steady_time Now, micros ColdFor) -> steady_time {
+  return ColdFor > micros(0) ? Now + ColdFor + ColdMargin : Now;
+}
+
 /** @return the calls that fit into a window. */
 static auto windowLimit(double CallsPerSecond) -> std::size_t {
   return static_cast<std::size_t>(std::max(1.0, std::floor(CallsPerSecond)));
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -28,9 +28,6 @@
  * its calls are dropped. */
 static constexpr auto OriginGrace = micros(400'000);
 
-/** Time for which a target counts as cold if its rate is unknown. */
-static constexpr auto UnknownColdTime = micros(10'000'000);
-
 admission::admission(node_state &State, std::function<void()> OnTargetLost,
                      std::function<void()> OnBrake)
     : Impl(std::make_unique<implementation>(State, std::move(OnTargetLost),
@@ -44,7 +41,9 @@
   if (Rule == nullptr || Rule->ColdCallsPerSecond <= 0) {
     return 0;
   }
-  return Rule->ColdCallsPerSecond * State.Settings.Bounds.ColdRateFactor;
+  // Half of what the deployment allows beyond the rate itself.
+  return Rule->ColdCallsPerSecond *
+         (1 + (State.Settings.Bounds.ColdRateFactor - 1) / 2);
 }
 
 auto admission::implementation::pace() const -> dispatch::target_pace {
@@ -360,7 +359,10 @@
       dispatch::assumeFull(State.Rate, State.coldRate(), Now);
     }
     State.ColdKnown = true;
-    State.ColdUntil = Now + *ColdFor;
+    // A last heartbeat that says warm does not shorten the margin.
+    State.ColdUntil =
+        std::max(*ColdFor > micros(0) || IsNew ? Now : State.ColdUntil,
+                 dispatch::coldEnd(Now, *ColdFor));
   }
   reconsider();
 }
@@ -379,10 +381,7 @@
   Impl->pump();
 }
 
-void admission::assumeCold() {
-  Impl->ColdKnown = false;
-  Impl->ColdUntil = Impl->State.Loop.now() + UnknownColdTime;
-}
+void admission::assumeCold() { Impl->ColdKnown = false; }
 
 auto admission::load() const -> dispatch::load_report { return Impl->load(); }
 
--- a/test/dispatch_cold_test.cpp
+++ b/test/dispatch_cold_test.cpp
@@ -45,6 +45,13 @@
   cr_assert(nextColdCall(Rate, 12, at(0)) >= at(1'000'000));
 }
 
+// Guards against what broke onapp-guate trouble-1 (FAILBACK, 39 calls of 38): a
+// target that got the calls of a warm one a moment before it was warm.
+Test(dispatch_cold, target_counts_as_cold_a_little_longer_than_it_says) {
+  cr_assert(coldEnd(at(0), micros(1'000)) >= at(251'000));
+  cr_assert_eq(coldEnd(at(7), micros(0)).time_since_epoch().count(), 7);
+}
+
 // Guards against a rate limit that forgets to let calls through again.
 Test(dispatch_cold, window_opens_again) {
   auto Rate = cold_rate();
