Fix: [Dispatch] Cold targets got little more than half of what the bound allows

Ruled out: slots (9 of them bear 22 calls a second at twice the run time). Change: the allowance is 0.85 of the bound with its slack, which is a setting of the deployment and was not read. The margin of 0.3 s at the end of the cold time stays. Test: dispatch_cold/allowance_*.

--- a/include/sycamorelb/dispatch/cold_rate.h
+++ b/include/sycamorelb/dispatch/cold_rate.h
@@ -16,6 +16,12 @@
   std::deque<steady_time> Sent; ///< Times of the calls, oldest first.
 };
 
+/** @return the calls in a second that are sent to a cold target that bears
+ * CallsPerSecond, where the deployment allows Factor times as many and Slack
+ * more; 0 if the target bears any rate. */
+auto coldAllowance(double CallsPerSecond, double Factor, double Slack)
+    -> double;
+
 /** Notes a call to the target, cold or not. */
 void noteCall(cold_rate &Rate, steady_time Now);
 
--- a/include/sycamorelb/sidecar/settings_type.h
+++ b/include/sycamorelb/sidecar/settings_type.h
@@ -17,6 +17,7 @@
   double RetrySlack = 50;      ///< Repeats beside the ratio, over all nodes.
   millis RetryWindow{10000};   ///< Window of the two above.
   double ColdRateFactor = 1.5; ///< Calls to a cold target over its rate.
+  double ColdSlack = 5;        ///< Calls in a second beside the above.
 };
 
 /** Settings of a node. */
--- a/src/dispatch/cold_rate.cpp
+++ b/src/dispatch/cold_rate.cpp
@@ -13,6 +13,20 @@
 /** Time beyond what a target said for which it still counts as cold. */
 static constexpr auto ColdMargin = micros(300'000);
 
+/** Share of the allowed calls that is sent, for calls that reach the target
+ * closer together than they were sent. */
+static constexpr auto AllowedShare = 0.85;
+
+auto coldAllowance(double CallsPerSecond, double Factor, double Slack)
+    -> double {
+  if (CallsPerSecond <= 0) {
+    return 0;
+  }
+  // Never below what the target bears by its own word.
+  return std::max(CallsPerSecond,
+                  (CallsPerSecond * Factor + Slack) * AllowedShare);
+}
+
 auto coldEnd(steady_time Now, micros ColdFor) -> steady_time {
   return ColdFor > micros(0) ? Now + ColdFor + ColdMargin : Now;
 }
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -38,12 +38,11 @@
 auto admission::implementation::coldRate() const -> double {
   const auto *Rule =
       State.Routes ? State.Routes->findService(Target.Service) : nullptr;
-  if (Rule == nullptr || Rule->ColdCallsPerSecond <= 0) {
-    return 0;
-  }
-  // Half of what the deployment allows beyond the rate itself.
-  return Rule->ColdCallsPerSecond *
-         (1 + (State.Settings.Bounds.ColdRateFactor - 1) / 2);
+  const auto &Bounds = State.Settings.Bounds;
+  return Rule == nullptr
+             ? 0
+             : dispatch::coldAllowance(Rule->ColdCallsPerSecond,
+                                       Bounds.ColdRateFactor, Bounds.ColdSlack);
 }
 
 auto admission::implementation::pace() const -> dispatch::target_pace {
--- a/test/dispatch_cold_test.cpp
+++ b/test/dispatch_cold_test.cpp
@@ -37,6 +37,15 @@
   }));
 }
 
+// Guards against targets that come back cold with most of their capacity
+// unused, and against one that gets more than the deployment allows.
+Test(dispatch_cold, allowance_uses_the_bound_but_stays_below) {
+  cr_assert(coldAllowance(12, 1.5, 8) >= 20);
+  cr_assert(coldAllowance(12, 1.5, 8) <= 24);
+  cr_assert(coldAllowance(12, 1.0, 0) >= 12);
+  cr_assert_eq(static_cast<int>(coldAllowance(0, 1.5, 8)), 0);
+}
+
 // Guards against a restarted node that sends a full second's calls on top of
 // those of its former process.
 Test(dispatch_cold, restarted_node_waits_for_a_whole_window) {
--- a/test/platform_document_test.cpp
+++ b/test/platform_document_test.cpp
@@ -256,7 +256,7 @@
       R"([10,20],"application":"127.0.0.1:4","heartbeatInterval":"1500ms",)"
       R"("limits":{"memoryMb":260,"linkMbps":10.0,"cpuShare":0.2},"bounds":)"
       R"({"drain":"2s","gracePeriod":"6s","retryBudgetRatio":0.2,)"
-      R"("retryBudgetSlack":60,"budgetWindow":"10s","coldRateFactor":1.5},)"
+      R"("retryBudgetSlack":60,"budgetWindow":"10s","coldRateFactor":1.5,"coldSlack":5},)"
       R"("platform":{"address":"127.0.0.1:5"}})");
   auto Settings = decodeSettings(Good);
   cr_assert(isOk(Settings));
