Feature: [Dispatch] Nodes tell how long a call waits for its turn at a cold target

Change: the exact waits of the next starts follow from the times of the last calls (coldStartWaits) and set the pace of the queue; replies carry the wait of one more call and the gap, and predictedWait uses them. Tests: dispatch_cold/told_waits_*, dispatch_pick/cold_target_without_turn_*, dispatch_queue/cold_target_sets_the_pace (now over two windows).

--- a/include/sycamorelb/dispatch/call_queue.h
+++ b/include/sycamorelb/dispatch/call_queue.h
@@ -28,7 +28,10 @@
   std::uint32_t Slots = 1;   ///< Calls that the target runs at once.
   std::uint32_t Running = 0; ///< Calls that it runs now.
   micros MeanRun{0};         ///< Mean time that a call holds a slot.
-  micros StartGap{0};        ///< Least time between starts; 0 for none.
+  /** Waits until the next starts that a limited rate allows, in order; their
+   * number is the most starts in RateWindow. Empty for no limit. */
+  std::vector<micros> StartWaits;
+  micros RateWindow{0}; ///< Time after which StartWaits repeat.
 };
 
 /** @return the expected wait of a call with Ahead calls before it. */
--- a/include/sycamorelb/dispatch/cold_rate.h
+++ b/include/sycamorelb/dispatch/cold_rate.h
@@ -8,6 +8,7 @@
 #include "sycamorelb/core/unit_type.h"
 
 #include <deque>
+#include <vector>
 
 namespace sycamorelb::dispatch {
 
@@ -38,4 +39,12 @@
 auto nextColdCall(const cold_rate &Rate, double CallsPerSecond, steady_time Now)
     -> steady_time;
 
+/** @return the waits until each of the next starts, for one window; the starts
+ * of the next window come coldWindow() later. */
+auto coldStartWaits(const cold_rate &Rate, double CallsPerSecond,
+                    steady_time Now) -> std::vector<micros>;
+
+/** @return the time in which CallsPerSecond calls may be sent. */
+auto coldWindow() -> micros;
+
 } // namespace sycamorelb::dispatch
--- a/include/sycamorelb/dispatch/pick.h
+++ b/include/sycamorelb/dispatch/pick.h
@@ -26,6 +26,8 @@
   std::uint32_t LinkKbps = 0;        ///< Bandwidth of the host; 0 if unknown.
   std::uint32_t LinkBusyPpm = 0;     ///< Share of it in use lately.
   std::uint32_t BulkPpm = 1'000'000; ///< Share of large requests it bears.
+  micros Wait{0};                    ///< Expected wait of one more call.
+  micros StartGap{0}; ///< Mean time between starts while cold; 0 for none.
 };
 
 /** What an entry node believes of a target. */
@@ -56,7 +58,8 @@
   std::size_t Bytes = 0; ///< Size of the request.
 };
 
-/** @return the expected wait for a slot at the target. */
+/** @return the expected wait for a start at the target: for a slot, and for
+ * its turn while starts are limited to a rate. */
 auto predictedWait(const target_view &View, steady_time Now) -> micros;
 
 /** @return the expected time for a request of Bytes to reach the target's host
--- a/src/dispatch/call_queue.cpp
+++ b/src/dispatch/call_queue.cpp
@@ -17,8 +17,13 @@
               static_cast<std::int64_t>(Ahead);
   auto Slots = std::max<std::int64_t>(1, Pace.Slots);
   auto BySlots = Busy > 0 ? Pace.MeanRun * Busy / Slots : micros(0);
-  auto ByGap = Pace.StartGap * static_cast<std::int64_t>(Ahead);
-  return std::max(BySlots, ByGap);
+  if (Pace.StartWaits.empty()) {
+    return BySlots;
+  }
+  auto Starts = Pace.StartWaits.size();
+  auto Windows = static_cast<std::int64_t>(Ahead / Starts);
+  return std::max(BySlots, Pace.StartWaits[Ahead % Starts] +
+                               Pace.RateWindow * Windows);
 }
 
 /** @return the rank of a call after aging. */
--- a/src/dispatch/cold_rate.cpp
+++ b/src/dispatch/cold_rate.cpp
@@ -56,4 +56,18 @@
   return Rate.Sent[Rate.Sent.size() - Limit] + Window;
 }
 
+auto coldWindow() -> micros { return Window; }
+
+auto coldStartWaits(const cold_rate &Rate, double CallsPerSecond,
+                    steady_time Now) -> std::vector<micros> {
+  auto Limit = windowLimit(CallsPerSecond);
+  auto Held = std::min(Rate.Sent.size(), Limit);
+  auto Waits = std::vector<micros>(Limit - Held, micros(0));
+  for (auto Index = Rate.Sent.size() - Held; Index < Rate.Sent.size();
+       ++Index) {
+    Waits.push_back(std::max(micros(0), Rate.Sent[Index] + Window - Now));
+  }
+  return Waits;
+}
+
 } // namespace sycamorelb::dispatch
--- a/src/dispatch/pick.cpp
+++ b/src/dispatch/pick.cpp
@@ -60,7 +60,18 @@
   return std::max<double>(View.Outstanding, Reported + View.SinceReport);
 }
 
-auto predictedWait(const target_view &View, steady_time Now) -> micros {
+/** @return the expected wait for a start at a cold target: what it told, less
+ * the time since, plus a gap for each call that was sent since. */
+static auto predictedColdWait(const target_view &View, steady_time Now)
+    -> micros {
+  auto Sent = static_cast<std::int64_t>(View.SinceReport);
+  return std::max(micros(0), View.Load.Wait - (Now - View.ReportedAt) +
+                                 View.Load.StartGap * Sent);
+}
+
+/** @return the expected wait for a free slot. */
+static auto predictedSlotWait(const target_view &View, steady_time Now)
+    -> micros {
   auto Slots = std::max<double>(1, View.Load.Slots);
   auto Over = believedOccupancy(View, Now) - Slots + 1;
   if (Over <= 0) {
@@ -70,6 +81,13 @@
   return micros(static_cast<std::int64_t>(Over * Mean / Slots));
 }
 
+auto predictedWait(const target_view &View, steady_time Now) -> micros {
+  auto SlotWait = predictedSlotWait(View, Now);
+  return View.Load.StartGap > micros(0)
+             ? std::max(SlotWait, predictedColdWait(View, Now))
+             : SlotWait;
+}
+
 auto predictedTransfer(const target_view &View, std::size_t Bytes) -> micros {
   if (View.Load.LinkKbps == 0) {
     return micros(0);
--- a/src/inner/mesh.capnp
+++ b/src/inner/mesh.capnp
@@ -19,6 +19,8 @@
   linkKbps @6 :UInt32;
   linkBusyPpm @7 :UInt32;
   bulkPpm @8 :UInt32;       # Share of large requests that the link bears.
+  waitMicros @9 :UInt32;    # Expected wait of one more call.
+  startGapMicros @10 :UInt32; # Between starts while cold; 0 for none.
 }
 
 struct Forward {
--- a/src/inner/mesh_codec.cpp
+++ b/src/inner/mesh_codec.cpp
@@ -102,6 +102,8 @@
   Out.setLinkKbps(Load.LinkKbps);
   Out.setLinkBusyPpm(Load.LinkBusyPpm);
   Out.setBulkPpm(Load.BulkPpm);
+  Out.setWaitMicros(static_cast<std::uint32_t>(Load.Wait.count()));
+  Out.setStartGapMicros(static_cast<std::uint32_t>(Load.StartGap.count()));
 }
 
 auto readLoad(mesh_wire::Load::Reader In) -> dispatch::load_report {
@@ -109,7 +111,8 @@
           In.getSlots(),      micros(In.getMeanRunMicros()),
           In.getFailurePpm(), In.getCold(),
           In.getLinkKbps(),   In.getLinkBusyPpm(),
-          In.getBulkPpm()};
+          In.getBulkPpm(),    micros(In.getWaitMicros()),
+          micros(In.getStartGapMicros())};
 }
 
 void writeReply(mesh_wire::Reply::Builder Out, const reply_message &Message) {
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -51,7 +51,9 @@
   Pace.Running = Running;
   Pace.MeanRun = MeanRun;
   if (isCold() && coldRate() > 0) {
-    Pace.StartGap = micros(static_cast<std::int64_t>(1e6 / coldRate()));
+    Pace.StartWaits =
+        dispatch::coldStartWaits(Rate, coldRate(), State.Loop.now());
+    Pace.RateWindow = dispatch::coldWindow();
   }
   return Pace;
 }
@@ -64,6 +66,12 @@
   Load.MeanRun = MeanRun;
   Load.FailurePpm = static_cast<std::uint32_t>(FailureShare * 1e6);
   Load.Cold = isCold();
+  auto Pace = pace();
+  Load.Wait = dispatch::expectedWait(Pace, Queue.size());
+  if (!Pace.StartWaits.empty()) {
+    Load.StartGap = Pace.RateWindow /
+                    static_cast<std::int64_t>(Pace.StartWaits.size());
+  }
   Load.LinkKbps = static_cast<std::uint32_t>(State.Settings.LinkMbps * 1e3);
   Load.LinkBusyPpm = static_cast<std::uint32_t>(State.LinkBusy * 1e6);
   Load.BulkPpm = static_cast<std::uint32_t>(State.BulkShare * 1e6);
--- a/test/dispatch_cold_test.cpp
+++ b/test/dispatch_cold_test.cpp
@@ -61,6 +61,26 @@
   cr_assert_eq(coldEnd(at(7), micros(0)).time_since_epoch().count(), 7);
 }
 
+// Guards against waits that are told too short or too long: the starts must
+// come at the times that the rate allows.
+Test(dispatch_cold, told_waits_are_those_of_the_rate) {
+  cr_assert(rc::check("waits", [] {
+    auto Rate = cold_rate();
+    auto Now = std::int64_t{0};
+    for (auto Step = *rc::gen::inRange(0, 30); Step > 0; --Step) {
+      Now += *rc::gen::inRange(0, 100'000);
+      noteCall(Rate, at(Now));
+    }
+    auto Waits = coldStartWaits(Rate, 12, at(Now));
+    RC_ASSERT(Waits.size() == 12U);
+    for (auto Wait : Waits) {
+      auto Start = std::max(at(Now), nextColdCall(Rate, 12, at(Now)));
+      RC_ASSERT(Start == at(Now) + Wait);
+      noteCall(Rate, Start);
+    }
+  }));
+}
+
 // Guards against a rate limit that forgets to let calls through again.
 Test(dispatch_cold, window_opens_again) {
   auto Rate = cold_rate();
--- a/test/dispatch_pick_test.cpp
+++ b/test/dispatch_pick_test.cpp
@@ -47,6 +47,24 @@
   cr_assert_eq(Counts[0], 200U);
 }
 
+// Guards against calls that all go to cold targets whose rate is used up: they
+// were sent on, refused and offered again up to five times.
+Test(dispatch_pick, cold_target_without_turn_is_left_for_another) {
+  auto Used = idleTarget(0, true);
+  Used.View.Load.Cold = true;
+  Used.View.Load.Wait = micros(700'000);
+  Used.View.Load.StartGap = micros(50'000);
+  auto Free = idleTarget(1, false);
+  auto Counts = picks({Used, Free}, request());
+  cr_assert_eq(Counts[1], 200U);
+  cr_assert_eq(predictedWait(Used.View, Now).count(), 700'000);
+  cr_assert_eq(predictedWait(Used.View, Now + micros(300'000)).count(),
+               400'000);
+  Used.View.SinceReport = 2;
+  cr_assert_eq(predictedWait(Used.View, Now).count(), 800'000);
+  cr_assert_eq(predictedWait(Used.View, Now + micros(2'000'000)).count(), 0);
+}
+
 // Guards against calls to a host whose link is full: the fastest target of a
 // zone got 7 of its 10 Mbit/s while its neighbours got 1.
 Test(dispatch_pick, busy_link_is_left_for_an_idle_one) {
--- a/test/dispatch_queue_test.cpp
+++ b/test/dispatch_queue_test.cpp
@@ -18,7 +18,7 @@
 }
 
 static auto pace(std::uint32_t Slots, std::uint32_t Running) -> target_pace {
-  return {Slots, Running, micros(100'000), micros(0)};
+  return {Slots, Running, micros(100'000), {}, micros(0)};
 }
 
 // Guards against refusing a call on an idle target because its objective is as
@@ -117,6 +117,10 @@
 // Guards against a queue that promises more starts to a cold target than its
 // rate allows.
 Test(dispatch_queue, cold_target_sets_the_pace) {
-  auto Pace = target_pace{9, 0, micros(100'000), micros(50'000)};
+  auto Pace = target_pace{9, 0, micros(100'000), {}, micros(1'000'000)};
+  for (auto Index = 0; Index < 20; ++Index) {
+    Pace.StartWaits.emplace_back(50'000 * Index);
+  }
   cr_assert_eq(expectedWait(Pace, 4).count(), 200'000);
+  cr_assert_eq(expectedWait(Pace, 24).count(), 1'200'000);
 }
--- a/test/inner_mesh_test.cpp
+++ b/test/inner_mesh_test.cpp
@@ -39,11 +39,14 @@
   Reply.Outcome = reply_outcome::Unknown;
   Reply.Arrived = true;
   Reply.Load.BulkPpm = 5;
+  Reply.Load.Wait = micros(6);
+  Reply.Load.StartGap = micros(7);
   Reply.Response.Status = 200;
   Decoded = decodeMesh(encodeMesh(Reply, Now), Now);
   auto *Back = std::get_if<reply_message>(&valueOf(Decoded)->Message);
   cr_assert(Back != nullptr && Back->Outcome == reply_outcome::Unknown &&
-            Back->Arrived && Back->Load.BulkPpm == 5);
+            Back->Arrived && Back->Load.BulkPpm == 5 &&
+            Back->Load.Wait == micros(6) && Back->Load.StartGap == micros(7));
 }
 
 // Guards against a base at offset 0 that is lost on the way, and against
