Feature: [Sidecar] Nodes that start ask the target of the earlier process; stopping nodes admit calls longer

Change: what the store or a peer remembers of the own target is confirmed by its health answer (id and cold time); the record of a host is written once its target is known; a restarted node assumes the cold window full. A stopping node is left out by others from 2.2 s after SIGTERM. Tests: sidecar_watch/healthy_target_of_an_earlier_process_*, platform_document/cold_time_of_a_health_answer.

--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -345,7 +345,7 @@
 }
 
 void admission::setTarget(const mesh::target_record &Target,
-                          std::optional<micros> ColdFor) {
+                          std::optional<micros> ColdFor, bool ServedBefore) {
   auto &State = *Impl;
   auto Now = State.State.Loop.now();
   auto IsNew =
@@ -360,11 +360,11 @@
     State.Evidence.clear();
   }
   State.Target = Target;
+  if (!State.ColdKnown && (ServedBefore || (ColdFor && !IsNew))) {
+    // What an earlier process sent in the last second is unknown.
+    dispatch::assumeFull(State.Rate, State.coldRate(), Now);
+  }
   if (ColdFor) {
-    if (!State.ColdKnown && !IsNew) {
-      // What an earlier process sent in the last second is unknown.
-      dispatch::assumeFull(State.Rate, State.coldRate(), Now);
-    }
     State.ColdKnown = true;
     // A last heartbeat that says warm does not shorten the margin.
     State.ColdUntil =
--- a/src/sidecar/admission.h
+++ b/src/sidecar/admission.h
@@ -57,9 +57,11 @@
   void noteOriginLost(origin Origin);
 
   /** Takes over what a heartbeat or another node says of the target.
-   * @param ColdFor how long it stays cold; nothing if that is unknown. */
+   * @param ColdFor how long it stays cold; nothing if that is unknown.
+   * @param ServedBefore an earlier process of this node may just have sent
+   * calls to it. */
   void setTarget(const mesh::target_record &Target,
-                 std::optional<micros> ColdFor);
+                 std::optional<micros> ColdFor, bool ServedBefore = false);
   /** Looks again at what may be admitted, after a change of the zones, orders
    * or configuration. */
   void reconsider();
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -22,6 +22,11 @@
 /** Interval of the look at the settings file and the own pauses. */
 static constexpr auto TickInterval = micros(1'000'000);
 
+/** Time after which a host without target writes its record to the store. With
+ * a target it does so at once: nodes that start after all were killed then know
+ * which target to ask for. */
+static constexpr auto AnnounceDelay = micros(2'000'000);
+
 /** Ticks between two looks at the settings file. */
 static constexpr auto SettingsTicks = 5;
 
@@ -32,6 +37,10 @@
  * asked once a second and two misses count. */
 static constexpr auto StopServeTime = micros(3'000'000);
 
+/** Time after a stop signal in which other nodes still send calls: their
+ * targets may be short of room, and most calls end in the rest of the time. */
+static constexpr auto StopAdmitTime = micros(2'200'000);
+
 /** Time after a stop signal from which idle connections are closed. */
 static constexpr auto StopIdleTime = micros(2'500'000);
 
@@ -108,6 +117,10 @@
   };
   Events.OnEarlierSelf = [this](const mesh::host_record &Earlier) {
     rememberTarget(Watch, Earlier.Target);
+    if (Earlier.Target.State == mesh::target_state::Ready) {
+      EarlierTarget = Earlier.Target;
+      askEarlierTarget();
+    }
     if (Watch.Known.State > mesh::target_state::Ready &&
         State.Own.Target.State == mesh::target_state::Ready) {
       publishTarget();
@@ -160,6 +173,7 @@
   Rollouts.noteOrders();
   Admission.reconsider();
   if (!HadRoutes && State.Routes) {
+    askEarlierTarget();
     Gossip.answerWaiting();
   }
 }
@@ -176,7 +190,13 @@
                     {{"key", Record.Key}});
     return;
   }
-  Gossip.mergeHost(Message->Sender);
+  auto &Host = Message->Sender;
+  if (Host.Node != State.Own.Node) {
+    // Its target may be gone by now; what the host says itself goes first.
+    Host.Target.State = mesh::target_state::Absent;
+    Host.Revision = 0;
+  }
+  Gossip.mergeHost(Host);
   for (const auto &Rollout : Message->Rollouts) {
     Rollouts.mergeProgress(Rollout);
   }
@@ -192,9 +212,18 @@
   }
   State.StoreListed = true;
   Gossip.greetAll();
-  if (Listed) {
+  Unannounced = !Listed;
+  if (State.Own.Target.State == mesh::target_state::Ready) {
+    return announce();
+  }
+  Loop.addTimer(Loop.now() + AnnounceDelay, [this] { announce(); });
+}
+
+void sidecar::implementation::announce() {
+  if (!std::exchange(Unannounced, false)) {
     return;
   }
+  auto Key = "host/" + State.Own.Node.Value;
   // Hosts that list the topic after this find this one; those that listed it
   // before are found by the second listing.
   auto Self = gossip_message();
@@ -353,14 +382,16 @@
   State.Log.write(log_class::State, "process.stopping",
                   {{"open_calls", static_cast<std::int64_t>(Entry.openCalls())},
                    {"busy", static_cast<std::int64_t>(Admission.busy())}});
-  State.Own.Leaving = true;
-  publishOwn(State);
-  Gossip.tellNews();
   checkStop();
 }
 
 void sidecar::implementation::checkStop() {
   auto Passed = Loop.now() - StopAt;
+  if (Passed >= StopAdmitTime && !State.Own.Leaving) {
+    State.Own.Leaving = true;
+    publishOwn(State);
+    Gossip.tellNews();
+  }
   if (Passed >= StopIdleTime) {
     Entry.closeIdle();
   }
--- a/src/sidecar/sidecar_state.h
+++ b/src/sidecar/sidecar_state.h
@@ -15,7 +15,9 @@
 #include "sycamorelb/sidecar/sidecar.h"
 
 #include <ctime>
+#include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace sycamorelb::sidecar {
@@ -38,6 +40,9 @@
   event::loop Loop;
   node_state State;
   target_watch Watch;
+  /** Target of an earlier process that is to be asked. */
+  std::optional<mesh::target_record> EarlierTarget;
+  bool Unannounced = false; ///< The store holds no record of this host.
   admission Admission;
   peer_links Links;
   entry Entry;
@@ -67,7 +72,14 @@
   auto answerControl(const http::request &Request) -> http::response;
   auto answerMetrics(const http::request &Request) -> http::response;
   void handleHeartbeat(const target_heartbeat &Heartbeat);
-  void askTarget(const target_heartbeat &Heartbeat);
+  /** Asks the target for its health; Answered gets its answer, if any. */
+  void askTarget(const std::function<void(const http::response &)> &Answered);
+  void proveHeartbeat(const target_heartbeat &Heartbeat);
+  /** Asks the target that an earlier process knew, once there is a
+   * configuration, so that calls need not wait for its next heartbeat. */
+  void askEarlierTarget();
+  /** Writes the record of this host to the store, once. */
+  void announce();
   void handleLeave(const mesh::target_id &Id, std::string_view Body);
   void publishTarget();
   void publishTargetLost();
--- a/src/sidecar/target_control.cpp
+++ b/src/sidecar/target_control.cpp
@@ -4,6 +4,8 @@
 #include "sidecar/sidecar_state.h"
 #include "sycamorelb/http/client_connection.h"
 
+#include <utility>
+
 namespace sycamorelb::sidecar {
 
 using namespace inner;
@@ -23,6 +25,7 @@
                      {"born", Watch.Known.BornAt},
                      {"sequence", static_cast<std::int64_t>(Watch.Sequence)}});
     Gossip.tellNews();
+    announce();
   }
 }
 
@@ -43,8 +46,9 @@
   }
   if (needsProof(Watch, Heartbeat)) {
     Watch.Unproved = Heartbeat;
-    return askTarget(Heartbeat);
+    return proveHeartbeat(Heartbeat);
   }
+  auto ServedBefore = mayHaveServed(Watch, Heartbeat);
   if (!acceptHeartbeat(Watch, Heartbeat)) {
     State.Log.write(
         log_class::State, "heartbeat.outdated",
@@ -54,19 +58,15 @@
     return;
   }
   publishTarget();
-  Admission.setTarget(State.Own.Target, Heartbeat.ColdFor);
+  Admission.setTarget(State.Own.Target, Heartbeat.ColdFor, ServedBefore);
 }
 
-void sidecar::implementation::askTarget(const target_heartbeat &Heartbeat) {
+void sidecar::implementation::askTarget(
+    const std::function<void(const http::response &)> &Answered) {
   const auto *Rule = State.Routes
                          ? State.Routes->findService(State.Settings.Service)
                          : nullptr;
-  State.Log.write(log_class::State, "heartbeat.unproved",
-                  {{"target", Heartbeat.Target.Id.Value},
-                   {"sequence", static_cast<std::int64_t>(Heartbeat.Sequence)},
-                   {"asked", std::int64_t{Rule != nullptr ? 1 : 0}}});
   if (Rule == nullptr) {
-    // The next heartbeat proves it.
     return;
   }
   auto Options = http::client_options();
@@ -78,21 +78,54 @@
                              [Probe] { Probe->close(); });
   Probe->exchange(
       platform::healthRequest(Rule->HealthPath),
-      [this, Heartbeat, Timer](const http::exchange_result &Result) {
+      [this, Answered, Timer](const http::exchange_result &Result) {
         Loop.cancelTimer(Timer);
-        const auto *Response = std::get_if<http::response>(&Result);
-        auto Proved = Response != nullptr &&
-                      platform::isHealthy(*Response, Heartbeat.Target.Id);
-        auto Current = Watch.Unproved &&
-                       Watch.Unproved->Sequence == Heartbeat.Sequence &&
-                       Watch.Known.State == mesh::target_state::Absent;
-        if (Proved && Current && acceptHeartbeat(Watch, Heartbeat)) {
-          publishTarget();
-          Admission.setTarget(State.Own.Target, Heartbeat.ColdFor);
+        if (const auto *Response = std::get_if<http::response>(&Result)) {
+          Answered(*Response);
         }
       });
 }
 
+void sidecar::implementation::proveHeartbeat(
+    const target_heartbeat &Heartbeat) {
+  State.Log.write(
+      log_class::State, "heartbeat.unproved",
+      {{"target", Heartbeat.Target.Id.Value},
+       {"sequence", static_cast<std::int64_t>(Heartbeat.Sequence)}});
+  askTarget([this, Heartbeat](const http::response &Response) {
+    auto Current = Watch.Unproved &&
+                   Watch.Unproved->Sequence == Heartbeat.Sequence &&
+                   Watch.Known.State == mesh::target_state::Absent;
+    if (Current && platform::isHealthy(Response, Heartbeat.Target.Id) &&
+        acceptHeartbeat(Watch, Heartbeat)) {
+      publishTarget();
+      Admission.setTarget(State.Own.Target, Heartbeat.ColdFor, true);
+    }
+  });
+}
+
+void sidecar::implementation::askEarlierTarget() {
+  auto Asks = EarlierTarget && State.Routes &&
+              Watch.Known.State == mesh::target_state::Absent;
+  if (!Asks) {
+    return;
+  }
+  auto Earlier = *std::exchange(EarlierTarget, std::nullopt);
+  askTarget([this, Earlier](const http::response &Response) {
+    auto Holds = platform::isHealthy(Response, Earlier.Id) &&
+                 resumeTarget(Watch, Earlier);
+    State.Log.write(log_class::State, "target.asked",
+                    {{"target", Earlier.Id.Value},
+                     {"status", std::int64_t{Response.Status}},
+                     {"resumed", std::int64_t{Holds ? 1 : 0}}});
+    if (Holds) {
+      publishTarget();
+      Admission.setTarget(State.Own.Target, platform::coldOfHealth(Response),
+                          true);
+    }
+  });
+}
+
 void sidecar::implementation::handleLeave(const mesh::target_id &Id,
                                           std::string_view Body) {
   if (!acceptLeave(Watch, Id, platform::decodeLeaveBirth(Body))) {
--- a/src/sidecar/target_watch.cpp
+++ b/src/sidecar/target_watch.cpp
@@ -6,11 +6,27 @@
 /** Sequence up to which a heartbeat shows that its target has just started. */
 static constexpr auto FirstSequences = std::uint64_t{2};
 
-auto needsProof(const target_watch &Watch, const target_heartbeat &Heartbeat)
+auto mayHaveServed(const target_watch &Watch, const target_heartbeat &Heartbeat)
+    -> bool {
+  return Watch.Known.State == mesh::target_state::Absent &&
+         Heartbeat.Sequence > FirstSequences;
+}
+
+auto resumeTarget(target_watch &Watch, const mesh::target_record &Earlier)
     -> bool {
   if (Watch.Known.State != mesh::target_state::Absent ||
-      Heartbeat.Target.State != mesh::target_state::Ready ||
-      Heartbeat.Sequence <= FirstSequences) {
+      Earlier.State != mesh::target_state::Ready) {
+    return false;
+  }
+  Watch.Known = Earlier;
+  Watch.Sequence = 0;
+  return true;
+}
+
+auto needsProof(const target_watch &Watch, const target_heartbeat &Heartbeat)
+    -> bool {
+  if (!mayHaveServed(Watch, Heartbeat) ||
+      Heartbeat.Target.State != mesh::target_state::Ready) {
     return false;
   }
   const auto &Earlier = Watch.Unproved;
--- a/src/sidecar/target_watch.h
+++ b/src/sidecar/target_watch.h
@@ -26,6 +26,17 @@
 auto needsProof(const target_watch &Watch, const target_heartbeat &Heartbeat)
     -> bool;
 
+/** @return whether the heartbeat is of a target that an earlier process of this
+ * node may have sent calls to: this one knows none, and it isn't new. */
+auto mayHaveServed(const target_watch &Watch, const target_heartbeat &Heartbeat)
+    -> bool;
+
+/** Takes over a target that an earlier process knew, if this one knows none and
+ * the target itself has said that it is still there and healthy.
+ * @return whether it holds. */
+auto resumeTarget(target_watch &Watch, const mesh::target_record &Earlier)
+    -> bool;
+
 /** Takes a heartbeat over unless it is outdated: of an earlier start, older
  * than one seen before, or of a target that has said that it leaves.
  * @return whether it holds. */
--- a/test/platform_document_test.cpp
+++ b/test/platform_document_test.cpp
@@ -173,6 +173,19 @@
   cr_assert_not(targetOfRequest(Request).has_value());
 }
 
+// Guards against a cold target that a node takes for a warm one because its
+// health answer can't be read.
+Test(platform_document, cold_time_of_a_health_answer) {
+  auto Told = [](const char *Text) {
+    return coldOfHealth({200, "", {{"Cold-Milliseconds", Text}}, ""});
+  };
+  cr_assert(Told("1500") == micros(1'500'000));
+  cr_assert(Told("0") == micros(0));
+  cr_assert_not(Told("soon").has_value());
+  cr_assert_not(Told("-5").has_value());
+  cr_assert_not(coldOfHealth({200, "", {}, ""}).has_value());
+}
+
 /** @return a number as the store writes it. */
 static auto bigEndian(std::uint64_t Number, int Bytes) -> std::string {
   auto Out = std::string();
--- a/test/sidecar_watch_test.cpp
+++ b/test/sidecar_watch_test.cpp
@@ -41,6 +41,27 @@
   cr_assert(acceptHeartbeat(Watch, heartbeat("b", 12, 1, target_state::Ready)));
 }
 
+// Guards against nodes that start and wait for a heartbeat of a target that
+// serves all the while: after the end of all processes calls were refused for
+// up to 1.5 s more.
+Test(sidecar_watch, healthy_target_of_an_earlier_process_is_resumed) {
+  auto Watch = target_watch();
+  auto Earlier = heartbeat("a", 5, 9, target_state::Ready).Target;
+  cr_assert(mayHaveServed(Watch, heartbeat("a", 5, 9, target_state::Ready)));
+  cr_assert_not(
+      mayHaveServed(Watch, heartbeat("a", 5, 1, target_state::Ready)));
+  cr_assert(resumeTarget(Watch, Earlier));
+  cr_assert(acceptHeartbeat(Watch, heartbeat("a", 5, 10, target_state::Ready)));
+  // One that was told to leave meanwhile stays so.
+  cr_assert(
+      acceptHeartbeat(Watch, heartbeat("a", 5, 11, target_state::Draining)));
+  cr_assert_not(resumeTarget(Watch, Earlier));
+  cr_assert(Watch.Known.State == target_state::Draining);
+  auto Left = target_watch();
+  Earlier.State = target_state::Draining;
+  cr_assert_not(resumeTarget(Left, Earlier));
+}
+
 // Guards against what broke onapp-guate hunt-a9ac-23: the process that
 // acknowledged a leave was killed, and the next one believed a heartbeat that
 // had been held up.
