Fix: [Mesh] A node that started anew was not told what its former process knew

Cause: peers take over the new record of a node when it greets them, and answer after that; the former record, with the state of the target, was lost. What the store holds was the only memory of a target that was leaving. Change: the table of hosts keeps the last record of an earlier process that knew its target, and the answer to the greeting contains it. The log line target.asked tells the cold time that the target gave. Test: mesh_tables/record_of_the_former_process_is_kept.

--- a/include/sycamorelb/mesh/host_table.h
+++ b/include/sycamorelb/mesh/host_table.h
@@ -61,6 +61,9 @@
   void erase(const node_id &Node);
   /** @return the record, or null. */
   auto find(const node_id &Node) const -> const host_record *;
+  /** @return the last record of an earlier process of the host that knew its
+   * target, or null. Its next process is told of it. */
+  auto formerOf(const node_id &Node) const -> const host_record *;
   /** @return all records, ordered by name. */
   auto records() const -> const std::map<node_id, host_record> & {
     return Records;
@@ -70,6 +73,7 @@
 
 private:
   std::map<node_id, host_record> Records;
+  std::map<node_id, host_record> Former; // Of earlier processes.
   std::uint64_t Digest = 0;
 };
 
--- a/src/mesh/host_table.cpp
+++ b/src/mesh/host_table.cpp
@@ -25,12 +25,21 @@
       return false;
     }
     Digest ^= recordDigest(Found->second);
+    if (Found->second.Incarnation < Record.Incarnation &&
+        Found->second.Target.State != target_state::Absent) {
+      Former[Record.Node] = Found->second;
+    }
     Found->second = Record;
   }
   Digest ^= recordDigest(Record);
   return true;
 }
 
+auto host_table::formerOf(const node_id &Node) const -> const host_record * {
+  auto Found = Former.find(Node);
+  return Found == Former.end() ? nullptr : &Found->second;
+}
+
 void host_table::erase(const node_id &Node) {
   auto Found = Records.find(Node);
   if (Found != Records.end()) {
--- a/src/sidecar/gossip.cpp
+++ b/src/sidecar/gossip.cpp
@@ -391,6 +391,9 @@
   }
   if (Message.WantHosts) {
     Reply.Hosts = newerThan(State, {});
+    if (const auto *Former = State.Hosts.formerOf(Message.Sender.Node)) {
+      Reply.Hosts.push_back(*Former);
+    }
     Answers = true;
   }
   if (Message.WantRecords && !State.Routes) {
--- a/src/sidecar/target_control.cpp
+++ b/src/sidecar/target_control.cpp
@@ -114,14 +114,15 @@
   askTarget([this, Earlier](const http::response &Response) {
     auto Holds = platform::isHealthy(Response, Earlier.Id) &&
                  resumeTarget(Watch, Earlier);
+    auto ColdFor = platform::coldOfHealth(Response);
     State.Log.write(log_class::State, "target.asked",
                     {{"target", Earlier.Id.Value},
                      {"status", std::int64_t{Response.Status}},
+                     {"cold_us", ColdFor ? ColdFor->count() : -1},
                      {"resumed", std::int64_t{Holds ? 1 : 0}}});
     if (Holds) {
       publishTarget();
-      Admission.setTarget(State.Own.Target, platform::coldOfHealth(Response),
-                          true);
+      Admission.setTarget(State.Own.Target, ColdFor, true);
     }
   });
 }
--- a/test/mesh_tables_test.cpp
+++ b/test/mesh_tables_test.cpp
@@ -51,6 +51,23 @@
   }));
 }
 
+// Guards against what a node that was killed right after it acknowledged a leave
+// can't be told: its peers forgot its former record when it greeted them.
+Test(mesh_tables, record_of_the_former_process_is_kept) {
+  auto Hosts = host_table();
+  cr_assert_null(Hosts.formerOf({"a"}));
+  auto Earlier = host("a", 1, 4);
+  Earlier.Target.Id = {"i-1"};
+  Earlier.Target.State = target_state::Draining;
+  Hosts.merge(Earlier);
+  Hosts.merge(host("a", 2, 1));
+  cr_assert_not_null(Hosts.formerOf({"a"}));
+  cr_assert(*Hosts.formerOf({"a"}) == Earlier);
+  // A process that ended before it knew its target changes nothing.
+  Hosts.merge(host("a", 3, 1));
+  cr_assert(*Hosts.formerOf({"a"}) == Earlier);
+}
+
 static auto record(const std::string &Key, std::uint64_t Offset,
                    std::string Value) -> operator_record {
   return {Key, {Offset}, Value.empty(), std::move(Value), std::nullopt};
