--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all build test format format-check lint schema schema-check demo bench bench-report clean
+.PHONY: all build test soak format format-check lint schema schema-check demo bench bench-report clean
 
 all: build
 
@@ -34,6 +34,12 @@
 	demo/run.sh $(BUILD) demo/kathmandu
 	demo/run.sh $(BUILD) demo/altiplano
 
+# One seed of the fault soak; MINUTES of faults.
+SEED ?= 1
+MINUTES ?= 0.5
+soak: build
+	python3 soak/soak.py $(BUILD) --seed $(SEED) --seconds $$(python3 -c 'print(60 * $(MINUTES))')
+
 bench: build
 	bench/run.sh $(BUILD)
 
--- a/include/sycamorelb/sidecar/settings_type.h
+++ b/include/sycamorelb/sidecar/settings_type.h
@@ -29,6 +29,8 @@
   event::endpoint Ready;          ///< Where readiness is asked.
   event::endpoint Control;        ///< Where the target sends heartbeats.
   event::endpoint Peer;           ///< Where other nodes connect.
+  /** Where other nodes reach this one, if not at Peer; port 0 for Peer. */
+  event::endpoint Advertised;
   event::endpoint Metrics;        ///< Where metrics and state are served.
   event::endpoint Target;         ///< Address of the target.
   event::endpoint Store;          ///< Address of the platform's store.
--- /dev/null
+++ b/soak/soak.py
@@ -0,0 +1,388 @@
+#!/usr/bin/env python3
+"""Fault soak: real nodes as separate processes on loopback, with faults injected from outside them.
+
+Checks what callers and targets see while it runs; see docs/soak.md. Exits with 1 if a promise was broken.
+Usage: soak/soak.py BUILD_DIR [--seed N] [--seconds S] [--nodes N] [--break NAME] [--keep DIR]
+"""
+import argparse
+import asyncio
+import json
+import os
+import random
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import time
+
+from checks import Ledger
+from stand_ins import Proxy, Store, Target, answer_body
+from wire import abort, encode, read_message, request_once
+
+ZONES = ["z1", "z2", "z3"]
+SERVICES = ["a", "b", "c"]
+BOUNDS = {"drain": 2.0, "gracePeriod": 6.0, "configApply": 2.0, "evacuation": 5.0, "rollback": 5.0,
+          "retryBudgetRatio": 0.2, "retryBudgetSlack": 60, "budgetWindow": 10, "coldRateFactor": 1.5, "coldSlack": 5,
+          "recovery": 15}
+PORTS = {"inbound": 8300, "application": 8301, "readiness": 8302, "outbound": 8304, "controlPlane": 8306}
+PEER_PORT, METRICS_PORT, PROXY_PORT, TARGET_PORT = 7620, 7635, 7700, 8400
+READY_INTERVAL_S = 1.0
+DEADLINE_MS = 1500
+QUIET_AT_END_S = 12.0  # Time without faults before the end, for the check of the recovery.
+KINDS = [("read", "GET", "a", "idempotent"), ("pay", "POST", "b", "non_idempotent"), ("photo", "POST", "c", "upload")]
+
+
+class Node:
+    """One node: its process, its target, and the proxies in front of both."""
+
+    def __init__(self, world, index):
+        self.world = world
+        self.index = index
+        self.name = f"n{index}"
+        self.ip = f"127.0.{world.net}.{index + 1}"
+        self.zone = ZONES[index % len(ZONES)]
+        self.service = SERVICES[index // len(ZONES) % len(SERVICES)]
+        self.peer_proxy = Proxy((self.ip, PROXY_PORT), (self.ip, PEER_PORT))
+        self.target_proxy = Proxy((self.ip, PORTS["application"]), (self.ip, TARGET_PORT))
+        self.store_proxy = Proxy((self.ip, PROXY_PORT + 1), world.store.address)
+        self.target = Target(world, self.name, self.service, self.zone, (self.ip, TARGET_PORT),
+                             (self.ip, PORTS["controlPlane"]))
+        self.process = None
+        self.incarnation = 0
+        self.stopping_until = 0.0
+        self.in_service = False
+        self.served_versions = set()
+
+    async def start(self):
+        for proxy in (self.peer_proxy, self.target_proxy, self.store_proxy):
+            await proxy.start()
+        await self.target.listen()
+        self.spawn()
+        self.target.start(cold=False)
+
+    def spawn(self):
+        path = os.path.join(self.world.folder, self.name + ".json")
+        with open(path, "w") as file:
+            json.dump(self.settings(), file)
+        self.incarnation += 1
+        self.served_versions = set()
+        with open(os.path.join(self.world.folder, self.name + ".log"), "ab") as log:
+            self.process = subprocess.Popen(
+                [self.world.binary, "sidecar", f"--settings={path}", f"--advertise={self.ip}:{PROXY_PORT}"],
+                stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+
+    def settings(self):
+        text = {name: f"{value}s" if name in ("drain", "gracePeriod", "budgetWindow") else value
+                for name, value in BOUNDS.items()}
+        return {"nodeName": self.name, "zone": self.zone, "service": self.service, "ipAddress": self.ip,
+                "listenAddresses": {name: f"{self.ip}:{PORTS[name]}"
+                                    for name in ("inbound", "outbound", "readiness", "controlPlane")},
+                "internalPortRange": [PEER_PORT, METRICS_PORT], "heartbeatInterval": "1000ms",
+                "limits": {"cpuShare": 0.5, "memoryMb": 260, "linkMbps": 1000.0}, "bounds": text,
+                "application": f"{self.ip}:{PORTS['application']}",
+                "platform": {"address": f"{self.ip}:{PROXY_PORT + 1}"}}
+
+    def runs(self):
+        return self.process is not None and self.process.poll() is None
+
+    def signal(self, number):
+        if self.runs():
+            self.process.send_signal(number)
+
+    async def stop_gracefully(self):
+        """SIGTERM, SIGKILL after the grace period, and a new process."""
+        if not self.runs() or self.stopping_until > time.monotonic():
+            return
+        old = self.process
+        self.stopping_until = time.monotonic() + BOUNDS["gracePeriod"]
+        self.world.ledger.note_planned(self.name, time.monotonic())
+        self.signal(signal.SIGTERM)
+        while old.poll() is None and time.monotonic() < self.stopping_until:
+            await asyncio.sleep(0.05)
+        await self.end(old)
+
+    async def kill(self):
+        if self.runs():
+            self.world.ledger.note_unplanned(self.name, time.monotonic(), time.monotonic() + 1)
+            await self.end(self.process)
+
+    async def end(self, old):
+        if old.poll() is None:
+            old.kill()
+        while old.poll() is None:
+            await asyncio.sleep(0.02)
+        await asyncio.sleep(self.world.random.uniform(0.1, 0.8))
+        if self.process is old and not self.world.over:
+            self.spawn()
+
+    async def poll_readiness(self):
+        misses = 0
+        while not self.world.over:
+            data = encode("GET /readiness HTTP/1.1", {"Host": "node"})
+            response = await request_once((self.ip, PORTS["readiness"]), data, 1.0)
+            misses = 0 if response is not None and response.status == 200 else misses + 1
+            self.in_service = misses < 2
+            await asyncio.sleep(READY_INTERVAL_S)
+
+
+class World:
+    """All that the soak runs, and what it has seen."""
+
+    def __init__(self, args):
+        self.args = args
+        self.random = random.Random(args.seed)
+        self.net = 10 + os.getpid() % 200
+        self.binary = os.path.abspath(os.path.join(args.build, "sycamorelb"))
+        self.folder = args.keep or tempfile.mkdtemp(prefix="soak-")
+        os.makedirs(self.folder, exist_ok=True)
+        self.store = Store((f"127.0.{self.net}.250", 8309))
+        self.ledger = Ledger(BOUNDS, args.broken)
+        self.leaves = self.ledger.leaves
+        self.nodes = [Node(self, index) for index in range(args.nodes)]
+        self.over = False
+        self.version = 0
+        self.faults = []
+
+    # What callers do.
+
+    def write_config(self):
+        """Writes the next configuration. Each has one more route, /vN/, and never drops one."""
+        self.version += 1
+        routes = [("/" + name + "/", service, kind) for name, _, service, kind in KINDS]
+        routes += [("/call/", "b", "idempotent")]
+        routes += [(f"/v{number}/", "a", "idempotent") for number in range(1, self.version + 1)]
+        resources = [{"resourceType": "routes", "metadata": {"name": "r" + prefix.strip("/")}, "specification": {
+            "host": "soak", "pathPrefix": prefix, "kind": kind, "timeout": "1500ms", "targetLatency": "500ms",
+            "priority": 1, "attempts": 2, "service": service}} for prefix, service, kind in routes]
+        resources += [{"resourceType": "services", "metadata": {"name": name}, "specification": {
+            "healthCheckPath": "/health", "connectionLimit": 200, "protocol": "h1", "tls": False, "warmup": "3s",
+            "coldPerS": 12.0}} for name in SERVICES]
+        resources.append({"resourceType": "limits", "metadata": {}, "specification": {
+            "maxHeaderBytes": 16384, "maxBodyBytes": 1048576, "headerTimeout": "3000ms", "idleTimeout": "15000ms"}})
+        self.store.append("keyed.op", "config",
+                          json.dumps({"version": f"r{self.version * 2}", "resources": resources}).encode())
+        self.ledger.note_config(self.version, time.monotonic())
+
+    def new_request(self, prefix, method, kind, service, caller, deadline_ms=DEADLINE_MS):
+        request_id = f"{self.random.getrandbits(64):016x}"
+        body = b"" if method == "GET" else self.random.randbytes(20000 if kind == "upload" else 300)
+        target = f"{prefix}{request_id[:4]}?q={request_id[4:8]}"
+        self.ledger.note_sent(request_id, method, target, body, kind, service, caller)
+        return request_id, encode(f"{method} {target} HTTP/1.1", {
+            "Host": "soak", "Request-Id": request_id, "Deadline-Milliseconds": deadline_ms}, body)
+
+    async def nested_call(self, target):
+        """A call that a target makes while it runs one. Returns whether it succeeded."""
+        node = next(node for node in self.nodes if node.target is target)
+        request_id, data = self.new_request("/call/", "GET", "idempotent", "b", node.service, 800)
+        response = await request_once((node.ip, PORTS["outbound"]), data, 0.8)
+        self.ledger.note_answer(request_id, node.name, response)
+        return response is not None and response.status == 200
+
+    async def caller(self, node):
+        """Sends requests on one kept connection, for as long as the node is in service."""
+        reader = writer = None
+        while not self.over:
+            await asyncio.sleep(self.random.expovariate(2.5))
+            if not node.in_service:
+                continue
+            name, method, service, kind = self.random.choices(KINDS, [5, 3, 1])[0]
+            request_id, data = self.new_request(f"/{name}/", method, kind, service, node.service)
+            incarnation, sent_at, kept = node.incarnation, time.monotonic(), writer is not None
+            try:
+                async with asyncio.timeout(DEADLINE_MS / 1000 + 1):
+                    if writer is None:
+                        reader, writer = await asyncio.open_connection(node.ip, PORTS["outbound"])
+                    if self.ledger.distorts("twice", request_id):
+                        writer.write(data)
+                    writer.write(data)
+                    response = await read_message(reader)
+            except (OSError, ValueError, TimeoutError, asyncio.IncompleteReadError):
+                response = None
+            if self.ledger.distorts("cut", request_id):
+                response = None
+            self.ledger.note_answer(request_id, node.name, response)
+            if response is None:
+                same = incarnation == node.incarnation
+                self.ledger.note_cut(request_id, node.name, sent_at, time.monotonic(), kept, same)
+            if writer is not None and (response is None or response.headers.get("connection") == "close"):
+                abort(writer)
+                reader = writer = None
+
+    async def probe_config(self, node):
+        """Asks a node for the newest routes, to see which configuration it has."""
+        while not self.over:
+            await asyncio.sleep(0.4)
+            number = self.random.randint(max(1, self.version - 2), max(1, self.version))
+            if not node.in_service or self.version == 0:
+                continue
+            incarnation = node.incarnation
+            request_id, data = self.new_request(f"/v{number}/", "GET", "idempotent", "a", node.service)
+            sent_at = time.monotonic()
+            response = await request_once((node.ip, PORTS["outbound"]), data, 2.5)
+            self.ledger.note_answer(request_id, node.name, response)
+            if response is not None and incarnation == node.incarnation:
+                self.ledger.note_probe(node, number, response.status, sent_at)
+
+    def note_run(self, target, request_id, message, cold):
+        self.ledger.note_run(target, request_id, message, cold, time.monotonic())
+
+    # What goes wrong.
+
+    async def harm(self, proxy, node, mode, seconds):
+        self.ledger.note_unplanned(node.name, time.monotonic(), time.monotonic() + seconds)
+        if mode == "reset":
+            return proxy.reset_all()
+        proxy.mode = mode
+        await asyncio.sleep(seconds)
+        proxy.mode = "pass"
+        if mode in ("silent", "one_way"):
+            proxy.reset_all()
+
+    async def pause(self, node, seconds):
+        self.ledger.note_unplanned(node.name, time.monotonic(), time.monotonic() + seconds)
+        process = node.process
+        node.signal(signal.SIGSTOP)
+        await asyncio.sleep(seconds)
+        if process is not None and process.poll() is None:
+            process.send_signal(signal.SIGCONT)
+
+    async def harm_store(self, mode, seconds):
+        self.ledger.note_store(time.monotonic(), time.monotonic() + seconds)
+        self.store.mode = mode
+        await asyncio.sleep(seconds)
+        self.store.mode = "ok"
+
+    async def harm_target(self, node, fault, seconds):
+        self.ledger.note_unplanned(node.name, time.monotonic(), time.monotonic() + seconds)
+        if fault == "crash":
+            return await node.target.restart(seconds)
+        node.target.fault = fault
+        await asyncio.sleep(seconds)
+        node.target.fault = None
+
+    async def evacuate(self, zone, seconds):
+        self.store.append("keyed.op", "evacuate/" + zone, b"{}")
+        self.ledger.note_evacuation(zone, time.monotonic(), time.monotonic() + seconds)
+        await asyncio.sleep(seconds)
+        self.store.append("keyed.op", "evacuate/" + zone, b"")
+
+    async def hup_series(self, node):
+        for _ in range(self.random.randint(1, 4)):
+            node.signal(signal.SIGHUP)
+            await asyncio.sleep(0.2)
+
+    def planned_fault(self, node):
+        draw = self.random.randrange(5)
+        if draw == 0:
+            return "stop", node.stop_gracefully()
+        if draw == 1:
+            return "drain", node.target.drain(BOUNDS["drain"])
+        if draw == 2:
+            return "hup", self.hup_series(node)
+        if draw == 3 and not any(name == "evacuate" for _, name, _ in self.faults[-6:]):
+            return "evacuate", self.evacuate(self.random.choice(ZONES), self.random.uniform(6, 9))
+        self.write_config()
+        return "config", asyncio.sleep(0)
+
+    def unplanned_fault(self, node):
+        seconds = self.random.uniform(0.5, 4)
+        draw = self.random.randrange(8)
+        if draw == 0:
+            return "kill", node.kill()
+        if draw == 1:
+            return "pause", self.pause(node, seconds)
+        if draw == 2:
+            fault = self.random.choice(["crash", "lose", "garbage", "slow"])
+            return "target " + fault, self.harm_target(node, fault, seconds)
+        if draw == 3:
+            mode = self.random.choice(["reject", "silent", "lost", "slow"])
+            return "store " + mode, self.harm_store(mode, seconds)
+        proxy, what = self.random.choice([(node.peer_proxy, "peer"), (node.peer_proxy, "peer"),
+                                          (node.target_proxy, "target"), (node.store_proxy, "store")])
+        mode = self.random.choice(["delay", "reset", "silent", "one_way", "refuse"])
+        return f"{what} link {mode}", self.harm(proxy, node, mode, seconds)
+
+    async def inject(self, seconds):
+        """Faults in series that overlap; every third stretch has planned work only."""
+        end = time.monotonic() + seconds
+        tasks = []
+        while time.monotonic() < end:
+            planned = int((end - time.monotonic()) / 8) % 3 == 0
+            node = self.random.choice(self.nodes)
+            pick = self.planned_fault if planned or self.random.random() < 0.3 else self.unplanned_fault
+            name, work = pick(node)
+            self.faults.append((time.monotonic(), name, node.name))
+            tasks.append(asyncio.create_task(work))
+            await asyncio.sleep(self.random.expovariate(0.9))
+        await asyncio.gather(*tasks)
+
+    async def watch_lag(self):
+        """Notes when the soak itself did not run in time; bounds on time are not judged then."""
+        while not self.over:
+            before = time.monotonic()
+            await asyncio.sleep(0.05)
+            lag = time.monotonic() - before - 0.05
+            if lag > 0.1:
+                self.ledger.note_lag(before, time.monotonic())
+
+    def note_error(self, loop, context):
+        """Tasks that the end of the soak cancels are no errors."""
+        if not self.over:
+            loop.default_exception_handler(context)
+
+    async def run(self):
+        asyncio.get_running_loop().set_exception_handler(self.note_error)
+        await self.store.start()
+        self.write_config()
+        for node in self.nodes:
+            await node.start()
+        tasks = [asyncio.create_task(self.watch_lag())]
+        for node in self.nodes:
+            tasks += [asyncio.create_task(node.poll_readiness()), asyncio.create_task(self.probe_config(node))]
+            tasks += [asyncio.create_task(self.caller(node)) for _ in range(3)]
+        await asyncio.sleep(4)
+        await self.inject(self.args.seconds)
+        quiet_from = time.monotonic()
+        await asyncio.sleep(QUIET_AT_END_S)
+        self.over = True
+        self.ledger.finish(quiet_from + QUIET_AT_END_S / 2)
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def end(self):
+        self.over = True
+        for node in self.nodes:
+            if node.runs():
+                node.process.kill()
+                node.process.wait()
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("build")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=30)
+    parser.add_argument("--nodes", type=int, default=9)
+    parser.add_argument("--break", dest="broken", default="")
+    parser.add_argument("--keep", default="")
+    args = parser.parse_args()
+    world = World(args)
+    try:
+        asyncio.run(world.run())
+    finally:
+        world.end()
+    report = world.ledger.report()
+    report.update(seed=args.seed, faults=len(world.faults), folder=world.folder)
+    print(json.dumps(report))
+    if report["broken"]:
+        with open(os.path.join(world.folder, "faults.json"), "w") as file:
+            json.dump([[round(at - world.ledger.begun, 3), name, node] for at, name, node in world.faults], file)
+        return 1
+    if not args.keep:
+        shutil.rmtree(world.folder)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/soak/stand_ins.py
@@ -0,0 +1,274 @@
+"""Stand-ins for the platform's store, for targets, and a proxy that harms connections."""
+import asyncio
+import base64
+import hashlib
+import json
+import struct
+import time
+from urllib.parse import parse_qs, unquote, urlsplit
+
+from wire import abort, encode, read_message, request_once
+
+COLD_CALLS_PER_S = 12
+COLD_S = 3.0
+SLOTS = 9
+HEARTBEAT_S = 1.0
+
+
+def answer_body(request_id):
+    """Returns the only right body of an answer."""
+    return hashlib.sha256(request_id.encode()).hexdigest().encode() * 20
+
+
+class Proxy:
+    """Forwards connections to one address. Its mode harms those that exist and new ones."""
+
+    def __init__(self, address, upstream):
+        self.address = address
+        self.upstream = upstream
+        self.mode = "pass"  # pass, delay, silent, one_way (nothing back), refuse
+        self.writers = set()
+
+    async def start(self):
+        await asyncio.start_server(self.serve, *self.address, backlog=256)
+
+    def reset_all(self):
+        for writer in list(self.writers):
+            abort(writer)
+
+    async def pump(self, reader, writer, back):
+        try:
+            while data := await reader.read(65536):
+                while self.mode == "silent" or (self.mode == "one_way" and back):
+                    await asyncio.sleep(0.05)
+                if self.mode == "delay":
+                    await asyncio.sleep(0.15)
+                writer.write(data)
+                await writer.drain()
+            if writer.can_write_eof():
+                writer.write_eof()
+        except (OSError, RuntimeError):
+            abort(writer)
+
+    async def serve(self, reader, writer):
+        if self.mode == "refuse":
+            return abort(writer)
+        while self.mode == "silent":
+            await asyncio.sleep(0.05)
+        try:
+            there_reader, there = await asyncio.open_connection(*self.upstream)
+        except OSError:
+            return abort(writer)
+        self.writers |= {writer, there}
+        await asyncio.gather(self.pump(reader, there, False), self.pump(there_reader, writer, True))
+        self.writers -= {writer, there}
+        writer.close()
+        there.close()
+
+
+class Store:
+    """The platform's store: keyed topics with one partition. Modes: ok, reject, silent, lost (done, no answer), slow."""
+
+    def __init__(self, address):
+        self.address = address
+        self.mode = "ok"
+        self.topics = {}
+        self.changed = asyncio.Event()
+
+    async def start(self):
+        await asyncio.start_server(self.serve, *self.address, backlog=256)
+
+    def append(self, topic, key, value):
+        """Appends a record; an empty value drops the key. Returns its offset."""
+        records = self.topics.setdefault(topic, [])
+        records.append((key, value))
+        self.changed.set()
+        self.changed = asyncio.Event()
+        return len(records) - 1
+
+    def newest(self, topic):
+        last = {key: (value, offset) for offset, (key, value) in enumerate(self.topics.get(topic, []))}
+        return {key: entry for key, entry in sorted(last.items()) if entry[0]}
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                message = await read_message(reader)
+                while self.mode == "silent":
+                    await asyncio.sleep(0.05)
+                if self.mode == "slow":
+                    await asyncio.sleep(0.5)
+                if self.mode == "reject":
+                    writer.write(encode("HTTP/1.1 503 Busy", {}))
+                    continue
+                first, body = await self.answer(message)
+                if self.mode == "lost":
+                    return abort(writer)
+                writer.write(encode("HTTP/1.1 " + first, {}, body))
+                await writer.drain()
+        except (OSError, ValueError, asyncio.IncompleteReadError):
+            writer.close()
+
+    async def answer(self, message):
+        url = urlsplit(message.target)
+        query = {name: values[0] for name, values in parse_qs(url.query).items()}
+        topic = query.get("topic", "")
+        records = self.topics.get(topic, [])
+        if url.path == "/log-append":
+            if "at" in query and int(query["at"]) != len(records):
+                return "412 Moved", json.dumps({"end": len(records)}).encode()
+            size = struct.unpack(">I", message.body[:4])[0]
+            content = message.body[4:4 + size]
+            offset = self.append(topic, content[1:1 + content[0]].decode(), content[1 + content[0]:])
+            return "200 OK", json.dumps({"offset": offset, "end": offset + 1}).encode()
+        if url.path == "/log-newest":
+            after = unquote(query.get("after", ""))
+            items = [{"key": key, "value": base64.b64encode(value).decode(), "offset": offset}
+                     for key, (value, offset) in self.newest(topic).items() if key > after]
+            return "200 OK", json.dumps({"items": items, "more": False, "end": len(records)}).encode()
+        start = int(query.get("from", "0"))
+        until = time.monotonic() + int(query.get("waitMs", "0")) / 1000
+        while len(self.topics.get(topic, [])) <= start and time.monotonic() < until:
+            try:
+                await asyncio.wait_for(self.changed.wait(), max(0.01, until - time.monotonic()))
+            except TimeoutError:
+                break
+        records = self.topics.get(topic, [])
+        out = struct.pack(">QQ", len(records), 0)
+        for key, value in records[start:]:
+            content = bytes([len(key)]) + key.encode() + value
+            out += struct.pack(">I", len(content)) + content
+        return "200 OK", out
+
+
+class Target:
+    """The application beside a node. Each start is an incarnation with an id of its own."""
+
+    def __init__(self, world, node, service, zone, address, control):
+        self.world = world
+        self.node = node
+        self.service = service
+        self.zone = zone
+        self.address = address
+        self.control = control
+        self.running = 0
+        self.writers = set()
+        self.fault = None  # lose, garbage, slow
+        self.bad = False
+        self.alive = False
+        self.acked_leave = None
+        self.starts = 0
+        self.tasks = []
+
+    async def listen(self):
+        await asyncio.start_server(self.serve, *self.address, backlog=256)
+
+    def start(self, version="v1", cold=True):
+        self.starts += 1
+        self.id = f"i-{self.node}-{self.starts}"
+        self.version = version
+        self.born = int(time.time() * 1000)
+        self.cold_until = time.monotonic() + (COLD_S if cold else 0)
+        self.state = "ready"
+        self.sequence = 0
+        self.acked_leave = None
+        self.alive = True
+        self.tasks = [asyncio.create_task(self.beat())]
+
+    def stop(self):
+        self.alive = False
+        for writer in list(self.writers):
+            abort(writer)
+
+    def cold_ms(self):
+        return max(0, int((self.cold_until - time.monotonic()) * 1000))
+
+    async def send_beat(self):
+        self.sequence += 1
+        leaving = self.state == "draining"
+        body = json.dumps({
+            "born": self.born, "address": "%s:%d" % self.address,
+            "information": {"service": self.service, "version": self.version, "zone": self.zone, "slots": SLOTS},
+            "status": {"state": self.state, "sequence": self.sequence, "coldRemaining": f"{self.cold_ms()}ms"}})
+        target_id = self.id
+        data = encode(f"PUT /instances/{target_id} HTTP/1.1", {"Host": "node"}, body.encode())
+        response = await request_once(self.control, data, 1.0)
+        acked = response is not None and response.status == 200
+        if acked and leaving and self.id == target_id and self.acked_leave is None:
+            self.acked_leave = time.monotonic()
+            self.world.leaves[target_id] = self.acked_leave
+        return acked
+
+    async def beat(self):
+        start = self.starts
+        while self.alive and self.starts == start:
+            await self.send_beat()
+            await asyncio.sleep(HEARTBEAT_S)
+
+    async def drain(self, drain_s):
+        """Leaves as the platform asks for, and comes back as a new start."""
+        if not self.alive or self.state != "ready":
+            return
+        start = self.starts
+        self.state = "draining"
+        await self.send_beat()
+        await asyncio.sleep(drain_s + 1.5)
+        if self.alive and self.starts == start:
+            await request_once(self.control, encode(f"DELETE /instances/{self.id} HTTP/1.1", {"Host": "node"}), 1.0)
+            await self.restart(2.0)
+
+    async def restart(self, down_s):
+        start = self.starts
+        self.stop()
+        await asyncio.sleep(down_s)
+        if self.starts == start:
+            self.start(self.version)
+
+    async def serve(self, reader, writer):
+        if not self.alive:
+            return abort(writer)
+        self.writers.add(writer)
+        try:
+            while True:
+                message = await read_message(reader)
+                if not await self.handle(message, writer):
+                    return abort(writer)
+                await writer.drain()
+        except (OSError, ValueError, asyncio.IncompleteReadError):
+            writer.close()
+        finally:
+            self.writers.discard(writer)
+
+    async def handle(self, message, writer):
+        if message.target == "/health":
+            healthy = self.state == "ready"
+            writer.write(encode("HTTP/1.1 200 OK" if healthy else "HTTP/1.1 503 Leaving",
+                                {"Instance-Id": self.id, "Cold-Milliseconds": self.cold_ms()}))
+            return True
+        request_id = message.headers.get("request-id", "")
+        expected = message.headers.get("expected-instance", self.id)
+        if expected != self.id or self.running >= 4 * SLOTS:
+            status = "421 Misdirected" if expected != self.id else "503 Full"
+            writer.write(encode("HTTP/1.1 " + status, {"Not-Executed": "1", "Request-Id": request_id}))
+            return True
+        start, fault = self.starts, self.fault
+        self.world.note_run(self, request_id, message, self.cold_ms() > 0)
+        self.running += 1
+        try:
+            await asyncio.sleep(self.world.random.uniform(0.01, 0.05) * (10 if fault == "slow" else 1))
+            status = "200 OK"
+            if self.bad and self.world.random.random() < 0.4:
+                status = "500 Bad version"
+            elif self.service == "a" and self.world.random.random() < 0.3:
+                if not await self.world.nested_call(self):
+                    status = "500 Call failed"
+        finally:
+            self.running -= 1
+        if start != self.starts or fault == "lose" and self.world.random.random() < 0.3:
+            return False
+        body = answer_body(request_id)
+        writer.write(encode("HTTP/1.1 " + status, {"Request-Id": request_id, "Response-Signature": "s-" + request_id,
+                                                  "Server-Load": f"{self.running},0,{SLOTS}"}, body))
+        if fault == "garbage" and self.world.random.random() < 0.3:
+            writer.write(b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 3\r\n\r\nold")
+        return True
--- a/src/cli/flags.cpp
+++ b/src/cli/flags.cpp
@@ -5,6 +5,8 @@
 
 DEFINE_string(settings, "",
               "settings file of a node; clients take keys and address from it");
+DEFINE_string(advertise, "",
+              "IP:PORT at which other nodes reach this one, if not directly");
 DEFINE_bool(print_settings, false, "print all settings with their defaults");
 DEFINE_string(node, "", "admin address of the node to ask, ip:port");
 DEFINE_bool(json, false, "print JSON for machines");
--- a/src/cli/flags.h
+++ b/src/cli/flags.h
@@ -4,6 +4,7 @@
 #include <gflags/gflags_declare.h>
 
 DECLARE_string(settings);
+DECLARE_string(advertise);
 DECLARE_bool(print_settings);
 DECLARE_string(node);
 DECLARE_bool(json);
--- a/src/cli/verb_sidecar.cpp
+++ b/src/cli/verb_sidecar.cpp
@@ -26,6 +26,13 @@
     Fault.Peer = Path;
     return reportError(Fault);
   }
+  if (!FLAGS_advertise.empty()) {
+    auto Advertised = event::parseEndpoint(FLAGS_advertise);
+    if (!isOk(Advertised)) {
+      return reportError(errorOf(Advertised));
+    }
+    valueOf(Settings).Advertised = valueOf(Advertised);
+  }
   auto Node = sidecar::sidecar::create(valueOf(Settings), Path);
   if (!isOk(Node)) {
     return reportError(errorOf(Node));
--- a/src/cli/verb_table.cpp
+++ b/src/cli/verb_table.cpp
@@ -15,12 +15,14 @@
        0,
        runNode},
       {"sidecar",
-       "[--settings=FILE]",
+       "[--settings=FILE] [--advertise=IP:PORT]",
        "Runs a node on the users' platform until SIGTERM or SIGINT.\n"
        "  --settings is the platform's settings file; by default the path "
        "that\n"
-       "  the platform gives in the environment.",
-       {"settings"},
+       "  the platform gives in the environment.\n"
+       "  --advertise is where other nodes reach this one, for a host behind "
+       "a proxy.",
+       {"settings", "advertise"},
        0,
        runSidecar},
       {"explain",
--- a/src/sidecar/node_state.cpp
+++ b/src/sidecar/node_state.cpp
@@ -16,7 +16,8 @@
       Log(Loop, this->Settings.Node) {
   StartedAt = Loop.now();
   Own.Node = this->Settings.Node;
-  Own.Peer = this->Settings.Peer;
+  Own.Peer = this->Settings.Advertised.Port == 0 ? this->Settings.Peer
+                                                  : this->Settings.Advertised;
   Own.Zone = this->Settings.Zone;
   Own.Target.Service = this->Settings.Service;
   Own.Capable = this->Settings.LinkMbps >= ReaderLinkMbps &&
