Fix: [Sidecar] All nodes asked a lost store again and again

At the start each node polls as well, as it has not heard from a reader yet (116 calls). Change: hosts that four others of their zone go before pause for 2.4 to 4 s; a node that starts gives the readers of its zone 1.3 s. Test: mesh_tables/few_hosts_of_a_zone_ask_a_lost_store_often.

--- a/include/sycamorelb/mesh/reader_func.h
+++ b/include/sycamorelb/mesh/reader_func.h
@@ -15,4 +15,9 @@
  * the first by hash among the hosts that are not leaving and can read it. */
 auto isReader(const host_table &Hosts, const host_record &Own) -> bool;
 
+/** @return whether enough hosts of the zone would read the store before this
+ * one if all of them could. While the store is down for everyone, such a host
+ * asks it less often. */
+auto isSpareReader(const host_table &Hosts, const host_record &Own) -> bool;
+
 } // namespace sycamorelb::mesh
--- a/src/mesh/reader.cpp
+++ b/src/mesh/reader.cpp
@@ -12,15 +12,26 @@
   return {Host.Capable, rendezvousScore(Host.Zone.Value, Host.Node.Value)};
 }
 
-auto isReader(const host_table &Hosts, const host_record &Own) -> bool {
+/** @return the hosts of the zone that read the store before Own does.
+ * @param WithLost counts those that can't read it now as well. */
+static auto hostsAhead(const host_table &Hosts, const host_record &Own,
+                       bool WithLost) -> std::size_t {
   auto Ahead = std::size_t{0};
   for (const auto &[Node, Host] : Hosts.records()) {
     if (Node != Own.Node && Host.Zone == Own.Zone && !Host.Leaving &&
-        !Host.StoreLost && rankOf(Host) > rankOf(Own)) {
+        (WithLost || !Host.StoreLost) && rankOf(Host) > rankOf(Own)) {
       ++Ahead;
     }
   }
-  return Ahead < ReadersPerZone;
+  return Ahead;
+}
+
+auto isReader(const host_table &Hosts, const host_record &Own) -> bool {
+  return hostsAhead(Hosts, Own, false) < ReadersPerZone;
+}
+
+auto isSpareReader(const host_table &Hosts, const host_record &Own) -> bool {
+  return hostsAhead(Hosts, Own, true) >= ReadersPerZone * 2;
 }
 
 } // namespace sycamorelb::mesh
--- a/src/sidecar/gossip.cpp
+++ b/src/sidecar/gossip.cpp
@@ -117,6 +117,8 @@
 }
 
 void gossip::start() {
+  // Gives the readers of the zone time to tell that they are there.
+  Impl->ReaderHeardAt = Impl->State.Loop.now();
   Impl->State.Loop.addTimer(Impl->State.Loop.now() + ExchangeInterval,
                             [this] { Impl->exchange(); });
   Impl->tellZone();
--- a/src/sidecar/store_feed.cpp
+++ b/src/sidecar/store_feed.cpp
@@ -2,6 +2,7 @@
 #include "sidecar/store_feed.h"
 
 #include "sycamorelb/http/client_connection.h"
+#include "sycamorelb/mesh/reader_func.h"
 
 #include <algorithm>
 #include <set>
@@ -29,6 +30,9 @@
 /** Pauses after failures, doubled each time. */
 static constexpr auto FirstPause = micros(300'000);
 static constexpr auto LongestPause = micros(1'500'000);
+/** The same for hosts that others of their zone go before. */
+static constexpr auto FirstSparePause = micros(2'400'000);
+static constexpr auto LongestSparePause = micros(4'000'000);
 /** Longest response, in bytes. */
 static constexpr auto MaxResponseBytes = std::size_t{64} * 1024 * 1024;
 
@@ -179,8 +183,10 @@
 
 void store_feed::implementation::retry(std::uint64_t Started,
                                        std::function<void()> Again) {
-  auto Pause = std::min(
-      micros(FirstPause * (1LL << std::min(Failures, 4U)) / 2), LongestPause);
+  auto Spare = mesh::isSpareReader(State.Hosts, State.Own);
+  auto First = Spare ? FirstSparePause : FirstPause;
+  auto Pause = std::min(micros(First * (1LL << std::min(Failures, 4U)) / 2),
+                        Spare ? LongestSparePause : LongestPause);
   auto Spread = 0.75 + 0.5 * randomUnit(State.Random);
   auto Wait = micros(
       static_cast<std::int64_t>(static_cast<double>(Pause.count()) * Spread));
--- a/test/mesh_tables_test.cpp
+++ b/test/mesh_tables_test.cpp
@@ -225,3 +225,20 @@
   cr_assert(std::count(Readers.begin(), Readers.end(), "h18") == 1);
   cr_assert(std::count(Readers.begin(), Readers.end(), "h16") == 0);
 }
+
+// Guards against a store that all nodes ask again and again while it is down
+// (390 calls in 8 s), and against a zone in which none asks often.
+Test(mesh_tables, few_hosts_of_a_zone_ask_a_lost_store_often) {
+  auto Hosts = host_table();
+  for (auto Index = 0; Index < 20; ++Index) {
+    auto Host = host("h" + std::to_string(Index), 1, 1);
+    Host.Zone = {Index % 2 == 0 ? "a" : "b"};
+    Host.StoreLost = true;
+    Hosts.merge(Host);
+  }
+  auto Often = std::map<std::string, int>();
+  for (const auto &[Node, Host] : Hosts.records()) {
+    Often[Host.Zone.Value] += isSpareReader(Hosts, Host) ? 0 : 1;
+  }
+  cr_assert(Often == (std::map<std::string, int>{{"a", 4}, {"b", 4}}));
+}
