--- a/soak/soak.py
+++ b/soak/soak.py
@@ -11,6 +11,7 @@
 import random
 import shutil
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -26,6 +27,7 @@
           "retryBudgetRatio": 0.2, "retryBudgetSlack": 60, "budgetWindow": 10, "coldRateFactor": 1.5, "coldSlack": 5,
           "recovery": 15}
 PORTS = {"inbound": 8300, "application": 8301, "readiness": 8302, "outbound": 8304, "controlPlane": 8306}
+STORE_PORT = 8309
 PEER_PORT, METRICS_PORT, PROXY_PORT, TARGET_PORT = 7620, 7635, 7700, 8400
 READY_INTERVAL_S = 1.0
 DEADLINE_MS = 1500
@@ -33,6 +35,18 @@
 KINDS = [("read", "GET", "a", "idempotent"), ("pay", "POST", "b", "non_idempotent"), ("photo", "POST", "c", "upload")]
 
 
+def free_net():
+    """Returns N so that the addresses 127.0.N.x are not used by another soak on this machine."""
+    for net in random.SystemRandom().sample(range(10, 250), 240):
+        with socket.socket() as probe:
+            try:
+                probe.bind((f"127.0.{net}.250", STORE_PORT))
+                return net
+            except OSError:
+                continue
+    raise RuntimeError("no free addresses")
+
+
 class Node:
     """One node: its process, its target, and the proxies in front of both."""
 
@@ -132,11 +146,11 @@
     def __init__(self, args):
         self.args = args
         self.random = random.Random(args.seed)
-        self.net = 10 + os.getpid() % 200
+        self.net = free_net()
         self.binary = os.path.abspath(os.path.join(args.build, "sycamorelb"))
         self.folder = args.keep or tempfile.mkdtemp(prefix="soak-")
         os.makedirs(self.folder, exist_ok=True)
-        self.store = Store((f"127.0.{self.net}.250", 8309))
+        self.store = Store((f"127.0.{self.net}.250", STORE_PORT))
         self.ledger = Ledger(BOUNDS, args.broken)
         self.leaves = self.ledger.leaves
         self.nodes = [Node(self, index) for index in range(args.nodes)]
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -174,6 +174,9 @@
   Admission.reconsider();
   if (!HadRoutes && State.Routes) {
     askEarlierTarget();
+    if (Watch.Unproved) {
+      proveHeartbeat(target_heartbeat(*Watch.Unproved));
+    }
     Gossip.answerWaiting();
   }
 }
