--- a/include/sycamorelb/event/loop.h
+++ b/include/sycamorelb/event/loop.h
@@ -31,9 +31,6 @@
 
   /** @return the time since boot at which the current iteration began. */
   auto now() const -> steady_time;
-  /** @return the time that passed between the last two iterations beyond the
-   * time that the loop meant to wait; large after a pause of the process. */
-  auto lastStall() const -> micros;
 
   /** Counts bytes that crossed the host's link. */
   void noteTraffic(std::size_t Received, std::size_t Sent);
--- a/include/sycamorelb/http/client_connection.h
+++ b/include/sycamorelb/http/client_connection.h
@@ -45,9 +45,6 @@
   client_connection(const client_connection &) = delete;
   auto operator=(const client_connection &) -> client_connection & = delete;
 
-  /** Called when the connection ends while no request is in progress. */
-  std::function<void()> OnIdleClosed;
-
   /** Sets how a response to the request in progress is told from one that an
    * earlier request left behind, which is skipped. Empty: all belong. */
   void setBelongs(std::function<bool(const proxy::header_list &)> Belongs);
@@ -55,8 +52,6 @@
   void exchange(const request &Request, result_handler Handle);
   /** @return whether another request can be sent. */
   auto isReusable() const -> bool;
-  /** @return how many requests were sent. */
-  auto exchanges() const -> std::uint64_t;
   /** @return when the last response was complete. */
   auto idleSince() const -> steady_time;
   /** @return the idle timeout that the server announced, if any. */
--- a/include/sycamorelb/inner/mesh_message_type.h
+++ b/include/sycamorelb/inner/mesh_message_type.h
@@ -133,4 +133,9 @@
 auto decodeMesh(std::string_view Bytes, steady_time Now)
     -> result<std::optional<decoded_mesh>>;
 
+/** @return the gossip that a record of the store holds, or nothing if it holds
+ * something else or can't be read. */
+auto decodeGossip(std::string_view Bytes, steady_time Now)
+    -> std::optional<gossip_message>;
+
 } // namespace sycamorelb::inner
--- a/src/dispatch/call_queue.cpp
+++ b/src/dispatch/call_queue.cpp
@@ -22,8 +22,8 @@
   }
   auto Starts = Pace.StartWaits.size();
   auto Windows = static_cast<std::int64_t>(Ahead / Starts);
-  return std::max(BySlots, Pace.StartWaits[Ahead % Starts] +
-                               Pace.RateWindow * Windows);
+  return std::max(BySlots,
+                  Pace.StartWaits[Ahead % Starts] + Pace.RateWindow * Windows);
 }
 
 /** @return the rank of a call after aging. */
--- a/src/event/loop.cpp
+++ b/src/event/loop.cpp
@@ -35,7 +35,6 @@
   std::uint64_t NextTimer = 1;
   std::uint64_t NextSerial = 1;
   steady_time Now = bootTime();
-  micros Stall{0};
   std::uint64_t Received = 0;
   std::uint64_t Sent = 0;
   std::map<std::pair<steady_time, std::uint64_t>, callback> Timers;
@@ -96,8 +95,6 @@
 
 auto loop::now() const -> steady_time { return Impl->Now; }
 
-auto loop::lastStall() const -> micros { return Impl->Stall; }
-
 void loop::noteTraffic(std::size_t Received, std::size_t Sent) {
   Impl->Received += Received;
   Impl->Sent += Sent;
@@ -151,12 +148,10 @@
   Impl->Now = bootTime();
   while (!Impl->Stopping) {
     auto Wait = Impl->waitMs();
-    auto Before = Impl->Now;
     auto Count =
         epoll_wait(Impl->Epoll, Events.data(), static_cast<int>(Events.size()),
                    static_cast<int>(Wait));
     Impl->Now = bootTime();
-    Impl->Stall = std::max(micros(0), Impl->Now - Before - micros(Wait * 1000));
     Impl->runDue();
     auto SerialBound = Impl->NextSerial;
     for (auto Index = 0; Index < Count; ++Index) {
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -25,7 +25,6 @@
   bool ReadingBody = false;
   bool Foreign = false;
   bool BrokenStream = false;
-  std::uint64_t Exchanges = 0;
   proxy::response_head Head;
   std::string Body;
   proxy::body_decoder Decoder;
@@ -96,7 +95,6 @@
   Impl->Method = Request.Method;
   Impl->ReadingBody = false;
   Impl->Body.clear();
-  ++Impl->Exchanges;
   Impl->Stream->send(renderRequest(Request));
 }
 
@@ -168,9 +166,6 @@
     // Bytes that belong to no request.
     Impl->BrokenStream = true;
     Impl->Stream->close();
-    if (auto Report = std::move(OnIdleClosed)) {
-      Report();
-    }
     return;
   }
   auto Failure = std::string();
@@ -206,9 +201,6 @@
 void client_connection::handleClosed(event::close_reason Reason) {
   Impl->BrokenStream = true;
   if (!Impl->Handle) {
-    if (auto Report = std::move(OnIdleClosed)) {
-      Report();
-    }
     return;
   }
   if (Reason == event::close_reason::EndOfStream && Impl->ReadingBody &&
@@ -232,10 +224,6 @@
   return Impl->Stream->isOpen() && !Impl->BrokenStream && !Impl->Handle;
 }
 
-auto client_connection::exchanges() const -> std::uint64_t {
-  return Impl->Exchanges;
-}
-
 auto client_connection::idleSince() const -> steady_time {
   return Impl->IdleSince;
 }
--- a/src/inner/mesh_codec.cpp
+++ b/src/inner/mesh_codec.cpp
@@ -107,11 +107,16 @@
 }
 
 auto readLoad(mesh_wire::Load::Reader In) -> dispatch::load_report {
-  return {In.getRunning(),    In.getQueued(),
-          In.getSlots(),      micros(In.getMeanRunMicros()),
-          In.getFailurePpm(), In.getCold(),
-          In.getLinkKbps(),   In.getLinkBusyPpm(),
-          In.getBulkPpm(),    micros(In.getWaitMicros()),
+  return {In.getRunning(),
+          In.getQueued(),
+          In.getSlots(),
+          micros(In.getMeanRunMicros()),
+          In.getFailurePpm(),
+          In.getCold(),
+          In.getLinkKbps(),
+          In.getLinkBusyPpm(),
+          In.getBulkPpm(),
+          micros(In.getWaitMicros()),
           micros(In.getStartGapMicros())};
 }
 
@@ -450,4 +455,14 @@
   }
 }
 
+auto decodeGossip(std::string_view Bytes, steady_time Now)
+    -> std::optional<gossip_message> {
+  auto Decoded = decodeMesh(Bytes, Now);
+  auto *Gossip = isOk(Decoded) && valueOf(Decoded)
+                     ? std::get_if<gossip_message>(&valueOf(Decoded)->Message)
+                     : nullptr;
+  return Gossip == nullptr ? std::nullopt
+                           : std::make_optional(std::move(*Gossip));
+}
+
 } // namespace sycamorelb::inner
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -69,8 +69,8 @@
   auto Pace = pace();
   Load.Wait = dispatch::expectedWait(Pace, Queue.size());
   if (!Pace.StartWaits.empty()) {
-    Load.StartGap = Pace.RateWindow /
-                    static_cast<std::int64_t>(Pace.StartWaits.size());
+    Load.StartGap =
+        Pace.RateWindow / static_cast<std::int64_t>(Pace.StartWaits.size());
   }
   Load.LinkKbps = static_cast<std::uint32_t>(State.Settings.LinkMbps * 1e3);
   Load.LinkBusyPpm = static_cast<std::uint32_t>(State.LinkBusy * 1e6);
--- a/src/sidecar/node_state.cpp
+++ b/src/sidecar/node_state.cpp
@@ -17,7 +17,7 @@
   StartedAt = Loop.now();
   Own.Node = this->Settings.Node;
   Own.Peer = this->Settings.Advertised.Port == 0 ? this->Settings.Peer
-                                                  : this->Settings.Advertised;
+                                                 : this->Settings.Advertised;
   Own.Zone = this->Settings.Zone;
   Own.Target.Service = this->Settings.Service;
   Own.Capable = this->Settings.LinkMbps >= ReaderLinkMbps &&
--- a/src/sidecar/rollout_control.cpp
+++ b/src/sidecar/rollout_control.cpp
@@ -262,14 +262,10 @@
       return;
     }
     for (const auto &Record : valueOf(Page).Records) {
-      auto Decoded = decodeMesh(Record.Value, State.Loop.now());
-      if (!isOk(Decoded) || !valueOf(Decoded)) {
-        continue;
-      }
-      auto *Message = std::get_if<gossip_message>(&valueOf(Decoded)->Message);
-      for (const auto &Known : Message == nullptr
-                                   ? std::vector<rollout::rollout_state>()
-                                   : Message->Rollouts) {
+      auto Message = decodeGossip(Record.Value, State.Loop.now());
+      for (const auto &Known : Message
+                                   ? Message->Rollouts
+                                   : std::vector<rollout::rollout_state>()) {
         if (Known.Order.Service == Service &&
             Known.OrderOffset == Held.OrderOffset) {
           book(Held).Writing = false;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -183,11 +183,8 @@
 
 void sidecar::implementation::mergeMeshRecord(
     const mesh::operator_record &Record) {
-  auto Decoded = decodeMesh(Record.Value, Loop.now());
-  auto *Message = isOk(Decoded) && valueOf(Decoded)
-                      ? std::get_if<gossip_message>(&valueOf(Decoded)->Message)
-                      : nullptr;
-  if (Message == nullptr) {
+  auto Message = decodeGossip(Record.Value, Loop.now());
+  if (!Message) {
     ++State.Counters.BadInput["store"];
     State.Log.write(log_class::State, "store.unreadable",
                     {{"key", Record.Key}});
--- a/src/sidecar/target_control.cpp
+++ b/src/sidecar/target_control.cpp
@@ -76,14 +76,14 @@
       http::client_connection::open(Loop, State.Settings.Target, Options);
   auto Timer = Loop.addTimer(Loop.now() + State.Settings.HeartbeatInterval,
                              [Probe] { Probe->close(); });
-  Probe->exchange(
-      platform::healthRequest(Rule->HealthPath),
-      [this, Answered, Timer](const http::exchange_result &Result) {
-        Loop.cancelTimer(Timer);
-        if (const auto *Response = std::get_if<http::response>(&Result)) {
-          Answered(*Response);
-        }
-      });
+  Probe->exchange(platform::healthRequest(Rule->HealthPath),
+                  [this, Answered, Timer](const http::exchange_result &Result) {
+                    Loop.cancelTimer(Timer);
+                    if (const auto *Response =
+                            std::get_if<http::response>(&Result)) {
+                      Answered(*Response);
+                    }
+                  });
 }
 
 void sidecar::implementation::proveHeartbeat(
--- a/test/inner_mesh_test.cpp
+++ b/test/inner_mesh_test.cpp
@@ -74,6 +74,9 @@
   cr_assert_not(Got->Records[1].Base.has_value());
   cr_assert(Got->Records[1].Compressed);
   cr_assert(Got->Relay);
+  cr_assert(decodeGossip(encodeMesh(Message, Now), Later).has_value());
+  cr_assert_not(decodeGossip(encodeMesh(forward(), Now), Later).has_value());
+  cr_assert_not(decodeGossip("short", Later).has_value());
   cr_assert(Later - Got->Rollouts[0].SeenAt == micros(3'000'000));
 }
 
--- a/test/mesh_tables_test.cpp
+++ b/test/mesh_tables_test.cpp
@@ -51,8 +51,8 @@
   }));
 }
 
-// Guards against what a node that was killed right after it acknowledged a leave
-// can't be told: its peers forgot its former record when it greeted them.
+// Guards against what a node that was killed right after it acknowledged a
+// leave can't be told: its peers forgot its former record when it greeted them.
 Test(mesh_tables, record_of_the_former_process_is_kept) {
   auto Hosts = host_table();
   cr_assert_null(Hosts.formerOf({"a"}));
