--- a/soak/soak.py
+++ b/soak/soak.py
@@ -18,7 +18,7 @@
 import time
 
 from checks import Ledger
-from stand_ins import Proxy, Store, Target, answer_body
+from stand_ins import Proxy, Store, Target
 from wire import abort, encode, read_message, request_once
 
 ZONES = ["z1", "z2", "z3"]
