Codechange: [Sidecar] Joining a known call in one place; one lookup of the cold rate

Cause: the last reading found the same lines in admission::submit and admission::resume, a lookup of the cold rate done twice for each pace, a function of the gossip with one caller, and a copy of a heartbeat that nothing needs. Change: admission::implementation::rejoin serves both; the rest is removed.

--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -50,9 +50,10 @@
   Pace.Slots = Target.Slots;
   Pace.Running = Running;
   Pace.MeanRun = MeanRun;
-  if (isCold() && coldRate() > 0) {
+  auto CallsPerSecond = isCold() ? coldRate() : 0;
+  if (CallsPerSecond > 0) {
     Pace.StartWaits =
-        dispatch::coldStartWaits(Rate, coldRate(), State.Loop.now());
+        dispatch::coldStartWaits(Rate, CallsPerSecond, State.Loop.now());
     Pace.RateWindow = dispatch::coldWindow();
   }
   return Pace;
@@ -178,17 +179,21 @@
   finish(Call, std::move(Outcome));
 }
 
+void admission::implementation::rejoin(admitted_call &Call, reply_handler Reply,
+                                       origin Origin) {
+  if (Call.Stage == call_stage::Done) {
+    return Reply(Call.Outcome);
+  }
+  Call.Reply = std::move(Reply);
+  Call.Origin = Origin;
+}
+
 void admission::submit(const call_key &Key, forward_message Forward,
                        reply_handler Reply, origin Origin) {
   auto &State = Impl->State;
   Impl->dropOldOutcomes();
   if (auto Known = Impl->find(Key)) {
-    if (Known->Stage == call_stage::Done) {
-      return Reply(Known->Outcome);
-    }
-    Known->Reply = std::move(Reply);
-    Known->Origin = Origin;
-    return;
+    return Impl->rejoin(*Known, std::move(Reply), Origin);
   }
   auto Now = State.Loop.now();
   if (Impl->Ended.contains(Key)) {
@@ -228,12 +233,7 @@
                        origin Origin) {
   Impl->dropOldOutcomes();
   if (auto Known = Impl->find(Key)) {
-    if (Known->Stage == call_stage::Done) {
-      return Reply(Known->Outcome);
-    }
-    Known->Reply = std::move(Reply);
-    Known->Origin = Origin;
-    return;
+    return Impl->rejoin(*Known, std::move(Reply), Origin);
   }
   auto Outcome = reply_message();
   Outcome.Call = Key.Call;
--- a/src/sidecar/admission_state.h
+++ b/src/sidecar/admission_state.h
@@ -77,6 +77,8 @@
   auto pace() const -> dispatch::target_pace;
   auto obstacle(const inner::forward_message &Forward) const -> const char *;
   auto load() const -> dispatch::load_report;
+  /** Gives the outcome of a known call to another connection, now or later. */
+  void rejoin(admitted_call &Call, reply_handler Reply, origin Origin);
   void finish(admitted_call &Call, inner::reply_message Outcome);
   void refuse(admitted_call &Call, const char *Reason);
   void start(const std::shared_ptr<admitted_call> &Call);
--- a/src/sidecar/gossip.cpp
+++ b/src/sidecar/gossip.cpp
@@ -55,7 +55,6 @@
   void tellZone();
   void tellNear(const gossip_message &Message);
   void tellFar(gossip_message Message);
-  void spread(const gossip_message &Message);
   void relay(const gossip_message &Message);
   void askRecordsLater(const node_id &Node, log_offset End);
   void mergeRecords(const gossip_message &Message);
@@ -144,18 +143,17 @@
   }
 }
 
-void gossip::implementation::spread(const gossip_message &Message) {
-  tellNear(Message);
-  tellFar(Message);
-}
-
 void gossip::implementation::relay(const gossip_message &Message) {
   auto Passed = message();
   Passed.Hosts.push_back(Message.Sender);
   tellNear(Passed);
 }
 
-void gossip::tellNews() { Impl->spread(Impl->message()); }
+void gossip::tellNews() {
+  auto Message = Impl->message();
+  Impl->tellNear(Message);
+  Impl->tellFar(std::move(Message));
+}
 
 void gossip::tellOperatorChanges(log_offset From) {
   auto &State = Impl->State;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -175,7 +175,7 @@
   if (!HadRoutes && State.Routes) {
     askEarlierTarget();
     if (Watch.Unproved) {
-      proveHeartbeat(target_heartbeat(*Watch.Unproved));
+      proveHeartbeat(*Watch.Unproved);
     }
     Gossip.answerWaiting();
   }
