Feature: [Sidecar] The log tells how current the configuration of a node is

What callers see: a call is answered 404 by a node that has an older configuration. The log could not tell whether the node had relied on a reader that was no longer up to date, had noticed too late that its readers were silent, or had skipped a record.

Change: route.missing gives, for each call without a route, the version that decided, its age and source, the end of the operators' topic, and when the store and a reader of the zone were last heard. config.applied has the source. No decision changes.

--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -82,6 +82,7 @@
   }
   const auto *Route = State.Routes->find(Header.Host, Request.Path);
   if (Route == nullptr) {
+    logMissingRoute(State, Header.Id);
     return rejectRequest(Caller, Header.Id, 404, std::nullopt, "no route");
   }
   auto TimeLeft = std::min<micros>(Header.TimeLeft.value_or(Route->Timeout),
--- a/src/sidecar/gossip.cpp
+++ b/src/sidecar/gossip.cpp
@@ -50,7 +50,6 @@
   node_state &State;
   peer_links &Links;
   gossip_events Events;
-  steady_time LastReaderContactAt{};
   std::set<node_id> PendingRecordRequests; // Nodes that requested records
                                            // before there was a configuration.
 
@@ -67,7 +66,7 @@
 
 gossip::gossip(node_state &State, peer_links &Links, gossip_events Events)
     : Impl(std::make_unique<implementation>(
-          implementation{State, Links, std::move(Events), {}, {}})) {}
+          implementation{State, Links, std::move(Events), {}})) {}
 
 gossip::~gossip() = default;
 
@@ -122,7 +121,7 @@
 
 void gossip::start() {
   // Gives the readers of the zone time to announce themselves.
-  Impl->LastReaderContactAt = Impl->State.Loop.now();
+  Impl->State.RecordSource.ReaderHeardAt = Impl->State.Loop.now();
   Impl->State.Loop.addTimer(Impl->State.Loop.now() + ExchangeInterval,
                             [this] { Impl->exchange(); });
   Impl->announceReader();
@@ -131,7 +130,8 @@
 auto gossip::mustReadStore() const -> bool {
   auto &State = Impl->State;
   return mesh::isReader(State.Hosts, State.Own) ||
-         State.Loop.now() - Impl->LastReaderContactAt > ReaderSilenceTimeout;
+         State.Loop.now() - State.RecordSource.ReaderHeardAt >
+             ReaderSilenceTimeout;
 }
 
 void gossip::implementation::sendToOwnZone(const gossip_message &Message) {
@@ -315,6 +315,7 @@
     Links.send(Message.Sender.Node, Request);
   }
   if (!Keys.empty()) {
+    State.RecordSource.LastChange = Message.Sender.Node.Value;
     State.Log.write(
         log_class::State, "operator.from_peer",
         {{"peer", Message.Sender.Node.Value},
@@ -372,7 +373,8 @@
     const std::function<void(const mesh_message &)> &SendReply) {
   auto &State = Impl->State;
   if (Message.ReadsStore && Message.Sender.Zone == State.Own.Zone) {
-    Impl->LastReaderContactAt = State.Loop.now();
+    State.RecordSource.Reader = Message.Sender.Node;
+    State.RecordSource.ReaderHeardAt = State.Loop.now();
   }
   mergeHost(Message.Sender);
   for (const auto &Host : Message.Hosts) {
--- a/src/sidecar/node_state.cpp
+++ b/src/sidecar/node_state.cpp
@@ -84,6 +84,7 @@
   State.Log.write(log_class::State, "config.applied",
                   {{"version", static_cast<std::int64_t>(Version.Value)},
                    {"offset", static_cast<std::int64_t>(Record->Offset.Value)},
+                   {"source", State.RecordSource.LastChange},
                    {"routes", static_cast<std::int64_t>(
                                   State.Routes->config().Routes.size())}});
   return true;
@@ -137,6 +138,26 @@
   return Changed;
 }
 
+void logMissingRoute(node_state &State, const request_id &Id) {
+  auto Age = [&State](steady_time Since) {
+    return Since == steady_time() ? std::int64_t{-1}
+                                  : (State.Loop.now() - Since).count();
+  };
+  const auto &Source = State.RecordSource;
+  State.Log.write(
+      log_class::Decision, "route.missing",
+      {{"id", Id.Value},
+       {"version",
+        static_cast<std::int64_t>(State.Routes->config().Version.Value)},
+       {"applied_us", Age(State.ConfigAppliedAt)},
+       {"source", Source.LastChange},
+       {"end", static_cast<std::int64_t>(State.Operator.end().Value)},
+       {"store_read_us", Age(Source.StoreReadAt)},
+       {"store_lost", std::int64_t{State.Own.StoreLost ? 1 : 0}},
+       {"reader", Source.Reader.Value},
+       {"reader_heard_us", Age(Source.ReaderHeardAt)}});
+}
+
 auto applyOperatorRecords(node_state &State,
                           const std::vector<std::string> &Keys) -> bool {
   using kind = platform::operator_key::kind;
--- a/src/sidecar/node_state.h
+++ b/src/sidecar/node_state.h
@@ -19,6 +19,15 @@
 
 namespace sycamorelb::sidecar {
 
+/** Where the operator records of a node come from and how current they are. */
+struct record_source {
+  std::string LastChange = "none"; ///< "list", "poll", or the node that sent
+                                   ///< the last new record.
+  steady_time StoreReadAt{};       ///< Last complete answer of the store.
+  node_id Reader;                  ///< Zone reader that was heard last.
+  steady_time ReaderHeardAt{};     ///< When it was heard.
+};
+
 /** Shared state of a node: settings, known hosts, configuration and rollouts.
  */
 struct node_state {
@@ -38,6 +47,7 @@
   /** Parsed parts of the last configuration document. */
   platform::config_cache ConfigCache;
   steady_time ConfigAppliedAt{};    ///< When Routes were applied.
+  record_source RecordSource;       ///< Origin and age of Operator.
   std::set<zone_id> EvacuatedZones; ///< Zones whose targets get no calls.
   /** Newest rollout of each service. */
   std::map<service_id, rollout::rollout_state> Rollouts;
@@ -62,6 +72,10 @@
 auto useOfTarget(const node_state &State, const mesh::target_record &Target)
     -> rollout::version_use;
 
+/** Logs a call that matched no route, with the configuration that decided and
+ * what this node knows of its age. */
+void logMissingRoute(node_state &State, const request_id &Id);
+
 /** Applies the operator records with the given keys: configuration, rollout
  * orders, zone evacuations. Invalid records are logged and change nothing.
  * @return whether anything changed. */
--- a/src/sidecar/store_feed.cpp
+++ b/src/sidecar/store_feed.cpp
@@ -65,6 +65,8 @@
   void handlePoll(result<http::response> Response, log_offset From,
                   std::uint64_t Generation);
   void recordResult(bool Succeeded, const std::string &Reason);
+  /** Records that the store has answered with all operator records. */
+  void recordStoreRead(const char *Call, bool Changed);
   void scheduleRetry(std::uint64_t Generation, std::function<void()> Action);
 };
 
@@ -190,6 +192,14 @@
   Events.OnStoreLostChanged(Lost);
 }
 
+void store_feed::implementation::recordStoreRead(const char *Call,
+                                                 bool Changed) {
+  State.RecordSource.StoreReadAt = State.Loop.now();
+  if (Changed) {
+    State.RecordSource.LastChange = Call;
+  }
+}
+
 void store_feed::implementation::scheduleRetry(std::uint64_t Generation,
                                                std::function<void()> Action) {
   auto Spare = mesh::isSpareReader(State.Hosts, State.Own);
@@ -228,6 +238,7 @@
               auto From = State.Operator.end();
               auto Keys = State.Operator.mergeListing(Value.Records, Value.End,
                                                       Value.End);
+              recordStoreRead("list", !Keys.empty());
               Events.OnOperatorRecords(Keys, From);
               poll(Generation);
             });
@@ -309,6 +320,7 @@
   auto &Records = valueOf(Page).Records;
   State.Operator.advanceEnd(
       Records.empty() ? From : log_offset{Records.back().Offset.Value + 1});
+  recordStoreRead("poll", !Keys.empty());
   if (!Keys.empty()) {
     Events.OnOperatorRecords(Keys, From);
   }
