Feature: [Event] Several nodes can run on one loop in simulated time

Cause: no test could run the real code of several nodes against faults of the store and between nodes fast enough to look for rare delays.

Change: loop::simulateTime() lets the time advance to the next timer while all descriptors are idle; sidecar::create() takes a loop of the caller, and start() is apart from run(). A node that runs on its own loop behaves as before.

--- a/include/sycamorelb/event/loop.h
+++ b/include/sycamorelb/event/loop.h
@@ -31,7 +31,8 @@
   loop(const loop &) = delete;
   auto operator=(const loop &) -> loop & = delete;
 
-  /** @return the time since boot at the start of the current iteration. */
+  /** @return the time at the start of the current iteration: the time since
+   * boot, unless it is simulated. */
   auto now() const -> steady_time;
 
   /** Adds to the byte counts of the host's network link. */
@@ -58,6 +59,12 @@
 
   /** Runs until stop() is called. */
   void run();
+  /** Runs until the given time or until stop() is called. */
+  void runUntil(steady_time Until);
+  /** Decouples the time from the clock: it advances to the next timer whenever
+   * all watched descriptors are idle. For simulations in which all peers run on
+   * this loop; call before anything is added. */
+  void simulateTime();
   /** Makes run() return after the current iteration. */
   void stop();
 
--- a/include/sycamorelb/sidecar/sidecar.h
+++ b/include/sycamorelb/sidecar/sidecar.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "sycamorelb/core/result_type.h"
+#include "sycamorelb/event/loop.h"
 #include "sycamorelb/sidecar/settings_type.h"
 
 #include <memory>
@@ -24,10 +25,22 @@
   static auto create(const node_settings &Settings,
                      const std::string &SettingsPath)
       -> result<std::unique_ptr<sidecar>>;
+  /**
+   * Opens all listeners of a node on an event loop that the caller runs;
+   * several nodes may share it. The loop must outlive the node and not run
+   * afterwards.
+   * @param Incarnation greater than those of previous nodes on the same host.
+   */
+  static auto create(event::loop &Loop, const node_settings &Settings,
+                     const std::string &SettingsPath, std::uint64_t Incarnation)
+      -> result<std::unique_ptr<sidecar>>;
   ~sidecar();
   sidecar(const sidecar &) = delete;
   auto operator=(const sidecar &) -> sidecar & = delete;
 
+  /** Starts the protocols with the store and the other nodes; run() does so
+   * itself. */
+  void start();
   /** Runs until SIGTERM or SIGINT, then shuts down gracefully: reports not
    * ready, still accepts new calls for a while, finishes the calls in progress,
    * and returns when none is left or the grace period is nearly over. */
@@ -36,6 +49,7 @@
 private:
   struct implementation;
   explicit sidecar(std::unique_ptr<implementation> Impl);
+  std::unique_ptr<event::loop> OwnLoop; ///< Null if the caller runs the loop.
   std::unique_ptr<implementation> Impl;
 };
 
--- a/src/event/loop.cpp
+++ b/src/event/loop.cpp
@@ -14,6 +14,11 @@
 
 /** Longest wait of one iteration, so that pauses of the process are noticed. */
 static constexpr auto MaxWaitMs = std::int64_t{1000};
+/** Wait that shows in simulated time that all descriptors are idle: the kernel
+ * may deliver bytes on loopback slightly after they were sent. */
+static constexpr auto IdleWaitMs = std::int64_t{1};
+/** Start of simulated time, so that times before it can be represented. */
+static constexpr auto SimulationStart = steady_time(micros(1'000'000'000));
 /** Maximum number of events fetched by one epoll_wait call. */
 static constexpr auto MaxEventsPerWait = std::size_t{64};
 
@@ -32,6 +37,7 @@
 
   int Epoll = epoll_create1(EPOLL_CLOEXEC);
   bool Stopping = false;
+  bool Simulated = false;
   std::uint64_t NextTimer = 1;
   std::uint64_t NextGeneration = 1;
   steady_time Now = bootTime();
@@ -46,6 +52,9 @@
     if (!Deferred.empty()) {
       return 0;
     }
+    if (Simulated) {
+      return IdleWaitMs;
+    }
     if (Timers.empty()) {
       return MaxWaitMs;
     }
@@ -54,6 +63,16 @@
     return std::clamp<std::int64_t>((TimeLeft + 999) / 1000, 0, MaxWaitMs);
   }
 
+  /** Sets Now. Simulated time only advances while the loop is idle. */
+  void updateTime(bool IsIdle, steady_time Until) {
+    if (!Simulated) {
+      Now = bootTime();
+    } else if (IsIdle) {
+      auto Next = Timers.empty() ? Until : Timers.begin()->first.first;
+      Now = std::max(Now, std::min(Next, Until));
+    }
+  }
+
   void runDueTimers() {
     while (!Timers.empty() && Timers.begin()->first.first <= Now) {
       auto Run = std::move(Timers.begin()->second);
@@ -144,15 +163,22 @@
   }
 }
 
-void loop::run() {
+void loop::simulateTime() {
+  Impl->Simulated = true;
+  Impl->Now = SimulationStart;
+}
+
+void loop::run() { runUntil(steady_time::max()); }
+
+void loop::runUntil(steady_time Until) {
   auto Events = std::array<epoll_event, MaxEventsPerWait>();
-  Impl->Now = bootTime();
-  while (!Impl->Stopping) {
+  Impl->updateTime(false, Until);
+  while (!Impl->Stopping && Impl->Now < Until) {
     auto Wait = Impl->waitMs();
     auto Count =
         epoll_wait(Impl->Epoll, Events.data(), static_cast<int>(Events.size()),
                    static_cast<int>(Wait));
-    Impl->Now = bootTime();
+    Impl->updateTime(Count <= 0 && Impl->Deferred.empty(), Until);
     Impl->runDueTimers();
     auto GenerationBound = Impl->NextGeneration;
     for (auto Index = 0; Index < Count; ++Index) {
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -426,13 +426,11 @@
   Loop.addTimer(Loop.now() + StopCheckInterval, [this] { checkStop(); });
 }
 
-auto sidecar::create(const node_settings &Settings,
-                     const std::string &SettingsPath)
+auto sidecar::create(event::loop &Loop, const node_settings &Settings,
+                     const std::string &SettingsPath, std::uint64_t Incarnation)
     -> result<std::unique_ptr<sidecar>> {
-  auto Incarnation =
-      static_cast<std::uint64_t>(std::max<std::int64_t>(1, wallNow().Value));
-  auto Impl =
-      std::make_unique<implementation>(Settings, SettingsPath, Incarnation);
+  auto Impl = std::make_unique<implementation>(Loop, Settings, SettingsPath,
+                                               Incarnation);
   auto Listening = Impl->listen();
   if (!isOk(Listening)) {
     return errorOf(Listening);
@@ -440,10 +438,21 @@
   return std::unique_ptr<sidecar>(new sidecar(std::move(Impl)));
 }
 
-void sidecar::run() {
+auto sidecar::create(const node_settings &Settings,
+                     const std::string &SettingsPath)
+    -> result<std::unique_ptr<sidecar>> {
+  auto Incarnation =
+      static_cast<std::uint64_t>(std::max<std::int64_t>(1, wallNow().Value));
+  auto Loop = std::make_unique<event::loop>();
+  auto Created = create(*Loop, Settings, SettingsPath, Incarnation);
+  if (isOk(Created)) {
+    valueOf(Created)->OwnLoop = std::move(Loop);
+  }
+  return Created;
+}
+
+void sidecar::start() {
   auto &Self = *Impl;
-  Self.Signals = std::make_unique<signal_events>(
-      Self.Loop, [&Self] { Self.beginStop(); }, [&Self] { Self.reload(); });
   Self.State.Log.write(
       log_class::State, "process.started",
       {{"service", Self.State.Settings.Service.Value},
@@ -454,6 +463,13 @@
   Self.reloadIfChanged();
   Self.runPeriodicChecks();
   Self.measureLink();
+}
+
+void sidecar::run() {
+  auto &Self = *Impl;
+  Self.Signals = std::make_unique<signal_events>(
+      Self.Loop, [&Self] { Self.beginStop(); }, [&Self] { Self.reload(); });
+  start();
   Self.Loop.run();
 }
 
--- a/src/sidecar/sidecar_state.h
+++ b/src/sidecar/sidecar_state.h
@@ -23,9 +23,9 @@
 namespace sycamorelb::sidecar {
 
 struct sidecar::implementation {
-  implementation(const node_settings &Settings, std::string SettingsPath,
-                 std::uint64_t Incarnation)
-      : SettingsPath(std::move(SettingsPath)),
+  implementation(event::loop &Loop, const node_settings &Settings,
+                 std::string SettingsPath, std::uint64_t Incarnation)
+      : SettingsPath(std::move(SettingsPath)), Loop(Loop),
         State(Loop, Settings, hash64(Settings.Node.Value, Incarnation)),
         Admission(
             State, [this] { publishTargetLost(); }, [this] { brakeRollout(); }),
@@ -38,7 +38,7 @@
   }
 
   std::string SettingsPath;
-  event::loop Loop;
+  event::loop &Loop;
   node_state State;
   target_watch Watch;
   /** Last target known to a previous process, until it is probed. */
