--- /dev/null
+++ b/test/sidecar_sim.cpp
@@ -0,0 +1,401 @@
+/** @file sidecar_sim.cpp Simulation of a mesh. */
+#include "sidecar_sim.h"
+
+#include "config/base64_func.h"
+
+#include <criterion/criterion.h>
+#include <cstdlib>
+#include <fcntl.h>
+#include <nlohmann/json.hpp>
+#include <unistd.h>
+
+namespace sycamorelb::sim {
+
+/** Time after which the kernel closes a connection whose peer is cut off. */
+static constexpr auto KernelTimeout = micros(3'000'000);
+static constexpr auto CallTimeout = micros(1'000'000);
+static constexpr auto OperatorTopic = "keyed.op";
+static constexpr auto ReadHeaderBytes = 8U;
+
+/** @return the value of a parameter in the query of a request, or "". */
+static auto queryParameter(const http::request &Request,
+                           const std::string &Name) -> std::string {
+  auto Start = Request.Target.find(Name + "=");
+  if (Start == std::string::npos) {
+    return "";
+  }
+  Start += Name.size() + 1;
+  return Request.Target.substr(Start, Request.Target.find('&', Start) - Start);
+}
+
+static void appendBigEndian(std::string &Out, std::uint64_t Number,
+                            unsigned Bytes) {
+  while (Bytes-- > 0) {
+    Out += static_cast<char>((Number >> (8 * Bytes)) & 0xffU);
+  }
+}
+
+void store_stand_in::serveNode(int Node, const event::endpoint &Address) {
+  auto Opened = event::listener::open(
+      Loop, Address, [this, Node](std::shared_ptr<event::stream> Stream) {
+        auto Connection = http::server_connection::create(
+            std::move(Stream), http::server_limits(),
+            [this, Node](const connection &Caller, http::request Request) {
+              handle(Node, Caller, Request);
+            });
+        auto &Open = Clients[Node].Connections;
+        Connection->OnClosed = [&Open, Weak = std::weak_ptr(Connection)] {
+          Open.erase(Weak.lock());
+        };
+        Open.insert(Connection);
+      });
+  cr_assert(isOk(Opened), "the store can't listen");
+  Clients[Node].Listener = std::move(valueOf(Opened));
+}
+
+void store_stand_in::setAccess(int Node, store_access Access) {
+  Clients[Node].Access = Access;
+  if (Access != store_access::Silent) {
+    return;
+  }
+  // A connection on which a response was lost returns nothing further.
+  std::erase_if(Polls, [this, Node](const auto &Entry) {
+    if (Entry.second.Node != Node) {
+      return false;
+    }
+    Loop.cancelTimer(Entry.second.Timer);
+    return true;
+  });
+}
+
+void store_stand_in::append(const std::string &Topic, const std::string &Key,
+                            const std::string &Value) {
+  Topics[Topic].emplace_back(Key, Value);
+  auto Ready = std::vector<std::uint64_t>();
+  for (const auto &[Id, Poll] : Polls) {
+    if (Poll.Topic == Topic && Poll.From < Topics[Topic].size()) {
+      Ready.push_back(Id);
+    }
+  }
+  for (auto Id : Ready) {
+    answerPoll(Id);
+  }
+}
+
+auto store_stand_in::pollingNodes() const -> std::set<int> {
+  auto Result = std::set<int>();
+  for (const auto &[Id, Poll] : Polls) {
+    Result.insert(Poll.Node);
+  }
+  return Result;
+}
+
+auto store_stand_in::renderRead(const std::string &Topic,
+                                std::size_t From) const -> http::response {
+  auto Found = Topics.find(Topic);
+  auto End = Found == Topics.end() ? std::size_t{0} : Found->second.size();
+  auto Response = http::response{200, "", {}, ""};
+  appendBigEndian(Response.Body, End, ReadHeaderBytes);
+  appendBigEndian(Response.Body, 0, ReadHeaderBytes);
+  for (auto Offset = From; Offset < End; ++Offset) {
+    const auto &[Key, Value] = Found->second[Offset];
+    appendBigEndian(Response.Body, 1 + Key.size() + Value.size(), 4);
+    appendBigEndian(Response.Body, Key.size(), 1);
+    Response.Body.append(Key).append(Value);
+  }
+  return Response;
+}
+
+auto store_stand_in::renderListing(const std::string &Topic) const
+    -> http::response {
+  auto Newest = std::map<std::string, std::size_t>();
+  auto Items = nlohmann::json::array();
+  auto Found = Topics.find(Topic);
+  auto End = Found == Topics.end() ? std::size_t{0} : Found->second.size();
+  for (auto Offset = std::size_t{0}; Offset < End; ++Offset) {
+    Newest[Found->second[Offset].first] = Offset;
+  }
+  for (const auto &[Key, Offset] : Newest) {
+    const auto &Value = Found->second[Offset].second;
+    if (!Value.empty()) {
+      Items.push_back({{"key", Key},
+                       {"value", config::encodeBase64(Value)},
+                       {"offset", Offset}});
+    }
+  }
+  return {
+      200,
+      "",
+      {},
+      nlohmann::json{{"items", Items}, {"more", false}, {"end", End}}.dump()};
+}
+
+void store_stand_in::answerPoll(std::uint64_t Id) {
+  auto Found = Polls.find(Id);
+  if (Found == Polls.end()) {
+    return;
+  }
+  auto Poll = Found->second;
+  Loop.cancelTimer(Poll.Timer);
+  Polls.erase(Found);
+  if (auto Connection = Poll.Connection.lock()) {
+    Connection->respond(renderRead(Poll.Topic, Poll.From), false);
+  }
+}
+
+void store_stand_in::handle(int Node, const connection &Connection,
+                            const http::request &Request) {
+  auto Access = Clients[Node].Access;
+  if (Access == store_access::Silent) {
+    return;
+  }
+  if (Access == store_access::Refused) {
+    return Connection->respond({503, "", {}, ""}, false);
+  }
+  auto Topic = queryParameter(Request, "topic");
+  if (Request.Path == "/log-newest") {
+    return Connection->respond(renderListing(Topic), false);
+  }
+  if (Request.Path == "/log-append") {
+    auto KeySize = static_cast<unsigned char>(Request.Body.at(4));
+    append(Topic, Request.Body.substr(5, KeySize),
+           Request.Body.substr(5U + KeySize));
+    auto End = Topics[Topic].size();
+    return Connection->respond(
+        {200, "", {}, nlohmann::json{{"offset", End - 1}, {"end", End}}.dump()},
+        false);
+  }
+  auto From = std::stoull(queryParameter(Request, "from"));
+  auto Wait = std::stoll(queryParameter(Request, "waitMs"));
+  auto Id = NextPoll++;
+  auto Timer = Loop.addTimer(Loop.now() + micros(Wait * 1000),
+                             [this, Id] { answerPoll(Id); });
+  Polls.emplace(Id, poll{Node, Connection, Topic, From, Timer});
+  if (From < Topics[Topic].size()) {
+    answerPoll(Id);
+  }
+}
+
+void peer_proxy::listen(const event::endpoint &Address) {
+  auto Opened = event::listener::open(
+      Loop, Address, [this](std::shared_ptr<event::stream> Stream) {
+        auto Session = std::make_shared<session>();
+        Session->Client = std::move(Stream);
+        Session->Server = event::stream::connect(Loop, Upstream, millis(1000));
+        auto Weak = std::weak_ptr(Session);
+        auto Pump = [this, Weak] {
+          if (auto Self = Weak.lock()) {
+            pump(Self);
+          }
+        };
+        auto End = [this, Weak](event::close_reason) {
+          if (auto Self = Weak.lock()) {
+            end(Self);
+          }
+        };
+        for (const auto &Side : {Session->Client, Session->Server}) {
+          Side->OnData = Pump;
+          Side->OnClosed = End;
+        }
+        Sessions.insert(std::move(Session));
+      });
+  cr_assert(isOk(Opened), "a proxy can't listen");
+  Listener = std::move(valueOf(Opened));
+}
+
+void peer_proxy::pump(const std::shared_ptr<session> &Session) {
+  if (Session->Peer.Value.empty()) {
+    auto First = inner::decodeMeshMessage(Session->Client->input(), Loop.now());
+    if (!isOk(First) || !valueOf(First)) {
+      return;
+    }
+    if (const auto *Opened =
+            std::get_if<inner::opened_message>(&valueOf(First)->Message)) {
+      Session->Peer = Opened->Sender.Node;
+    }
+  }
+  if (IsCut(Session->Peer)) {
+    return;
+  }
+  auto Forward = [](event::stream &From, event::stream &To) {
+    auto Bytes = std::string(From.input());
+    From.consume(Bytes.size());
+    if (!Bytes.empty()) {
+      To.send(Bytes);
+    }
+  };
+  Forward(*Session->Client, *Session->Server);
+  Forward(*Session->Server, *Session->Client);
+}
+
+void peer_proxy::end(const std::shared_ptr<session> &Session) {
+  Session->Client->close();
+  Session->Server->close();
+  Sessions.erase(Session);
+}
+
+void peer_proxy::resume() {
+  for (const auto &Session : std::set(Sessions)) {
+    pump(Session);
+  }
+}
+
+void peer_proxy::closeCut() {
+  for (const auto &Session : std::set(Sessions)) {
+    if (IsCut(Session->Peer)) {
+      end(Session);
+    }
+  }
+}
+
+mesh_sim::mesh_sim(int Zones, int NodesPerZone)
+    : ZoneCount(Zones), Store(Loop) {
+  // The nodes log to the standard output; SIM_LOG names a file to keep that.
+  const auto *LogFile = std::getenv("SIM_LOG"); // NOLINT: one thread.
+  auto Log = ::open(LogFile == nullptr ? "/dev/null" : LogFile,
+                    O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+  ::dup2(Log, STDOUT_FILENO);
+  ::close(Log);
+  Loop.simulateTime();
+  publishConfig();
+  for (auto Index = 0; Index < Zones * NodesPerZone; ++Index) {
+    auto Settings = settings(Index);
+    auto &Node = Nodes.emplace_back();
+    Node.Name = Settings.Node.Value;
+    Node.Caller = Settings.CallerAddress;
+    Node.Proxy = std::make_unique<peer_proxy>(
+        Loop, Settings.PeerAddress,
+        [this, Index](const node_id &Peer) { return isCut(Index, Peer); });
+    Node.Proxy->listen(Settings.AdvertisedPeerAddress);
+    Store.serveNode(Index, Settings.StoreAddress);
+    auto Created = sidecar::sidecar::create(Loop, Settings, "", 1);
+    cr_assert(isOk(Created), "a node can't listen");
+    Node.Process = std::move(valueOf(Created));
+  }
+  for (const auto &Node : Nodes) {
+    Node.Process->start();
+  }
+}
+
+mesh_sim::~mesh_sim() = default;
+
+auto mesh_sim::settings(int Index) -> sidecar::node_settings {
+  // Tests run in processes of their own, in parallel.
+  auto Process = static_cast<unsigned>(::getpid());
+  auto Address = "127." + std::to_string(1 + Process / 250 % 250) + "." +
+                 std::to_string(Process % 250) + "." +
+                 std::to_string(Index + 1);
+  auto Settings = sidecar::node_settings();
+  Settings.Node = {"node-" + std::to_string(Index + 1)};
+  Settings.Zone = {"zone-" + std::to_string(zoneOf(Index) + 1)};
+  Settings.Service = {"svc"};
+  auto Port = std::uint16_t{7000};
+  for (auto *Endpoint :
+       {&Settings.CallerAddress, &Settings.ReadinessAddress,
+        &Settings.HeartbeatAddress, &Settings.PeerAddress,
+        &Settings.AdvertisedPeerAddress, &Settings.MetricsAddress,
+        &Settings.TargetAddress, &Settings.StoreAddress}) {
+    *Endpoint = {Address, Port++};
+  }
+  return Settings;
+}
+
+auto mesh_sim::isCut(int Node, const node_id &Peer) const -> bool {
+  for (const auto &[Left, Right] : Cuts) {
+    if ((Left == Node &&
+         Nodes[static_cast<std::size_t>(Right)].Name == Peer.Value) ||
+        (Right == Node &&
+         Nodes[static_cast<std::size_t>(Left)].Name == Peer.Value)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void mesh_sim::run(micros Time) { Loop.runUntil(Loop.now() + Time); }
+
+auto mesh_sim::publishConfig() -> int {
+  ++LastVersion;
+  auto Resources = nlohmann::json::array();
+  Resources.push_back({{"resourceType", "services"},
+                       {"metadata", {{"name", "svc"}}},
+                       {"specification",
+                        {{"healthCheckPath", "/health"},
+                         {"connectionLimit", 9},
+                         {"warmup", "3s"},
+                         {"coldPerS", 12.0}}}});
+  for (auto Version = 1; Version <= LastVersion; ++Version) {
+    auto Name = "v" + std::to_string(Version);
+    Resources.push_back({{"resourceType", "routes"},
+                         {"metadata", {{"name", Name}}},
+                         {"specification",
+                          {{"host", "sim"},
+                           {"pathPrefix", "/" + Name + "/"},
+                           {"kind", "idempotent"},
+                           {"timeout", "500ms"},
+                           {"targetLatency", "200ms"},
+                           {"priority", 1},
+                           {"attempts", 2},
+                           {"service", "svc"}}}});
+  }
+  Store.append(OperatorTopic, "config",
+               nlohmann::json{{"version", "r" + std::to_string(LastVersion)},
+                              {"resources", Resources}}
+                   .dump());
+  return LastVersion;
+}
+
+void mesh_sim::setCut(int Left, int Right, bool Cut) {
+  auto Pair = std::minmax(Left, Right);
+  if (!Cut) {
+    Cuts.erase(Pair);
+    Nodes[static_cast<std::size_t>(Left)].Proxy->resume();
+    Nodes[static_cast<std::size_t>(Right)].Proxy->resume();
+    return;
+  }
+  Cuts.insert(Pair);
+  Loop.addTimer(Loop.now() + KernelTimeout, [this, Left, Right] {
+    Nodes[static_cast<std::size_t>(Left)].Proxy->closeCut();
+    Nodes[static_cast<std::size_t>(Right)].Proxy->closeCut();
+  });
+}
+
+void mesh_sim::startCall(int Node, int Version,
+                         std::function<void(int)> OnStatus) {
+  auto Options = http::client_options();
+  Options.MaxBodyBytes = 4096;
+  auto Connection = http::client_connection::open(
+      Loop, Nodes[static_cast<std::size_t>(Node)].Caller, Options);
+  auto Request = http::request();
+  Request.Method = "GET";
+  Request.Target = "/v" + std::to_string(Version) + "/x";
+  Request.Path = Request.Target;
+  Request.Headers = {{"Host", "sim"}, {"Request-Id", "id"}};
+  auto Handler =
+      std::make_shared<std::function<void(int)>>(std::move(OnStatus));
+  auto Finish = [Handler](int Status) {
+    if (auto Handle = std::exchange(*Handler, nullptr)) {
+      Handle(Status);
+    }
+  };
+  // The timer keeps the connection until the call is over.
+  Loop.addTimer(Loop.now() + CallTimeout, [Connection, Finish] {
+    Connection->close();
+    Finish(0);
+  });
+  Connection->exchange(Request, [Finish](const http::exchange_result &Result) {
+    const auto *Response = std::get_if<http::response>(&Result);
+    Finish(Response == nullptr ? 0 : Response->Status);
+  });
+}
+
+auto mesh_sim::call(int Node, int Version) -> int {
+  auto Status = std::make_shared<int>(-1);
+  startCall(Node, Version, [Status](int Got) { *Status = Got; });
+  while (*Status < 0) {
+    run(micros(1000));
+  }
+  return *Status;
+}
+
+} // namespace sycamorelb::sim
--- /dev/null
+++ b/test/sidecar_sim.h
@@ -0,0 +1,151 @@
+/** @file sidecar_sim.h Simulation of a mesh: real nodes, a stand-in of the
+ * store and faults between them, on one loop in simulated time. */
+#pragma once
+
+#include "sycamorelb/core/random_func.h"
+#include "sycamorelb/http/client_connection.h"
+#include "sycamorelb/http/server_connection.h"
+#include "sycamorelb/inner/mesh_message_type.h"
+#include "sycamorelb/sidecar/sidecar.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace sycamorelb::sim {
+
+/** How the store treats the requests of a node. */
+enum class store_access : std::uint8_t {
+  Served,  ///< It answers.
+  Silent,  ///< It accepts them and never answers, also not later.
+  Refused, ///< It answers 503 at once.
+};
+
+/** Stand-in of the platform's store, with one listener for each node. */
+class store_stand_in {
+public:
+  explicit store_stand_in(event::loop &Loop) : Loop(Loop) {}
+
+  /** Serves a node at the given address. */
+  void serveNode(int Node, const event::endpoint &Address);
+  /** Requests that a node has sent before keep their fate. */
+  void setAccess(int Node, store_access Access);
+  auto access(int Node) -> store_access { return Clients[Node].Access; }
+  /** Appends a record. */
+  void append(const std::string &Topic, const std::string &Key,
+              const std::string &Value);
+  /** @return the nodes that wait for new operator records. */
+  auto pollingNodes() const -> std::set<int>;
+
+private:
+  using connection = std::shared_ptr<http::server_connection>;
+  struct client {
+    store_access Access = store_access::Served;
+    std::unique_ptr<event::listener> Listener;
+    std::set<connection> Connections;
+  };
+  struct poll {
+    int Node;
+    std::weak_ptr<http::server_connection> Connection;
+    std::string Topic;
+    std::size_t From;
+    event::timer_id Timer;
+  };
+
+  void handle(int Node, const connection &Connection,
+              const http::request &Request);
+  auto renderRead(const std::string &Topic, std::size_t From) const
+      -> http::response;
+  auto renderListing(const std::string &Topic) const -> http::response;
+  void answerPoll(std::uint64_t Id);
+
+  event::loop &Loop;
+  std::map<int, client> Clients;
+  std::map<std::string, std::vector<std::pair<std::string, std::string>>>
+      Topics;
+  std::map<std::uint64_t, poll> Polls;
+  std::uint64_t NextPoll = 1;
+};
+
+/** Forwards the connections that other nodes open to one node. */
+class peer_proxy {
+public:
+  /** @param IsCut tells whether the node with the given name is cut off. */
+  peer_proxy(event::loop &Loop, event::endpoint Upstream,
+             std::function<bool(const node_id &)> IsCut)
+      : Loop(Loop), Upstream(std::move(Upstream)), IsCut(std::move(IsCut)) {}
+
+  void listen(const event::endpoint &Address);
+  /** Forwards held bytes of connections that are no longer cut. */
+  void resume();
+  /** Closes the connections of cut-off nodes, as the kernel does after some
+   * time. */
+  void closeCut();
+
+private:
+  struct session {
+    std::shared_ptr<event::stream> Client;
+    std::shared_ptr<event::stream> Server;
+    node_id Peer; // Empty until the first message has arrived.
+  };
+  void pump(const std::shared_ptr<session> &Session);
+  void end(const std::shared_ptr<session> &Session);
+
+  event::loop &Loop;
+  event::endpoint Upstream;
+  std::function<bool(const node_id &)> IsCut;
+  std::unique_ptr<event::listener> Listener;
+  std::set<std::shared_ptr<session>> Sessions;
+};
+
+/** A mesh without targets: a call on a known route is refused with 503, one on
+ * an unknown route with 404. */
+class mesh_sim {
+public:
+  mesh_sim(int Zones, int NodesPerZone);
+  ~mesh_sim();
+  mesh_sim(const mesh_sim &) = delete;
+  auto operator=(const mesh_sim &) -> mesh_sim & = delete;
+
+  /** Runs all nodes for a while. */
+  void run(micros Time);
+  auto now() const -> steady_time { return Loop.now(); }
+  auto nodeCount() const -> int { return static_cast<int>(Nodes.size()); }
+  auto zoneOf(int Node) const -> int { return Node % ZoneCount; }
+  auto store() -> store_stand_in & { return Store; }
+
+  /** Publishes the next configuration; version N adds the route /vN/.
+   * @return its version. */
+  auto publishConfig() -> int;
+  /** Cuts the connections between two nodes, or lets them through again. */
+  void setCut(int Left, int Right, bool Cut);
+  /** Sends a call on the route that a version added.
+   * @return the status, or 0 if no response arrived within a second. */
+  auto call(int Node, int Version) -> int;
+  /** Sends a call on the route that a version added; OnStatus gets the status.
+   */
+  void startCall(int Node, int Version, std::function<void(int)> OnStatus);
+
+private:
+  struct node {
+    std::string Name;
+    event::endpoint Caller;
+    std::unique_ptr<sidecar::sidecar> Process;
+    std::unique_ptr<peer_proxy> Proxy;
+  };
+  auto settings(int Index) -> sidecar::node_settings;
+  auto isCut(int Node, const node_id &Peer) const -> bool;
+
+  event::loop Loop;
+  int ZoneCount;
+  store_stand_in Store;
+  std::vector<node> Nodes;
+  std::set<std::pair<int, int>> Cuts;
+  int LastVersion = 0;
+};
+
+} // namespace sycamorelb::sim
