Fix: [Sidecar] A node relied on store readers that no longer heard the store

What callers saw: 404 for a route that was added more than the allowed 2 s before, from a node that reaches the store and has no fault of its own.

Cause: only two nodes of a zone poll the store. The others relied on them as long as they said that they are readers. A reader said so while its poll hung: until the kernel gave up the connection (2.7 to 3.3 s), or for up to 6.5 s if the store accepts requests and never answers. Notices from readers of other zones hide the fault mostly: it shows if both readers of a zone lose the store and no other zone can help in time. The class of fault: trust in a role that a node claims instead of in evidence that it is up to date.

Ruled out by the log (route.missing): readers that fell silent (one was heard 0.15 s before), skipped records and rejected configurations (none).

Change: a reader tells its zone after each answer of the store, and each of its messages says how long ago an answer proved that it had all records. A node whose readers have no such proof younger than 1.65 s polls itself, at that moment instead of at the next of its checks. A poll lasts 1 s instead of 5 s; without an answer 0.4 s later it is sent once more on a new connection, so a reader repairs a silent connection by itself; a further 2.2 s later the store counts as lost, and after a timeout the next try doesn't wait longer still.

--- a/include/sycamorelb/inner/mesh_message_type.h
+++ b/include/sycamorelb/inner/mesh_message_type.h
@@ -96,10 +96,12 @@
   std::vector<mesh::operator_record> Records;   ///< Whole records or deltas.
   std::vector<rollout::rollout_state> Rollouts; ///< SeenAt is in local time.
   log_offset RecordsFrom{0}; ///< Records has all changes since this offset.
-  bool ReadsStore = false;   ///< The sender reads the store for its zone.
-  bool RelayToZone = false;  ///< Asks to pass Sender on to the receiver's zone.
-  bool WantHosts = false;    ///< Requests all host records.
-  bool WantRecords = false;  ///< Requests the records since OperatorEnd.
+  /** Time since the sender was known to have all operator records of the
+   * store; only from nodes that read the store for their zone. */
+  std::optional<micros> StoreAge;
+  bool RelayToZone = false; ///< Asks to pass Sender on to the receiver's zone.
+  bool WantHosts = false;   ///< Requests all host records.
+  bool WantRecords = false; ///< Requests the records since OperatorEnd.
   std::vector<rollout_evidence_report> Evidence; ///< For rollout decisions.
 };
 
--- a/src/inner/mesh.capnp
+++ b/src/inner/mesh.capnp
@@ -130,6 +130,7 @@
   recordsFrom @10 :UInt64;  # Records contains all changes since this offset.
   reader @11 :Bool;         # The sender reads the store for its zone.
   relay @12 :Bool;          # Asks the receiver to forward sender to its zone.
+  storeAgeMicros @13 :Int64; # With reader: time since the sender had all records of the store.
 }
 
 struct Message {
--- a/src/inner/mesh_codec.cpp
+++ b/src/inner/mesh_codec.cpp
@@ -273,7 +273,8 @@
     Summary[Index].setRevision(Message.Summary[Index].Revision);
   }
   Out.setRecordsFrom(Message.RecordsFrom.Value);
-  Out.setReader(Message.ReadsStore);
+  Out.setReader(Message.StoreAge.has_value());
+  Out.setStoreAgeMicros(Message.StoreAge.value_or(micros(0)).count());
   Out.setRelay(Message.RelayToZone);
   Out.setWantHosts(Message.WantHosts);
   Out.setWantRecords(Message.WantRecords);
@@ -336,7 +337,9 @@
         {{textOf(Item.getNode())}, Item.getIncarnation(), Item.getRevision()});
   }
   Message.RecordsFrom.Value = In.getRecordsFrom();
-  Message.ReadsStore = In.getReader();
+  if (In.getReader()) {
+    Message.StoreAge = std::max(micros(0), micros(In.getStoreAgeMicros()));
+  }
   Message.RelayToZone = In.getRelay();
   Message.WantHosts = In.getWantHosts();
   Message.WantRecords = In.getWantRecords();
--- a/src/sidecar/gossip.cpp
+++ b/src/sidecar/gossip.cpp
@@ -2,6 +2,8 @@
  * records and rollout progress between nodes. */
 #include "sidecar/gossip.h"
 
+#include "sidecar/store_feed.h"
+
 #include "sycamorelb/mesh/reader_func.h"
 #include "sycamorelb/mesh/relay_func.h"
 
@@ -20,11 +22,10 @@
 static constexpr auto ExchangeInterval = micros(1'000'000);
 /** One in this many exchanges goes to a node of another zone. */
 static constexpr auto CrossZoneExchangePeriod = std::uint32_t{5};
-/** Interval at which a store reader announces itself to its zone. */
-static constexpr auto ReaderAnnounceInterval = micros(500'000);
-/** Time without an announcement from a reader after which a node reads the
- * store itself. */
-static constexpr auto ReaderSilenceTimeout = micros(1'300'000);
+/** Time since a reader was known to be up to date after which a node reads the
+ * store itself. More than the interval between two answers of the store to a
+ * reader, and short enough that the node meets the time limit for changes. */
+static constexpr auto MaxReaderAge = StoreReadInterval + micros(250'000);
 /** Number of nodes in other zones that are notified of an operator change. */
 static constexpr auto CrossZoneNotices = std::size_t{2};
 /** Number of relays in each other zone that receive an update and forward it
@@ -56,7 +57,6 @@
   auto buildMessage() const -> gossip_message;
   auto listPeers(bool SameZone) const -> std::vector<node_id>;
   void exchange();
-  void announceReader();
   void sendToOwnZone(const gossip_message &Message);
   void sendToOtherZones(gossip_message Message);
   void relayToOwnZone(const gossip_message &Message);
@@ -74,8 +74,11 @@
   auto Message = gossip_message();
   Message.Sender = State.Own;
   Message.OperatorEnd = State.Operator.end();
-  Message.ReadsStore = mesh::isReader(State.Hosts, State.Own) &&
-                       !State.Own.StoreLost && State.MeshTopicListed;
+  auto ConfirmedAt = State.RecordSource.ConfirmedAt;
+  if (mesh::isReader(State.Hosts, State.Own) && !State.Own.StoreLost &&
+      State.MeshTopicListed && ConfirmedAt != steady_time()) {
+    Message.StoreAge = State.Loop.now() - ConfirmedAt;
+  }
   for (const auto &[Service, Rollout] : State.Rollouts) {
     Message.Rollouts.push_back(Rollout);
   }
@@ -110,28 +113,26 @@
                       [this] { exchange(); });
 }
 
-void gossip::implementation::announceReader() {
-  if (mesh::isReader(State.Hosts, State.Own) && !State.Own.StoreLost &&
-      State.MeshTopicListed && !State.Stopping) {
-    sendToOwnZone(buildMessage());
+void gossip::announceReader() {
+  auto &State = Impl->State;
+  if (mesh::isReader(State.Hosts, State.Own) && State.MeshTopicListed &&
+      !State.Stopping) {
+    Impl->sendToOwnZone(Impl->buildMessage());
   }
-  State.Loop.addTimer(State.Loop.now() + ReaderAnnounceInterval,
-                      [this] { announceReader(); });
 }
 
 void gossip::start() {
   // Gives the readers of the zone time to announce themselves.
-  Impl->State.RecordSource.ReaderHeardAt = Impl->State.Loop.now();
+  Impl->State.RecordSource.ReaderConfirmedAt = Impl->State.Loop.now();
   Impl->State.Loop.addTimer(Impl->State.Loop.now() + ExchangeInterval,
                             [this] { Impl->exchange(); });
-  Impl->announceReader();
 }
 
-auto gossip::mustReadStore() const -> bool {
+auto gossip::storeReadTime() const -> steady_time {
   auto &State = Impl->State;
-  return mesh::isReader(State.Hosts, State.Own) ||
-         State.Loop.now() - State.RecordSource.ReaderHeardAt >
-             ReaderSilenceTimeout;
+  return mesh::isReader(State.Hosts, State.Own)
+             ? State.Loop.now()
+             : State.RecordSource.ReaderConfirmedAt + MaxReaderAge;
 }
 
 void gossip::implementation::sendToOwnZone(const gossip_message &Message) {
@@ -372,9 +373,13 @@
     const gossip_message &Message,
     const std::function<void(const mesh_message &)> &SendReply) {
   auto &State = Impl->State;
-  if (Message.ReadsStore && Message.Sender.Zone == State.Own.Zone) {
-    State.RecordSource.Reader = Message.Sender.Node;
-    State.RecordSource.ReaderHeardAt = State.Loop.now();
+  if (Message.StoreAge && Message.Sender.Zone == State.Own.Zone) {
+    auto ConfirmedAt = State.Loop.now() - *Message.StoreAge;
+    auto &Source = State.RecordSource;
+    if (ConfirmedAt > Source.ReaderConfirmedAt) {
+      Source.Reader = Message.Sender.Node;
+      Source.ReaderConfirmedAt = ConfirmedAt;
+    }
   }
   mergeHost(Message.Sender);
   for (const auto &Host : Message.Hosts) {
--- a/src/sidecar/gossip.h
+++ b/src/sidecar/gossip.h
@@ -31,9 +31,11 @@
   gossip(const gossip &) = delete;
   auto operator=(const gossip &) -> gossip & = delete;
 
-  /** Starts the periodic exchange with a random node and the announcements of a
-   * store reader. */
+  /** Starts the periodic exchange with a random node. */
   void start();
+  /** Tells the own zone how current this node is, if it is a store reader; call
+   * after each answer of the store that brought no change. */
+  void announceReader();
   /** Sends the record of this host and the progress of all rollouts to every
    * node of its own zone, and to a few relays in each other zone that forward
    * it within their zone. */
@@ -52,9 +54,10 @@
   /** @return whether this node lacks the resources to read the store for others
    * while another host of its zone has them and can reach the store. */
   auto canUseZoneReader() const -> bool;
-  /** @return whether this node must read the store itself: it is one of the
-   * readers of its zone, or the readers have been silent for too long. */
-  auto mustReadStore() const -> bool;
+  /** @return the time from which this node must read the store itself: at once
+   * if it is one of the readers of its zone, otherwise when none of them is
+   * known to have been up to date for too long. */
+  auto storeReadTime() const -> steady_time;
   /** Sends call statistics for a rollout to another node. */
   void sendEvidence(const node_id &Node,
                     const inner::rollout_evidence_report &Report);
--- a/src/sidecar/node_state.cpp
+++ b/src/sidecar/node_state.cpp
@@ -152,10 +152,10 @@
        {"applied_us", Age(State.ConfigAppliedAt)},
        {"source", Source.LastChange},
        {"end", static_cast<std::int64_t>(State.Operator.end().Value)},
-       {"store_read_us", Age(Source.StoreReadAt)},
+       {"confirmed_us", Age(Source.ConfirmedAt)},
        {"store_lost", std::int64_t{State.Own.StoreLost ? 1 : 0}},
        {"reader", Source.Reader.Value},
-       {"reader_heard_us", Age(Source.ReaderHeardAt)}});
+       {"reader_confirmed_us", Age(Source.ReaderConfirmedAt)}});
 }
 
 auto applyOperatorRecords(node_state &State,
--- a/src/sidecar/node_state.h
+++ b/src/sidecar/node_state.h
@@ -23,9 +23,11 @@
 struct record_source {
   std::string LastChange = "none"; ///< "list", "poll", or the node that sent
                                    ///< the last new record.
-  steady_time StoreReadAt{};       ///< Last complete answer of the store.
-  node_id Reader;                  ///< Zone reader that was heard last.
-  steady_time ReaderHeardAt{};     ///< When it was heard.
+  /** Latest time at which answers of the store proved that this node had all
+   * records. */
+  steady_time ConfirmedAt{};
+  node_id Reader; ///< Reader of the zone with the latest such time.
+  steady_time ReaderConfirmedAt{}; ///< That time.
 };
 
 /** Shared state of a node: settings, known hosts, configuration and rollouts.
--- a/src/sidecar/peer_links.cpp
+++ b/src/sidecar/peer_links.cpp
@@ -142,6 +142,10 @@
           Forward->TimeToStartOnTime -= Delay;
           Forward->TimeToLatestStart -= Delay;
           Forward->TimeLeft -= Delay;
+        } else if (auto *Update = std::get_if<gossip_message>(&Message)) {
+          if (Update->StoreAge) {
+            *Update->StoreAge += Delay;
+          }
         }
         if (std::holds_alternative<ping_message>(Message)) {
           sendOnSession(*Session, pong_message(), State.Loop.now());
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -152,7 +152,8 @@
     }
   };
   Events.CanUseZoneReader = [this] { return Gossip.canUseZoneReader(); };
-  Events.MustReadStore = [this] { return Gossip.mustReadStore(); };
+  Events.OnOperatorConfirmed = [this] { Gossip.announceReader(); };
+  Events.StoreReadTime = [this] { return Gossip.storeReadTime(); };
   Events.OnMeshListed =
       [this](const std::vector<mesh::operator_record> &Records) {
         handleMeshListing(Records);
--- a/src/sidecar/store_feed.cpp
+++ b/src/sidecar/store_feed.cpp
@@ -16,17 +16,16 @@
 static constexpr auto ConnectTimeout = millis(800);
 /** Timeout of calls other than long polls; a healthy store answers in 4 ms. */
 static constexpr auto CallTimeout = millis(2500);
-/** How long the store holds a long poll. A store that stops responding without
- * closing its connections is detected after PollWait + PollMargin. */
-static constexpr auto PollWait = millis(5000);
-/** Time beyond PollWait after which a poll times out. */
-static constexpr auto PollMargin = millis(1500);
-/** Delay between polls, so that one call returns several changes. */
-static constexpr auto PollDelay = micros(400'000);
+/** Time beyond StorePollWait after which a poll times out. After an answer to
+ * the previous poll it is short, since most likely only the connection no
+ * longer works; a slow store needs more. */
+static constexpr auto PollMargin = millis(1200);
+static constexpr auto ReconnectMargin = millis(400);
 /** Time for a starting node to receive the configuration from a reader in its
  * zone before it lists the operator topic itself. */
 static constexpr auto ZoneReaderStartupWait = micros(700'000);
-/** Interval at which a node that does not poll checks whether it must. */
+/** Longest interval at which a node that does not poll checks whether it must.
+ */
 static constexpr auto ReaderCheckInterval = micros(500'000);
 /** Delay after a failure; doubles with each further failure. */
 static constexpr auto InitialRetryDelay = micros(300'000);
@@ -63,11 +62,15 @@
   void listMeshTopic(std::uint64_t Generation);
   void poll(std::uint64_t Generation);
   void handlePoll(result<http::response> Response, log_offset From,
-                  std::uint64_t Generation);
+                  steady_time SentAt, std::uint64_t Generation);
   void recordResult(bool Succeeded, const std::string &Reason);
-  /** Records that the store has answered with all operator records. */
-  void recordStoreRead(const char *Call, bool Changed);
-  void scheduleRetry(std::uint64_t Generation, std::function<void()> Action);
+  /** Records an answer to a call, the keys that it changed, and the time at
+   * which it made this node's records complete, if it did. */
+  void recordAnswer(const char *Call, const std::vector<std::string> &Keys,
+                    std::optional<steady_time> CompleteAt);
+  /** Calls Action after a delay that depends on the failures in a row. */
+  void scheduleRetry(std::uint64_t Generation, const error &Failure,
+                     std::function<void()> Action);
 };
 
 store_feed::store_feed(node_state &State, store_events Events)
@@ -192,21 +195,29 @@
   Events.OnStoreLostChanged(Lost);
 }
 
-void store_feed::implementation::recordStoreRead(const char *Call,
-                                                 bool Changed) {
-  State.RecordSource.StoreReadAt = State.Loop.now();
-  if (Changed) {
-    State.RecordSource.LastChange = Call;
+void store_feed::implementation::recordAnswer(
+    const char *Call, const std::vector<std::string> &Keys,
+    std::optional<steady_time> CompleteAt) {
+  auto &Source = State.RecordSource;
+  if (!Keys.empty()) {
+    Source.LastChange = Call;
+  }
+  if (CompleteAt) {
+    Source.ConfirmedAt = std::max(Source.ConfirmedAt, *CompleteAt);
   }
 }
 
 void store_feed::implementation::scheduleRetry(std::uint64_t Generation,
+                                               const error &Failure,
                                                std::function<void()> Action) {
   auto Spare = mesh::isSpareReader(State.Hosts, State.Own);
   auto InitialDelay = Spare ? InitialSpareRetryDelay : InitialRetryDelay;
-  auto Delay = std::min(
-      micros(InitialDelay * (1LL << std::min(ConsecutiveFailures, 4U)) / 2),
-      Spare ? MaxSpareRetryDelay : MaxRetryDelay);
+  // A timeout has already lasted longer than most delays.
+  auto Failures = Failure.Code == error_code::Timeout
+                      ? 1U
+                      : std::min(ConsecutiveFailures, 4U);
+  auto Delay = std::min(micros(InitialDelay * (1LL << Failures) / 2),
+                        Spare ? MaxSpareRetryDelay : MaxRetryDelay);
   auto Jitter = 0.75 + 0.5 * randomUnit(State.Random);
   auto JitteredDelay = micros(
       static_cast<std::int64_t>(static_cast<double>(Delay.count()) * Jitter));
@@ -223,22 +234,23 @@
     return;
   }
   listPages(store_topic::Operator, std::make_shared<platform::store_page>(),
-            [this, Generation](result<platform::store_page> Page) {
+            [this, Generation,
+             SentAt = State.Loop.now()](result<platform::store_page> Page) {
               if (Generation != CurrentGeneration) {
                 return;
               }
               auto Succeeded = isOk(Page);
               recordResult(Succeeded, Succeeded ? "" : describe(errorOf(Page)));
               if (!Succeeded) {
-                return scheduleRetry(Generation, [this, Generation] {
-                  listOperatorTopic(Generation);
-                });
+                return scheduleRetry(
+                    Generation, errorOf(Page),
+                    [this, Generation] { listOperatorTopic(Generation); });
               }
               auto &Value = valueOf(Page);
               auto From = State.Operator.end();
               auto Keys = State.Operator.mergeListing(Value.Records, Value.End,
                                                       Value.End);
-              recordStoreRead("list", !Keys.empty());
+              recordAnswer("list", Keys, SentAt);
               Events.OnOperatorRecords(Keys, From);
               poll(Generation);
             });
@@ -260,8 +272,9 @@
         recordResult(Succeeded || Missing,
                      Succeeded ? "" : describe(errorOf(Page)));
         if (!Succeeded && !Missing) {
-          return scheduleRetry(
-              Generation, [this, Generation] { listMeshTopic(Generation); });
+          return scheduleRetry(Generation, errorOf(Page), [this, Generation] {
+            listMeshTopic(Generation);
+          });
         }
         Events.OnMeshListed(Succeeded ? valueOf(Page).Records
                                       : std::vector<mesh::operator_record>());
@@ -279,8 +292,10 @@
   if (Generation != CurrentGeneration || Closed) {
     return;
   }
-  if (!Events.MustReadStore()) {
-    State.Loop.addTimer(State.Loop.now() + ReaderCheckInterval,
+  auto Now = State.Loop.now();
+  auto ReadTime = Events.StoreReadTime();
+  if (ReadTime > Now) {
+    State.Loop.addTimer(std::min(ReadTime, Now + ReaderCheckInterval),
                         [this, Generation] { poll(Generation); });
     return;
   }
@@ -288,27 +303,36 @@
     PollConnection = connect();
   }
   auto From = State.Operator.end();
-  sendRequest(platform::readRequest(store_topic::Operator, From, PollWait),
-              PollWait + PollMargin, "poll", PollConnection,
-              [this, From, Generation](result<http::response> Response) {
+  auto Margin = ConsecutiveFailures == 0 ? ReconnectMargin : PollMargin;
+  sendRequest(platform::readRequest(store_topic::Operator, From, StorePollWait),
+              StorePollWait + Margin, "poll", PollConnection,
+              [this, From, Now, Generation](result<http::response> Response) {
                 if (Generation == CurrentGeneration && !Closed) {
-                  handlePoll(std::move(Response), From, Generation);
+                  handlePoll(std::move(Response), From, Now, Generation);
                 }
               });
 }
 
 void store_feed::implementation::handlePoll(result<http::response> Response,
-                                            log_offset From,
+                                            log_offset From, steady_time SentAt,
                                             std::uint64_t Generation) {
   auto Page = isOk(Response) ? platform::decodeRead(valueOf(Response), From)
                              : result<platform::store_page>(errorOf(Response));
   if (!isOk(Page)) {
-    auto Expired = errorOf(Page).Code == error_code::NotFound;
+    auto Code = errorOf(Page).Code;
+    if (Code == error_code::Timeout && ConsecutiveFailures == 0) {
+      ++ConsecutiveFailures;
+      State.Log.write(log_class::State, "store.silent",
+                      {{"waited_us", (State.Loop.now() - SentAt).count()}});
+      return poll(Generation);
+    }
+    auto Expired = Code == error_code::NotFound;
     recordResult(Expired, describe(errorOf(Page)));
     if (Expired) {
       return listOperatorTopic(Generation);
     }
-    return scheduleRetry(Generation, [this, Generation] { poll(Generation); });
+    return scheduleRetry(Generation, errorOf(Page),
+                         [this, Generation] { poll(Generation); });
   }
   recordResult(true, "");
   auto Keys = std::vector<std::string>();
@@ -320,11 +344,18 @@
   auto &Records = valueOf(Page).Records;
   State.Operator.advanceEnd(
       Records.empty() ? From : log_offset{Records.back().Offset.Value + 1});
-  recordStoreRead("poll", !Keys.empty());
+  // The store answered at most StorePollWait after the request; the answer may
+  // have been delayed on the way.
+  auto AnsweredAt = std::min(State.Loop.now(), SentAt + StorePollWait);
+  auto IsComplete = State.Operator.end() >= valueOf(Page).End;
+  recordAnswer("poll", Keys,
+               IsComplete ? std::optional(AnsweredAt) : std::nullopt);
   if (!Keys.empty()) {
     Events.OnOperatorRecords(Keys, From);
+  } else {
+    Events.OnOperatorConfirmed();
   }
-  State.Loop.addTimer(State.Loop.now() + PollDelay,
+  State.Loop.addTimer(State.Loop.now() + StorePollDelay,
                       [this, Generation] { poll(Generation); });
 }
 
--- a/src/sidecar/store_feed.h
+++ b/src/sidecar/store_feed.h
@@ -9,14 +9,25 @@
 
 namespace sycamorelb::sidecar {
 
+/** Longest time that the store holds a poll for operator records. It bounds how
+ * long a node may miss that its connection to the store no longer works. */
+inline constexpr auto StorePollWait = millis(1000);
+/** Delay between polls, so that one call returns several changes. */
+inline constexpr auto StorePollDelay = micros(400'000);
+/** Longest time between two answers of a working store to a reader. */
+inline constexpr auto StoreReadInterval = StorePollWait + StorePollDelay;
+
 /** Callbacks from the store client to the rest of the node. */
 struct store_events {
   /** Operator records changed. Receives their keys and the end of the topic
    * before the change. */
   std::function<void(const std::vector<std::string> &, log_offset)>
       OnOperatorRecords;
-  /** @return whether this node must poll the operator topic itself. */
-  std::function<bool()> MustReadStore;
+  /** The store confirmed that this node has all operator records. */
+  std::function<void()> OnOperatorConfirmed;
+  /** @return the time from which this node must poll the operator topic itself.
+   */
+  std::function<steady_time()> StoreReadTime;
   /** @return whether a reader in the zone supplies operator records, so that
    * this node lists the operator topic only if none arrive. */
   std::function<bool()> CanUseZoneReader;
--- a/test/sidecar_config_test.cpp
+++ b/test/sidecar_config_test.cpp
@@ -185,7 +185,8 @@
 // the store turns some nodes away and nodes are cut off from each other.
 // Incident config-readers shows here as well.
 Test(sidecar_config, configurations_are_in_force_in_time_despite_faults) {
-  for (auto Seed = std::uint64_t{1}; Seed <= 12; ++Seed) {
+  auto [First, Last] = seedRange(12);
+  for (auto Seed = First; Seed <= Last; ++Seed) {
     auto Mesh = mesh_sim(3, 3);
     Mesh.run(StartTime);
     auto Run = fault_run(Mesh, Seed);
--- a/test/sidecar_sim.cpp
+++ b/test/sidecar_sim.cpp
@@ -17,6 +17,15 @@
 static constexpr auto OperatorTopic = "keyed.op";
 static constexpr auto ReadHeaderBytes = 8U;
 
+auto seedRange(std::uint64_t Count) -> std::pair<std::uint64_t, std::uint64_t> {
+  const auto *Text = std::getenv("SIM_SEEDS"); // NOLINT: one thread.
+  if (Text == nullptr) {
+    return {1, Count};
+  }
+  auto Range = std::string(Text);
+  return {std::stoull(Range), std::stoull(Range.substr(Range.find('-') + 1))};
+}
+
 /** @return the value of a parameter in the query of a request, or "". */
 static auto queryParameter(const http::request &Request,
                            const std::string &Name) -> std::string {
--- a/test/sidecar_sim.h
+++ b/test/sidecar_sim.h
@@ -18,6 +18,10 @@
 
 namespace sycamorelb::sim {
 
+/** @return the first and last seed of a simulation: 1 and Count, unless the
+ * variable SIM_SEEDS holds others, such as "1-200". */
+auto seedRange(std::uint64_t Count) -> std::pair<std::uint64_t, std::uint64_t>;
+
 /** How the store treats the requests of a node. */
 enum class store_access : std::uint8_t {
   Served,  ///< It answers.
