Fix: [Sidecar] Requests to the store waited on connections that had gone silent

Cause: an idle connection was used whatever its age. The kernel detects the silence after 3 s, the poll after 1.4 s, on top of the 1.65 s until the node reads the store.

Change: a connection to the store that was idle for more than 1 s isn't used.

Test: sidecar_config/idle_connection_to_the_store_is_not_relied_on, and silent connections among the random faults.

--- a/src/sidecar/store_feed.cpp
+++ b/src/sidecar/store_feed.cpp
@@ -12,6 +12,9 @@
 
 using platform::store_topic;
 
+/** Idle time up to which a connection to the store is used: one that has gone
+ * silent meanwhile would only show by a timeout. More than StorePollDelay. */
+static constexpr auto MaxStoreIdle = micros(1'000'000);
 /** Time to establish a connection to the store. */
 static constexpr auto ConnectTimeout = millis(800);
 /** Timeout of calls other than long polls; a healthy store answers in 4 ms. */
@@ -52,6 +55,10 @@
   bool Closed = false;
 
   auto connect() -> connection;
+  /** @return whether a request may be sent on the connection. */
+  auto isUsable(const connection &Connection) const -> bool;
+  /** @return the idle connection, or a new one. */
+  auto takeConnection() -> connection;
   void sendRequest(const http::request &Request, millis Timeout,
                    const char *Name, const connection &Connection,
                    response_handler Handle);
@@ -87,6 +94,17 @@
                                        Options);
 }
 
+auto store_feed::implementation::isUsable(const connection &Connection) const
+    -> bool {
+  return Connection && Connection->isReusable() &&
+         State.Loop.now() - Connection->idleSince() <= MaxStoreIdle;
+}
+
+auto store_feed::implementation::takeConnection() -> connection {
+  auto Connection = std::exchange(IdleConnection, nullptr);
+  return isUsable(Connection) ? Connection : connect();
+}
+
 void store_feed::implementation::sendRequest(const http::request &Request,
                                              millis Timeout, const char *Name,
                                              const connection &Connection,
@@ -129,9 +147,7 @@
     const list_handler &Handle) {
   auto After = Accumulated->Records.empty() ? std::string()
                                             : Accumulated->Records.back().Key;
-  auto Connection = IdleConnection && IdleConnection->isReusable()
-                        ? std::exchange(IdleConnection, nullptr)
-                        : connect();
+  auto Connection = takeConnection();
   sendRequest(
       platform::listRequest(Topic, After), CallTimeout, "list", Connection,
       [this, Topic, Accumulated, Handle](result<http::response> Response) {
@@ -170,9 +186,7 @@
 void store_feed::append(store_topic Topic, const std::string &Key,
                         const std::string &Value, std::optional<log_offset> At,
                         append_handler Handle) {
-  auto Connection = Impl->IdleConnection && Impl->IdleConnection->isReusable()
-                        ? std::exchange(Impl->IdleConnection, nullptr)
-                        : Impl->connect();
+  auto Connection = Impl->takeConnection();
   Impl->sendRequest(
       platform::appendRequest(Topic, Key, Value, At), CallTimeout, "append",
       Connection,
@@ -299,7 +313,7 @@
                         [this, Generation] { poll(Generation); });
     return;
   }
-  if (!PollConnection || !PollConnection->isReusable()) {
+  if (!isUsable(PollConnection)) {
     PollConnection = connect();
   }
   auto From = State.Operator.end();
--- a/test/sidecar_config_test.cpp
+++ b/test/sidecar_config_test.cpp
@@ -44,6 +44,23 @@
                "the configuration is not in force");
 }
 
+// Guards against a node that asks the store late, because it first waits for an
+// answer on a connection that went silent while it was idle.
+Test(sidecar_config, idle_connection_to_the_store_is_not_relied_on) {
+  auto Mesh = mesh_sim(1, 3);
+  Mesh.run(StartTime);
+  auto Node = findNonReader(Mesh, 0);
+  cr_assert_geq(Node, 0, "all nodes poll the store");
+  Mesh.store().silenceConnections(Node);
+  for (auto Reader : Mesh.store().pollingNodes()) {
+    Mesh.store().setAccess(Reader, store_access::Silent);
+  }
+  auto Version = Mesh.publishConfig();
+  Mesh.run(ApplyBound);
+  cr_assert_eq(Mesh.call(Node, Version), 503,
+               "the configuration is not in force");
+}
+
 namespace {
 
 /** Random faults of a mesh, and which nodes they excuse. */
@@ -98,7 +115,7 @@
   void injectFault() {
     auto End = Mesh.now() + between(500'000, 8'000'000);
     auto Zone = Mesh.zoneOf(anyNode());
-    switch (randomBelow(Random, 3)) {
+    switch (randomBelow(Random, 4)) {
     case 0: // The store turns nodes of one zone away.
       for (auto Node = 0; Node < Mesh.nodeCount(); ++Node) {
         if (Mesh.zoneOf(Node) == Zone && randomBelow(Random, 3) != 0) {
@@ -118,6 +135,14 @@
         }
       }
       break;
+    case 2: // Connections to the store go silent; new ones work.
+      for (auto Node = 0; Node < Mesh.nodeCount(); ++Node) {
+        if (randomBelow(Random, 4) != 0) {
+          Mesh.store().silenceConnections(Node);
+          HealthyFrom[static_cast<std::size_t>(Node)] = Mesh.now() + SettleTime;
+        }
+      }
+      break;
     default: // A node is cut off from all others.
       for (auto Node = anyNode(), Other = 0; Other < Mesh.nodeCount();
            ++Other) {
--- a/test/sidecar_sim.cpp
+++ b/test/sidecar_sim.cpp
@@ -52,11 +52,13 @@
             [this, Node](const connection &Caller, http::request Request) {
               handle(Node, Caller, Request);
             });
-        auto &Open = Clients[Node].Connections;
-        Connection->OnClosed = [&Open, Weak = std::weak_ptr(Connection)] {
-          Open.erase(Weak.lock());
+        auto &Client = Clients[Node];
+        Connection->OnClosed = [&Client, Weak = std::weak_ptr(Connection)] {
+          auto Closed = Weak.lock();
+          Client.Connections.erase(Closed);
+          Client.SilentConnections.erase(Closed);
         };
-        Open.insert(Connection);
+        Client.Connections.insert(Connection);
       });
   cr_assert(isOk(Opened), "the store can't listen");
   Clients[Node].Listener = std::move(valueOf(Opened));
@@ -64,10 +66,18 @@
 
 void store_stand_in::setAccess(int Node, store_access Access) {
   Clients[Node].Access = Access;
-  if (Access != store_access::Silent) {
-    return;
+  if (Access == store_access::Silent) {
+    dropPolls(Node);
   }
-  // A connection on which a response was lost returns nothing further.
+}
+
+void store_stand_in::silenceConnections(int Node) {
+  auto &Client = Clients[Node];
+  Client.SilentConnections = Client.Connections;
+  dropPolls(Node);
+}
+
+void store_stand_in::dropPolls(int Node) {
   std::erase_if(Polls, [this, Node](const auto &Entry) {
     if (Entry.second.Node != Node) {
       return false;
@@ -155,7 +165,11 @@
 void store_stand_in::handle(int Node, const connection &Connection,
                             const http::request &Request) {
   auto Access = Clients[Node].Access;
+  // A connection on which a response was lost returns nothing further.
   if (Access == store_access::Silent) {
+    Clients[Node].SilentConnections.insert(Connection);
+  }
+  if (Clients[Node].SilentConnections.contains(Connection)) {
     return;
   }
   if (Access == store_access::Refused) {
--- a/test/sidecar_sim.h
+++ b/test/sidecar_sim.h
@@ -39,6 +39,8 @@
   /** Requests that a node has sent before keep their fate. */
   void setAccess(int Node, store_access Access);
   auto access(int Node) -> store_access { return Clients[Node].Access; }
+  /** Makes the open connections of a node silent for good; new ones work. */
+  void silenceConnections(int Node);
   /** Appends a record. */
   void append(const std::string &Topic, const std::string &Key,
               const std::string &Value);
@@ -51,6 +53,7 @@
     store_access Access = store_access::Served;
     std::unique_ptr<event::listener> Listener;
     std::set<connection> Connections;
+    std::set<connection> SilentConnections;
   };
   struct poll {
     int Node;
@@ -66,6 +69,8 @@
       -> http::response;
   auto renderListing(const std::string &Topic) const -> http::response;
   void answerPoll(std::uint64_t Id);
+  /** Forgets the polls of a node; they are never answered. */
+  void dropPolls(int Node);
 
   event::loop &Loop;
   std::map<int, client> Clients;
