Fix: [Sidecar] Targets got more calls than the limit that they name

Change: the node beside the target starts calls through a token bucket with the named rate. Waits and refusals follow it, so a call that can't start in time is refused at once as not run, and other nodes see the waits in the load report and choose other targets. Answers to concurrent calls may be out of order: only the answer to a call that started after the last decision may loosen or end the limit. Malformed limits change nothing. Replies tell the limit to the node that sent the call; it names it with later calls, so that a node that has restarted knows the limit before it starts one of them. The nodes that are bound by the limit are just those that know it.

Ruled out: a loss at the restart alone (reports came before it); a difference in counting (excesses of 14 to 84 percent).

--- a/include/sycamorelb/inner/mesh_message_type.h
+++ b/include/sycamorelb/inner/mesh_message_type.h
@@ -36,6 +36,9 @@
                                ///< time; may be negative.
   micros TimeToLatestStart{0}; ///< Time left to start at all.
   micros TimeLeft{0};          ///< Time left until the deadline of the caller.
+  /** What the sender knows from answers of the chosen target; tells a node that
+   * has restarted meanwhile. */
+  mesh::target_notice Notice;
 };
 
 /** Result of a forwarded call. */
@@ -53,6 +56,7 @@
   http::response Response;    ///< Response of the target, if Answered.
   std::string Reason;         ///< Cause if there is no response.
   dispatch::load_report Load; ///< Current load of the target.
+  mesh::target_notice Notice; ///< What the target says of itself.
   micros RunTime{0}; ///< Time from start to response or failure at the target.
   micros MeanRouteRunTime{0}; ///< Mean RunTime of the route at this target.
 };
--- a/src/inner/mesh.capnp
+++ b/src/inner/mesh.capnp
@@ -24,6 +24,14 @@
   startGapMicros @10 :UInt32; # Mean time between call starts of a cold target; 0 for no limit.
 }
 
+struct TargetNotice {
+  target @0 :Text;
+  bornAt @1 :Int64;
+  limited @2 :Bool;
+  callsPerSecond @3 :Float64; # With limited: what the target takes from all hosts together.
+  leaving @4 :Bool;
+}
+
 struct Forward {
   call @0 :UInt64;          # Number of the attempt, unique within the sending process.
   service @1 :Text;
@@ -40,6 +48,7 @@
   leftMicros @12 :Int64;    # Time left until the deadline of the caller.
   callerService @13 :Text;
   version @14 :Text;        # Expected version of the target.
+  notice @15 :TargetNotice; # What the sender knows from answers of the target.
 }
 
 struct Reply {
@@ -53,6 +62,7 @@
   load @7 :Load;
   runMicros @8 :UInt32;
   routeMeanMicros @9 :UInt32;
+  notice @10 :TargetNotice; # What the target says of itself.
 }
 
 struct Resume {
--- a/src/inner/mesh_codec.cpp
+++ b/src/inner/mesh_codec.cpp
@@ -47,6 +47,26 @@
   return Headers;
 }
 
+void writeNotice(mesh_wire::TargetNotice::Builder Out,
+                 const mesh::target_notice &Notice) {
+  Out.setTarget(Notice.Target.Value);
+  Out.setBornAt(Notice.StartedAtMs);
+  Out.setLimited(Notice.CallsPerSecond.has_value());
+  Out.setCallsPerSecond(Notice.CallsPerSecond.value_or(0));
+  Out.setLeaving(Notice.Leaving);
+}
+
+auto readNotice(mesh_wire::TargetNotice::Reader In) -> mesh::target_notice {
+  auto Notice = mesh::target_notice();
+  Notice.Target.Value = textOf(In.getTarget());
+  Notice.StartedAtMs = In.getBornAt();
+  if (In.getLimited() && In.getCallsPerSecond() >= 0) {
+    Notice.CallsPerSecond = In.getCallsPerSecond();
+  }
+  Notice.Leaving = In.getLeaving();
+  return Notice;
+}
+
 void writeForward(mesh_wire::Forward::Builder Out,
                   const forward_message &Message) {
   Out.setCall(Message.Call.Value);
@@ -66,6 +86,9 @@
   Out.setOnTimeMicros(Message.TimeToStartOnTime.count());
   Out.setStartMicros(Message.TimeToLatestStart.count());
   Out.setLeftMicros(Message.TimeLeft.count());
+  if (!Message.Notice.Target.Value.empty()) {
+    writeNotice(Out.initNotice(), Message.Notice);
+  }
 }
 
 auto readForward(mesh_wire::Forward::Reader In) -> forward_message {
@@ -88,6 +111,7 @@
   Message.TimeToStartOnTime = micros(In.getOnTimeMicros());
   Message.TimeToLatestStart = micros(In.getStartMicros());
   Message.TimeLeft = micros(In.getLeftMicros());
+  Message.Notice = readNotice(In.getNotice());
   return Message;
 }
 
@@ -134,6 +158,9 @@
   Out.setRunMicros(static_cast<std::uint32_t>(Message.RunTime.count()));
   Out.setRouteMeanMicros(
       static_cast<std::uint32_t>(Message.MeanRouteRunTime.count()));
+  if (!Message.Notice.Target.Value.empty()) {
+    writeNotice(Out.initNotice(), Message.Notice);
+  }
 }
 
 auto readReply(mesh_wire::Reply::Reader In) -> reply_message {
@@ -149,6 +176,7 @@
   Message.Load = readLoad(In.getLoad());
   Message.RunTime = micros(In.getRunMicros());
   Message.MeanRouteRunTime = micros(In.getRouteMeanMicros());
+  Message.Notice = readNotice(In.getNotice());
   return Message;
 }
 
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -57,9 +57,23 @@
         dispatch::coldCallWaits(Rate, CallsPerSecond, State.Loop.now());
     Capacity.RateWindow = dispatch::coldWindow();
   }
+  auto Named = StartLimit.CallsPerSecond;
+  if (Named && (CallsPerSecond <= 0 || *Named < CallsPerSecond)) {
+    Capacity.StartWaits = dispatch::startWaits(StartLimit, State.Loop.now());
+    Capacity.RateWindow = dispatch::limitedWindow(StartLimit);
+  }
   return Capacity;
 }
 
+auto admission::implementation::nextCallTime() const -> steady_time {
+  auto Now = State.Loop.now();
+  auto Next = dispatch::nextStartTime(StartLimit, Now);
+  auto ColdRate = isCold() ? coldRate() : 0;
+  return ColdRate > 0
+             ? std::max(Next, dispatch::nextColdCallTime(Rate, ColdRate, Now))
+             : Next;
+}
+
 auto admission::implementation::load() const -> dispatch::load_report {
   auto Load = dispatch::load_report();
   Load.Running = Running;
@@ -135,6 +149,7 @@
   Call.Connection = nullptr;
   Outcome.Call = Call.Forward.Call;
   Outcome.Load = load();
+  Outcome.Notice = notice();
   auto Now = State.Loop.now();
   auto Started = Call.StartedAt != steady_time();
   State.Log.write(
@@ -219,6 +234,7 @@
   Call->Forward = std::move(Forward);
   Impl->Serials.emplace(Key, Call->Serial);
   Impl->Calls.emplace(Call->Serial, Call);
+  Impl->adoptLimit(Call->Forward, Call->Id);
   if (const auto *Reason = Impl->refusalReason(Call->Forward)) {
     return Impl->refuseCall(*Call, Reason);
   }
@@ -269,16 +285,10 @@
 void admission::implementation::runQueue() {
   auto Now = State.Loop.now();
   while (Queue.size() > 0 && Running < std::max(1U, Target.Slots)) {
-    if (isCold()) {
-      auto CallsPerSecond = coldRate();
-      auto Next =
-          CallsPerSecond > 0
-              ? dispatch::nextColdCallTime(this->Rate, CallsPerSecond, Now)
-              : Now;
-      if (Next > Now) {
-        scheduleQueueRun(Next);
-        break;
-      }
+    auto NextStart = nextCallTime();
+    if (NextStart > Now) {
+      scheduleQueueRun(NextStart);
+      break;
     }
     auto Next = Queue.pop(Now);
     auto Call = Calls.at(Next->Key);
@@ -357,7 +367,9 @@
   if (IsNew) {
     Self.Pool.clear();
     ++Self.TargetStarts;
-    Self.Notice = {Target.Id, Target.StartedAtMs, std::nullopt, false};
+    Self.NamedLimit = dispatch::named_limit();
+    Self.StartLimit = dispatch::start_limit();
+    Self.IsTargetLeaving = false;
     Self.MeanRun = InitialMeanRun;
     Self.RouteMeans.clear();
     Self.FailureShare = 0;
--- a/src/sidecar/admission_state.h
+++ b/src/sidecar/admission_state.h
@@ -7,6 +7,7 @@
 #include "sidecar/target_pool.h"
 #include "sycamorelb/dispatch/call_queue.h"
 #include "sycamorelb/dispatch/cold_rate.h"
+#include "sycamorelb/dispatch/start_limit.h"
 
 #include <deque>
 #include <map>
@@ -52,8 +53,10 @@
   std::function<void()> OnBrake;
   target_pool Pool;
   mesh::target_record Target;
-  std::uint64_t TargetStarts = 0; // Number of different targets so far.
-  mesh::target_notice Notice;     // From the answers of Target.
+  std::uint64_t TargetStarts = 0;   // Number of different targets so far.
+  dispatch::named_limit NamedLimit; // Limit of Target.
+  dispatch::start_limit StartLimit; // Enforces NamedLimit.
+  bool IsTargetLeaving = false;     // Target said so in an answer.
   dispatch::call_queue Queue;
   dispatch::call_rate_window Rate;
   steady_time ColdUntil{};
@@ -78,6 +81,8 @@
     return !IsColdTimeKnown || ColdUntil > State.Loop.now();
   }
   auto coldRate() const -> double;
+  /** @return the earliest time at which the next call may start. */
+  auto nextCallTime() const -> steady_time;
   auto capacity() const -> dispatch::target_capacity;
   /** @return why a call may not run here, or null if it may. */
   auto refusalReason(const inner::forward_message &Forward) const -> const
@@ -96,6 +101,14 @@
   void handleAnswer(admitted_call &Call, http::response Response);
   void handleFailure(admitted_call &Call,
                      const http::exchange_failure &Failure);
+  /** @return what Target says of itself, empty if nothing special. */
+  auto notice() const -> mesh::target_notice;
+  /** Enforces and logs NamedLimit if it has changed. */
+  void enforceLimit(const request_id &Cause);
+  /** Takes over a limit that another node knows, until the target has answered
+   * a call of this process. */
+  void adoptLimit(const inner::forward_message &Forward,
+                  const request_id &Cause);
   /** Keeps and logs what the target says of itself in an answer to a call. */
   void recordNotice(const admitted_call &Call,
                     const platform::response_header &Header);
--- a/src/sidecar/call_dispatch.cpp
+++ b/src/sidecar/call_dispatch.cpp
@@ -78,6 +78,11 @@
   Forward.Priority = Call.Route->Priority;
   Forward.TimeToStartOnTime = Call.ObjectiveAt - Now - RunTime;
   Forward.TimeLeft = Call.DeadlineAt - Now;
+  auto Notice = Balancer.Notices.find(Host.Node);
+  if (Notice != Balancer.Notices.end() &&
+      isAbout(Notice->second, Host.Target)) {
+    Forward.Notice = Notice->second;
+  }
   auto Slack = static_cast<double>((Forward.TimeLeft - RunTime).count());
   Forward.TimeToLatestStart = std::max(
       MinTimeToStart,
--- a/src/sidecar/target_board.cpp
+++ b/src/sidecar/target_board.cpp
@@ -110,6 +110,10 @@
                  const route_id &Route, const inner::reply_message &Reply,
                  steady_time Now) {
   auto &View = Balancer.Views[Node];
+  // A node that has restarted knows no limit before a call reaches the target.
+  if (Reply.ReachedTarget || Reply.Notice.CallsPerSecond) {
+    Balancer.Notices[Node] = Reply.Notice;
+  }
   if (Reply.Load.Slots == 0) {
     return;
   }
--- a/src/sidecar/target_board.h
+++ b/src/sidecar/target_board.h
@@ -26,8 +26,10 @@
 
 /** Load balancing state of an entry node, updated from its calls. */
 struct balancer_state {
-  std::map<node_id, dispatch::target_view> Views;   ///< By host.
-  std::map<node_id, mesh::target_id> ViewTargets;   ///< Target of each view.
+  std::map<node_id, dispatch::target_view> Views; ///< By host.
+  std::map<node_id, mesh::target_id> ViewTargets; ///< Target of each view.
+  /** What the target of each host says of itself; empty if nothing special. */
+  std::map<node_id, mesh::target_notice> Notices;
   std::unordered_map<route_id, route_stats> Routes; ///< By route.
   /** Retry budgets by service and cause. */
   std::map<std::pair<service_id, retry_cause>, limits::attempt_budget>
--- a/src/sidecar/target_exchange.cpp
+++ b/src/sidecar/target_exchange.cpp
@@ -34,6 +34,7 @@
   Call->TargetStart = TargetStarts;
   ++Running;
   dispatch::recordSentCall(Rate, Now);
+  dispatch::recordStart(StartLimit, Now);
   auto Header = platform::target_header();
   Header.TimeLeft = Call->DeadlineAt - Now;
   Header.Target = Target.Id;
@@ -107,6 +108,38 @@
   }
 }
 
+auto admission::implementation::notice() const -> mesh::target_notice {
+  auto Notice = mesh::target_notice();
+  if (NamedLimit.CallsPerSecond || IsTargetLeaving) {
+    Notice = {Target.Id, Target.StartedAtMs, NamedLimit.CallsPerSecond,
+              IsTargetLeaving};
+  }
+  return Notice;
+}
+
+void admission::implementation::enforceLimit(const request_id &Cause) {
+  auto Named = NamedLimit.CallsPerSecond;
+  if (Named == StartLimit.CallsPerSecond) {
+    return;
+  }
+  dispatch::setStartRate(StartLimit, Named, State.Loop.now());
+  State.Log.write(log_class::State, "target.limit",
+                  {{"id", Cause.Value},
+                   {"target", Target.Id.Value},
+                   {"limited", std::int64_t{Named ? 1 : 0}},
+                   {"calls_per_ks", static_cast<std::int64_t>(std::min(
+                                        Named.value_or(0) * 1e3, 1e15))},
+                   {"named", std::int64_t{NamedLimit.DecidedAt ? 1 : 0}}});
+}
+
+void admission::implementation::adoptLimit(const forward_message &Forward,
+                                           const request_id &Cause) {
+  if (!NamedLimit.DecidedAt && isAbout(Forward.Notice, Target)) {
+    NamedLimit.CallsPerSecond = Forward.Notice.CallsPerSecond;
+    enforceLimit(Cause);
+  }
+}
+
 void admission::implementation::recordNotice(
     const admitted_call &Call, const platform::response_header &Header) {
   if (Call.TargetStart != TargetStarts) {
@@ -116,22 +149,16 @@
     ++State.Counters.BadInput["target"];
     State.Log.write(log_class::Decision, "target.bad_limit",
                     {{"id", Call.Id.Value}, {"target", Target.Id.Value}});
+  } else {
+    dispatch::applyNamedLimit(NamedLimit, Header.CallsPerSecond, Call.StartedAt,
+                              State.Loop.now());
+    enforceLimit(Call.Id);
   }
-  auto Limit =
-      Header.HasMalformedLimit ? Notice.CallsPerSecond : Header.CallsPerSecond;
-  auto Leaving = Notice.Leaving || Header.TargetLeaving;
-  if (Limit == Notice.CallsPerSecond && Leaving == Notice.Leaving) {
-    return;
+  if (Header.TargetLeaving && !IsTargetLeaving) {
+    IsTargetLeaving = true;
+    State.Log.write(log_class::State, "target.leaving",
+                    {{"id", Call.Id.Value}, {"target", Target.Id.Value}});
   }
-  Notice.CallsPerSecond = Limit;
-  Notice.Leaving = Leaving;
-  State.Log.write(log_class::State, "target.notice",
-                  {{"id", Call.Id.Value},
-                   {"target", Target.Id.Value},
-                   {"limited", std::int64_t{Limit ? 1 : 0}},
-                   {"calls_per_ks", static_cast<std::int64_t>(std::min(
-                                        Limit.value_or(0) * 1e3, 1e15))},
-                   {"leaving", std::int64_t{Leaving ? 1 : 0}}});
 }
 
 void admission::implementation::handleAnswer(admitted_call &Call,
--- a/test/platform_document_test.cpp
+++ b/test/platform_document_test.cpp
@@ -292,3 +292,23 @@
               errorOf(Faulty).Message.c_str());
   }
 }
+
+// Guards against a malformed limit of a target that lifts the limit, or is read
+// as another one.
+Test(platform_document, limit_of_a_target_is_read_strictly) {
+  auto Read = [](const proxy::header_list &Headers) {
+    return decodeResponseHeader(Headers);
+  };
+  cr_assert_eq(Read({{"server-limit", "5.5"}}).CallsPerSecond.value_or(0), 5.5);
+  cr_assert_eq(Read({{"Server-Limit", "0"}}).CallsPerSecond.value_or(1), 0.0);
+  cr_assert(!Read({}).HasMalformedLimit);
+  for (const auto *Text : {"", "-1", "nan", "inf", "1e400", "5 ", "5,5", "0x5",
+                           "five", "+5", " 5"}) {
+    auto Header = Read({{"Server-Limit", Text}});
+    cr_assert(Header.HasMalformedLimit && !Header.CallsPerSecond, "%s", Text);
+  }
+  auto Twice = Read({{"Server-Limit", "5"}, {"Server-Limit", "6"}});
+  cr_assert(Twice.HasMalformedLimit && !Twice.CallsPerSecond);
+  cr_assert(Read({{"server-leaving", "1"}}).TargetLeaving);
+  cr_assert(!Read({{"Server-Leaving", "0"}}).TargetLeaving);
+}
--- a/test/sidecar_admission_test.cpp
+++ b/test/sidecar_admission_test.cpp
@@ -105,3 +105,36 @@
   Node.Loop.run();
   cr_assert_str_eq(Replies.c_str(), "new");
 }
+
+// Guards against a node that sends a target more than the limit that it named,
+// because the node has restarted since: other nodes know the limit.
+Test(sidecar_admission, restarted_node_learns_the_limit_from_forwarded_calls) {
+  auto Node = admission_fixture();
+  Node.start();
+  Node.State.Settings.TargetAddress = {"127.0.0.1", 1};
+  auto Forward = inner::forward_message();
+  Forward.Service = {"svc"};
+  Forward.TimeLeft = micros(300'000);
+  Forward.TimeToLatestStart = micros(200'000);
+  Forward.Notice = {{"i-1"}, 1, 2.0, false};
+  auto Reply = std::optional<inner::reply_message>();
+  Node.Admission.submit(Key, Forward,
+                        [&Reply](const auto &Got) { Reply = Got; });
+  // The next start is half a second away.
+  cr_assert(Reply && Reply->Outcome == reply_outcome::NotRun);
+  cr_assert_eq(Reply->Notice.CallsPerSecond.value_or(0), 2.0);
+  cr_assert(Node.Admission.load().StartGap >= micros(400'000));
+}
+
+// Guards against a limit of a previous start of the target.
+Test(sidecar_admission, limit_of_another_start_is_not_adopted) {
+  auto Node = admission_fixture();
+  Node.start();
+  Node.State.Settings.TargetAddress = {"127.0.0.1", 1};
+  auto Forward = inner::forward_message();
+  Forward.Service = {"svc"};
+  Forward.TimeLeft = micros(300'000);
+  Forward.Notice = {{"i-1"}, 2, 2.0, false};
+  Node.Admission.submit(Key, Forward, [](const auto &) {});
+  cr_assert(Node.Admission.load().StartGap == micros(0));
+}
