Fix: [Sidecar] Targets got calls after they said in an answer that they leave

Cause: only heartbeats and the platform's leave call were read.

Change: an answer with Server-Leaving makes the node beside the target treat it as draining, as a heartbeat that says so does: no further call starts there, and the other nodes are told. For one start of a target this is final, whatever its heartbeats say. The reply tells it to the node that sent the call, and that node avoids the target by itself from then on, since it is bound by the answer that it passed on, while the node beside the target may restart and forget it.

--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -29,10 +29,8 @@
  * lost, before they are cancelled. */
 static constexpr auto ReconnectGrace = micros(400'000);
 
-admission::admission(node_state &State, std::function<void()> OnTargetLost,
-                     std::function<void()> OnBrake)
-    : Impl(std::make_unique<implementation>(State, std::move(OnTargetLost),
-                                            std::move(OnBrake))) {}
+admission::admission(node_state &State, admission_events Events)
+    : Impl(std::make_unique<implementation>(State, std::move(Events))) {}
 
 admission::~admission() = default;
 
@@ -99,6 +97,9 @@
   if (Target.State != mesh::target_state::Ready) {
     return "target not ready";
   }
+  if (IsTargetLeaving) {
+    return "target leaving";
+  }
   if (Forward.Service != Target.Service || Forward.Version != Target.Version) {
     return "other service or version";
   }
--- a/src/sidecar/admission.h
+++ b/src/sidecar/admission.h
@@ -19,11 +19,21 @@
   auto operator<=>(const call_key &) const = default;
 };
 
+/** Callbacks from admission to the rest of the node. */
+struct admission_events {
+  /** The target can't be reached. */
+  std::function<void()> OnTargetLost;
+  /** The target said in an answer that it leaves. */
+  std::function<void()> OnTargetLeaving;
+  /** The target's version is being rolled out and fails too often. */
+  std::function<void()> OnBrake;
+};
+
 /**
  * Admission control of the local target. Every call to the target passes
  * through submit(), which enforces the state of the target, its concurrency
- * limit (slots), its rate limit while cold, evacuations of its zone and the
- * rollout state of its version.
+ * limit (slots), the limit that it names, its rate limit while cold,
+ * evacuations of its zone and the rollout state of its version.
  */
 class admission {
 public:
@@ -32,11 +42,7 @@
    * this node. */
   using source_connection = const void *;
 
-  /** @param OnTargetLost called when the target becomes unreachable.
-   * @param OnBrake called when the target's version is being rolled out and
-   * fails too often. */
-  admission(node_state &State, std::function<void()> OnTargetLost,
-            std::function<void()> OnBrake);
+  admission(node_state &State, admission_events Events);
   ~admission();
   admission(const admission &) = delete;
   auto operator=(const admission &) -> admission & = delete;
--- a/src/sidecar/admission_state.h
+++ b/src/sidecar/admission_state.h
@@ -43,14 +43,11 @@
 };
 
 struct admission::implementation {
-  implementation(node_state &State, std::function<void()> OnTargetLost,
-                 std::function<void()> OnBrake)
-      : State(State), OnTargetLost(std::move(OnTargetLost)),
-        OnBrake(std::move(OnBrake)), Pool(State) {}
+  implementation(node_state &State, admission_events Events)
+      : State(State), Events(std::move(Events)), Pool(State) {}
 
   node_state &State;
-  std::function<void()> OnTargetLost;
-  std::function<void()> OnBrake;
+  admission_events Events;
   target_pool Pool;
   mesh::target_record Target;
   std::uint64_t TargetStarts = 0;   // Number of different targets so far.
--- a/src/sidecar/sidecar_state.h
+++ b/src/sidecar/sidecar_state.h
@@ -27,8 +27,9 @@
                  std::string SettingsPath, std::uint64_t Incarnation)
       : SettingsPath(std::move(SettingsPath)), Loop(Loop),
         State(Loop, Settings, hash64(Settings.Node.Value, Incarnation)),
-        Admission(
-            State, [this] { publishTargetLost(); }, [this] { brakeRollout(); }),
+        Admission(State, {[this] { publishTargetLost(); },
+                          [this] { handleTargetLeaving(); },
+                          [this] { brakeRollout(); }}),
         Links(State, makePeerEvents()), Entry(State, Admission, Links),
         Gossip(State, Links, makeGossipEvents()),
         Store(State, makeStoreEvents()),
@@ -88,6 +89,8 @@
   void handleLeave(const mesh::target_id &Id, std::string_view Body);
   void publishTarget();
   void publishTargetLost();
+  /** Treats the target as draining, whatever its heartbeats say. */
+  void handleTargetLeaving();
   void handleOperatorRecords(const std::vector<std::string> &Keys);
   void handleMeshListing(const std::vector<mesh::operator_record> &Records);
   void mergeMeshRecord(const mesh::operator_record &Record);
--- a/src/sidecar/target_board.cpp
+++ b/src/sidecar/target_board.cpp
@@ -35,7 +35,11 @@
         Target.State == mesh::target_state::Ready && !Host.Leaving &&
         !State.EvacuatedZones.contains(Host.Zone) &&
         rollout::versionUse(Target.Version, Rollout, Base) == RequiredUse;
-    if (!Usable ||
+    auto Notice = Balancer.Notices.find(Node);
+    auto SaidLeaving = Notice != Balancer.Notices.end() &&
+                       Notice->second.Leaving &&
+                       isAbout(Notice->second, Target);
+    if (!Usable || SaidLeaving ||
         (Filter.TriedHosts != nullptr && Filter.TriedHosts->contains(Node))) {
       continue;
     }
@@ -106,14 +110,28 @@
   return Mean + Weight * (Value - Mean);
 }
 
+/** Takes over what the target of a host says of itself. A node that has
+ * restarted may not know that its target leaves, nor the limit before a call
+ * reached the target. */
+static void updateNotice(mesh::target_notice &Known,
+                         const inner::reply_message &Reply) {
+  const auto &Told = Reply.Notice;
+  auto IsEmpty = Told.Target.Value.empty();
+  auto IsSameStart =
+      Told.Target == Known.Target && Told.StartedAtMs == Known.StartedAtMs;
+  if (Known.Leaving && (IsEmpty || IsSameStart)) {
+    return;
+  }
+  if (Reply.ReachedTarget || !IsEmpty) {
+    Known = Told;
+  }
+}
+
 void recordReply(balancer_state &Balancer, const node_id &Node,
                  const route_id &Route, const inner::reply_message &Reply,
                  steady_time Now) {
   auto &View = Balancer.Views[Node];
-  // A node that has restarted knows no limit before a call reaches the target.
-  if (Reply.ReachedTarget || Reply.Notice.CallsPerSecond) {
-    Balancer.Notices[Node] = Reply.Notice;
-  }
+  updateNotice(Balancer.Notices[Node], Reply);
   if (Reply.Load.Slots == 0) {
     return;
   }
--- a/src/sidecar/target_control.cpp
+++ b/src/sidecar/target_control.cpp
@@ -35,6 +35,13 @@
   Gossip.broadcastState();
 }
 
+void sidecar::implementation::handleTargetLeaving() {
+  if (markLeaving(Watch, State.Own.Target.Id)) {
+    publishTarget();
+    Admission.setTarget(State.Own.Target, std::nullopt);
+  }
+}
+
 void sidecar::implementation::handleHeartbeat(
     const target_heartbeat &Heartbeat) {
   if (Heartbeat.Target.Service != State.Settings.Service) {
--- a/src/sidecar/target_exchange.cpp
+++ b/src/sidecar/target_exchange.cpp
@@ -74,6 +74,9 @@
   } else {
     handleFailure(Call, std::get<http::exchange_failure>(Result));
   }
+  if (IsTargetLeaving && Target.State == mesh::target_state::Ready) {
+    Events.OnTargetLeaving();
+  }
   runQueue();
 }
 
@@ -104,7 +107,7 @@
                    Rollout->Order.Version == Target.Version;
   if (InRollout && rollout::updateBrake(Brake, Failed)) {
     Brake = rollout::brake_window();
-    OnBrake();
+    Events.OnBrake();
   }
 }
 
@@ -240,7 +243,7 @@
   for (const auto &Waiting : Queue.takeAll()) {
     refuseCall(*Calls.at(Waiting.Key), "target lost");
   }
-  OnTargetLost();
+  Events.OnTargetLost();
 }
 
 } // namespace sycamorelb::sidecar
--- a/src/sidecar/target_watch.cpp
+++ b/src/sidecar/target_watch.cpp
@@ -76,6 +76,14 @@
   return true;
 }
 
+auto markLeaving(target_watch &Watch, const mesh::target_id &Id) -> bool {
+  if (Watch.Known.Id != Id || Watch.Known.State != mesh::target_state::Ready) {
+    return false;
+  }
+  Watch.Known.State = mesh::target_state::Draining;
+  return true;
+}
+
 void applyPreviousTarget(target_watch &Watch,
                          const mesh::target_record &Previous) {
   auto Leaving = Previous.State == mesh::target_state::Draining ||
--- a/src/sidecar/target_watch.h
+++ b/src/sidecar/target_watch.h
@@ -52,6 +52,10 @@
 auto acceptLeave(target_watch &Watch, const mesh::target_id &Id,
                  std::optional<std::int64_t> StartedAtMs) -> bool;
 
+/** Applies that a target said in an answer that it leaves.
+ * @return whether it was ready before. */
+auto markLeaving(target_watch &Watch, const mesh::target_id &Id) -> bool;
+
 /** Applies the state of the target that other nodes know from before this node
  * started: a target that was already leaving must not become ready again. */
 void applyPreviousTarget(target_watch &Watch,
--- a/test/sidecar_admission_test.cpp
+++ b/test/sidecar_admission_test.cpp
@@ -16,8 +16,7 @@
   admission Admission;
 
   admission_fixture()
-      : State(Loop, settings(), 1), Admission(
-                                        State, [] {}, [] {}) {
+      : State(Loop, settings(), 1), Admission(State, {[] {}, [] {}, [] {}}) {
     State.StartedAt = Loop.now() - micros(60'000'000);
   }
   static auto settings() -> node_settings {
--- a/test/sidecar_watch_test.cpp
+++ b/test/sidecar_watch_test.cpp
@@ -145,3 +145,18 @@
     }
   }));
 }
+
+// Guards against heartbeats that make a target ready again after it said in an
+// answer that it leaves.
+Test(sidecar_watch, heartbeat_does_not_undo_a_leave_said_in_an_answer) {
+  auto Watch = target_watch();
+  cr_assert(acceptHeartbeat(Watch, heartbeat("a", 5, 1, target_state::Ready)));
+  cr_assert_not(markLeaving(Watch, {"b"}));
+  cr_assert(markLeaving(Watch, {"a"}));
+  cr_assert_not(markLeaving(Watch, {"a"}));
+  cr_assert_not(
+      acceptHeartbeat(Watch, heartbeat("a", 5, 2, target_state::Ready)));
+  cr_assert(Watch.Known.State == target_state::Draining);
+  // A new start under the same name is ready.
+  cr_assert(acceptHeartbeat(Watch, heartbeat("a", 9, 1, target_state::Ready)));
+}
