Fix: [Sidecar] A refusal without a request id was taken for the answer to a call

What callers would see: 503, "not run", for a call that the target runs (REFUSED), or the call once more at a second target (TWICE), after a faulty target wrote an earlier refusal once more on a kept connection.

Cause: an answer that names no request was taken as the answer to the call in progress. One that names another request has always been skipped.

Change: if a call has an id, only an answer with the same id is its answer. Others are skipped, like late answers to earlier calls.

Test: sidecar_admission/refusal_without_request_id_is_not_an_answer: a stray refusal before the answer. Before: reported as not run. After: answered.

--- a/src/sidecar/target_exchange.cpp
+++ b/src/sidecar/target_exchange.cpp
@@ -46,7 +46,7 @@
   auto Id = platform::decodeCallHeader(Forward.Request).Id;
   Call->Connection->setResponseMatcher([Id](const proxy::header_list &Headers) {
     auto Answered = platform::decodeResponseHeader(Headers).Id;
-    return !Answered || *Answered == Id;
+    return Id.Value.empty() || Answered == Id;
   });
   Call->Connection->exchange(Forward.Request,
                              [this, Weak](http::exchange_result Result) {
--- a/test/sidecar_admission_test.cpp
+++ b/test/sidecar_admission_test.cpp
@@ -3,7 +3,10 @@
 #include "sidecar/admission.h"
 
 #include <criterion/criterion.h>
+#include <memory>
 #include <optional>
+#include <unistd.h>
+#include <vector>
 
 using namespace sycamorelb;
 using namespace sycamorelb::sidecar;
@@ -137,3 +140,46 @@
   Node.Admission.submit(Key, Forward, [](const auto &) {});
   cr_assert(Node.Admission.load().StartGap == micros(0));
 }
+
+// Guards against a wrong "not run": a target wrote an earlier refusal once
+// more, and the refusal was taken for the answer to a call that the target
+// runs.
+Test(sidecar_admission, refusal_without_request_id_is_not_an_answer) {
+  auto Node = admission_fixture();
+  Node.start();
+  // An address of its own, as other runs of the tests may use the same ports.
+  auto Process = static_cast<unsigned>(::getpid());
+  Node.State.Settings.TargetAddress = {"127.1." +
+                                           std::to_string(Process % 250) + "." +
+                                           std::to_string(Process / 250 % 250),
+                                       28'390};
+  auto Streams = std::vector<std::shared_ptr<event::stream>>();
+  auto Target = event::listener::open(
+      Node.Loop, Node.State.Settings.TargetAddress,
+      [&Streams](const std::shared_ptr<event::stream> &Stream) {
+        auto *Raw = Stream.get();
+        Stream->OnData = [Raw] {
+          Raw->send("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\n"
+                    "Content-Length: 0\r\n\r\n");
+          Raw->send("HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\n"
+                    "Response-Signature: s\r\nContent-Length: 2\r\n\r\nok");
+        };
+        Streams.push_back(Stream);
+      });
+  cr_assert(isOk(Target));
+  auto Forward = inner::forward_message();
+  Forward.Service = {"svc"};
+  Forward.TimeLeft = micros(3'000'000);
+  Forward.Request.Method = "POST";
+  Forward.Request.Target = "/a/";
+  Forward.Request.Headers = {{"Request-Id", "r-1"}};
+  auto Outcome = std::optional<reply_outcome>();
+  Node.Admission.submit(Key, Forward, [&](const auto &Reply) {
+    Outcome = Reply.Outcome;
+    Node.Loop.stop();
+  });
+  Node.Loop.addTimer(Node.Loop.now() + micros(5'000'000),
+                     [&Node] { Node.Loop.stop(); });
+  Node.Loop.run();
+  cr_assert(Outcome == reply_outcome::Answered);
+}
