Fix: [Http] A server that writes without end could exhaust the memory

Bytes that are no answer, interim heads or answers to other requests, were read until the deadline of the call; bodies up to 32 MB each, 9 of them at once, more than the 260 MB that a node has together with their copies.

Change: a connection ignores at most 1 MB in one exchange, and the bodies that are being received from a target have 48 MB in all. Beyond that the exchange fails and the connection is closed. Heads were bounded before (64 KB).

Tests: http_connection/endless_bytes_that_are_no_answer_fail: before, no result within 10 s (interim heads); after, it fails at once. responses_share_a_budget is new with the budget. response_cut_in_its_head_fails shows that the other report, a 200 after a head that was cut, doesn't happen here: it passed before any change, for a cut at each byte.

--- a/include/sycamorelb/http/client_connection.h
+++ b/include/sycamorelb/http/client_connection.h
@@ -20,16 +20,26 @@
 
 using exchange_result = std::variant<response, exchange_failure>;
 
+/** Limit on the bodies that several connections hold while they receive them.
+ */
+struct body_budget {
+  std::size_t MaxBytes = 0;  ///< Limit on UsedBytes.
+  std::size_t UsedBytes = 0; ///< Received bytes of incomplete responses.
+};
+
 /** Timeouts and limits of a client connection. */
 struct client_options {
   millis ConnectTimeout{1000};  ///< Time to establish a connection.
   std::size_t MaxBodyBytes = 0; ///< Longer response bodies are a failure.
   bool SameHost = false;        ///< The server is on this host.
+  /** Shared limit; null for none. A response that exceeds it is a failure. */
+  std::shared_ptr<body_budget> Budget;
 };
 
 /**
  * Sends one request at a time on one connection. A truncated, malformed or too
- * long response is a failure. Bytes received while no request is in progress
+ * long response is a failure, and so are too many bytes that are no answer to
+ * the request. Bytes received while no request is in progress
  * close the connection.
  */
 class client_connection
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -11,6 +11,10 @@
 /** Longest response head, in bytes. */
 static constexpr auto MaxHeadBytes = std::size_t{64} * 1024;
 
+/** Most bytes of interim responses and of responses to other requests that are
+ * ignored in one exchange: several late responses of usual size. */
+static constexpr auto MaxIgnoredBytes = std::size_t{1024} * 1024;
+
 struct client_connection::implementation {
   implementation(event::loop &Loop, client_options Options)
       : Loop(Loop), Options(Options) {}
@@ -27,6 +31,8 @@
   bool Unusable = false;
   proxy::response_head Head;
   std::string Body;
+  std::size_t IgnoredBytes = 0; // In this exchange.
+  std::size_t BudgetBytes = 0;  // Of Body, counted in Options.Budget.
   proxy::body_decoder Decoder;
   steady_time IdleSince{};
   std::optional<millis> IdleTimeout;
@@ -45,6 +51,32 @@
     }
   }
 
+  /** Adds bytes to Body. @return false if the budget is exhausted. */
+  auto appendBody(std::string_view Bytes) -> bool {
+    Body.append(Bytes);
+    if (!Options.Budget) {
+      return true;
+    }
+    BudgetBytes += Bytes.size();
+    Options.Budget->UsedBytes += Bytes.size();
+    return Options.Budget->UsedBytes <= Options.Budget->MaxBytes;
+  }
+
+  /** Returns the bytes of Body to the budget. */
+  void releaseBudget() {
+    if (Options.Budget) {
+      Options.Budget->UsedBytes -= std::exchange(BudgetBytes, 0);
+    }
+  }
+
+  /** Counts bytes that are no answer to the request. */
+  void ignoreBytes(std::size_t Count, std::string &Failure) {
+    IgnoredBytes += Count;
+    if (IgnoredBytes > MaxIgnoredBytes) {
+      Failure = "too many bytes that are no answer";
+    }
+  }
+
   /** @return whether a whole response was read; Failure is set on error. */
   auto parseInput(std::string &Failure) -> bool;
   auto readHead(std::string &Failure) -> bool;
@@ -53,7 +85,10 @@
 client_connection::client_connection(std::unique_ptr<implementation> Impl)
     : Impl(std::move(Impl)) {}
 
-client_connection::~client_connection() { Impl->Stream->close(); }
+client_connection::~client_connection() {
+  Impl->releaseBudget();
+  Impl->Stream->close();
+}
 
 auto client_connection::open(event::loop &Loop, const event::endpoint &Server,
                              client_options Options)
@@ -96,6 +131,7 @@
   Impl->Method = Request.Method;
   Impl->ReadingBody = false;
   Impl->Body.clear();
+  Impl->IgnoredBytes = 0;
   Impl->Stream->send(renderRequest(Request));
 }
 
@@ -117,13 +153,17 @@
   Head = std::move(std::get<proxy::response_head>(Parsed));
   // Interim responses such as 100 Continue precede the final one.
   if (Head.Status < 200) {
-    return true;
+    ignoreBytes(End.Size, Failure);
+    return Failure.empty();
   }
   SkippingBody = MatchesRequest && !MatchesRequest(Head.Headers);
   if (SkippingBody && Head.Body.Kind == proxy::body_kind::UntilClose) {
     Failure = "response of another request without length";
     return false;
   }
+  if (SkippingBody) {
+    ignoreBytes(End.Size, Failure);
+  }
   Decoder = proxy::body_decoder(Head.Body, Options.MaxBodyBytes);
   ReadingBody = true;
   Body.clear();
@@ -144,8 +184,10 @@
       if (Step.Consumed == 0) {
         break;
       }
-      if (!SkippingBody) {
-        Body.append(Step.Data);
+      if (SkippingBody) {
+        ignoreBytes(Step.Consumed, Failure);
+      } else if (!appendBody(Step.Data)) {
+        Failure = "responses too large in total";
       }
       Stream->consume(Step.Consumed);
     }
@@ -189,6 +231,7 @@
 void client_connection::finish(exchange_result Result, bool Reusable) {
   auto Self = shared_from_this();
   auto Handler = std::exchange(Impl->Handler, nullptr);
+  Impl->releaseBudget();
   Impl->Body = std::string();
   Impl->IdleSince = Impl->Loop.now();
   if (!Reusable) {
@@ -236,6 +279,7 @@
 }
 
 void client_connection::close() {
+  Impl->releaseBudget();
   Impl->Handler = nullptr;
   Impl->Unusable = true;
   Impl->Stream->close();
--- a/src/sidecar/target_pool.cpp
+++ b/src/sidecar/target_pool.cpp
@@ -20,6 +20,15 @@
 /** Maximum size of a response body, in bytes. */
 static constexpr auto MaxResponseBytes = std::size_t{32} * 1024 * 1024;
 
+/** Maximum size of all response bodies while they are received, in bytes: a
+ * target that writes without end on all its connections must not exhaust the
+ * memory of the host. */
+static constexpr auto MaxReceivedBytes = std::size_t{48} * 1024 * 1024;
+
+target_pool::target_pool(node_state &State)
+    : State(State), Budget(std::make_shared<http::body_budget>(
+                        http::body_budget{MaxReceivedBytes, 0})) {}
+
 /** @return the idle time up to which a connection is used. */
 static auto maxIdleTime(const http::client_connection &Connection) -> micros {
   auto Announced = Connection.announcedIdleTimeout();
@@ -55,6 +64,7 @@
   Options.ConnectTimeout = ConnectTimeout;
   Options.MaxBodyBytes = MaxResponseBytes;
   Options.SameHost = true;
+  Options.Budget = Budget;
   return http::client_connection::open(State.Loop, State.Settings.TargetAddress,
                                        Options);
 }
--- a/src/sidecar/target_pool.h
+++ b/src/sidecar/target_pool.h
@@ -12,7 +12,7 @@
 /** Pool of idle connections to the local target. */
 class target_pool {
 public:
-  explicit target_pool(node_state &State) : State(State) {}
+  explicit target_pool(node_state &State);
 
   /** @return a connection for a call.
    * @param RequireFresh whether the connection must be new or recently used.
@@ -29,6 +29,7 @@
 private:
   void removeUnusable();
   node_state &State;
+  std::shared_ptr<http::body_budget> Budget; // Of all connections.
   std::vector<std::shared_ptr<http::client_connection>> Idle;
 };
 
--- a/test/http_connection_test.cpp
+++ b/test/http_connection_test.cpp
@@ -8,6 +8,7 @@
 #include <functional>
 #include <optional>
 #include <set>
+#include <vector>
 
 using namespace sycamorelb;
 using namespace sycamorelb::http;
@@ -134,6 +135,76 @@
   cr_assert(std::holds_alternative<exchange_failure>(Chunked));
 }
 
+// Guards against a response that looks complete although the server closed the
+// connection in the middle of its head.
+Test(http_connection, response_cut_in_its_head_fails) {
+  auto Whole = std::string("HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n"
+                           "Content-Length: 2\r\n\r\n");
+  for (auto Size = std::size_t{1}; Size < Whole.size(); ++Size) {
+    auto Reusable = true;
+    auto Result = exchangeOnce(Whole.substr(0, Size), true, Reusable);
+    cr_assert(std::holds_alternative<exchange_failure>(Result), "%zu bytes",
+              Size);
+    cr_assert_not(Reusable);
+  }
+}
+
+// Guards against reading bytes that belong to no answer until the deadline.
+Test(http_connection, endless_bytes_that_are_no_answer_fail) {
+  auto Repeat = [](const std::string &Bytes) {
+    auto Text = std::string();
+    while (Text.size() < 2'000'000) {
+      Text += Bytes;
+    }
+    return Text;
+  };
+  for (const auto &Text :
+       {Repeat("HTTP/1.1 200 OK\r\n") + "x",
+        Repeat("HTTP/1.1 100 Continue\r\n\r\n"),
+        Repeat("HTTP/1.1 200 OK\r\nRequest-Id: other\r\n"
+               "Content-Length: 3\r\n\r\nold"),
+        "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n\r\n" + Repeat("endless"),
+        "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n"
+        "Transfer-Encoding: chunked\r\n\r\n" +
+            Repeat("3\r\nabc\r\n")}) {
+    auto Reusable = true;
+    auto Result = exchangeOnce(Text, false, Reusable);
+    cr_assert(std::holds_alternative<exchange_failure>(Result), "%s",
+              Text.substr(0, 60).c_str());
+    cr_assert_not(Reusable);
+  }
+}
+
+// Guards against running out of memory when a server writes long bodies on many
+// connections at once, and against a budget that isn't returned.
+Test(http_connection, responses_share_a_budget) {
+  auto Loop = event::loop();
+  auto Head = std::string("HTTP/1.1 200 OK\r\nContent-Length: 900\r\n\r\n");
+  auto Server = raw_server{Loop, Head + std::string(600, 'x')};
+  Server.start();
+  auto Options = client_options();
+  Options.MaxBodyBytes = 1000;
+  Options.Budget = std::make_shared<body_budget>(body_budget{1000, 0});
+  auto Clients = std::vector<std::shared_ptr<client_connection>>();
+  auto Failures = 0;
+  for (auto Index = 0; Index < 2; ++Index) {
+    auto Request = http::request();
+    Request.Method = "GET";
+    Request.Target = "/";
+    Clients.push_back(client_connection::open(Loop, Server.Address, Options));
+    Clients.back()->exchange(Request, [&](const exchange_result &Got) {
+      Failures += std::holds_alternative<exchange_failure>(Got) ? 1 : 0;
+      Loop.stop();
+    });
+  }
+  Loop.addTimer(Loop.now() + TestTimeout, [&] { Loop.stop(); });
+  Loop.run();
+  cr_assert_eq(Failures, 1);
+  cr_assert_eq(Options.Budget->UsedBytes, 600U);
+  Clients.clear();
+  cr_assert_eq(Options.Budget->UsedBytes, 0U);
+}
+
 // Guards against accepting malformed responses, and against reading too long
 // ones without end.
 Test(http_connection, malformed_and_too_long_answers_fail) {
