--- a/test/sidecar_sim.cpp
+++ b/test/sidecar_sim.cpp
@@ -14,6 +14,7 @@
 /** Time after which the kernel closes a connection whose peer is cut off. */
 static constexpr auto KernelTimeout = micros(3'000'000);
 static constexpr auto CallTimeout = micros(1'000'000);
+static constexpr auto UnchangedRoutes = 20;
 static constexpr auto OperatorTopic = "keyed.op";
 static constexpr auto ReadHeaderBytes = 8U;
 
@@ -441,8 +442,7 @@
                          {"connectionLimit", 9},
                          {"warmup", "3s"},
                          {"coldPerS", 0.0}}}});
-  for (auto Version = 1; Version <= LastVersion; ++Version) {
-    auto Name = "v" + std::to_string(Version);
+  auto AddRoute = [&Resources](const std::string &Name) {
     Resources.push_back({{"resourceType", "routes"},
                          {"metadata", {{"name", Name}}},
                          {"specification",
@@ -454,6 +454,13 @@
                            {"priority", 1},
                            {"attempts", 2},
                            {"service", "svc"}}}});
+  };
+  // Large enough that nodes send each other deltas of it.
+  for (auto Index = 0; Index < UnchangedRoutes; ++Index) {
+    AddRoute("unchanged" + std::to_string(Index));
+  }
+  for (auto Version = 1; Version <= LastVersion; ++Version) {
+    AddRoute("v" + std::to_string(Version));
   }
   Store.append(OperatorTopic, "config",
                nlohmann::json{{"version", "r" + std::to_string(LastVersion)},
