Feature: [Soak] Targets name limits and say in their answers that they leave

One target after the other names a limit of 3 calls a second for 5 to 9 s, and targets leave that say so in their answers only, beside all other faults. The soak checks both rules from what callers and targets see. The new faults have a sequence of random numbers of their own, so the seeds keep their other faults.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -3,8 +3,10 @@
 import hashlib
 import time
 
-from stand_ins import COLD_CALLS_PER_S, answer_body
+from stand_ins import COLD_CALLS_PER_S, NAMED_LIMIT, answer_body
 
+TOLD_DELAY_S = 0.5  # Time after which a node is bound by an answer that it passed on.
+LIMIT_WINDOW_S = 4.0
 FAULT_SETTLE_S = 3.0  # Time after an unplanned fault before time bounds apply again.
 REFUSAL_STATUSES = (408, 421, 429, 503)
 TIMESTAMP_TOLERANCE_S = 0.25  # Added to time bounds, for the inaccuracy of the soak's own timestamps.
@@ -27,6 +29,11 @@
         self.evacuations = []
         self.unplanned_faults = []
         self.planned_stops = collections.defaultdict(list)
+        self.node_faults = collections.defaultdict(list)
+        self.limit_told_at = {}  # By target and node, the first answer with a limit that the node passed on.
+        self.limit_named_at = {}  # By target, the first of these.
+        self.limited_executions = collections.defaultdict(list)
+        self.leave_told_at = {}
         self.cold_executions = collections.defaultdict(list)
         self.arrivals = []
         self.lag_spans = []
@@ -43,12 +50,14 @@
 
     def record_unplanned_fault(self, node, start, end):
         self.unplanned_faults.append((start, end))
+        self.node_faults[node].append((start, end))
 
     def record_store_fault(self, start, end):
         self.unplanned_faults.append((start, end))
 
     def record_planned_stop(self, node, at):
         self.planned_stops[node].append(at)
+        self.node_faults[node].append((at, at + self.bounds["gracePeriod"] + 1))
 
     def record_config(self, version, at):
         self.config_written_at[version] = at
@@ -65,14 +74,20 @@
 
     # Observations of callers.
 
-    def record_request(self, request_id, method, target, body, kind, service, caller):
-        self.sent[request_id] = {"at": time.monotonic(), "method": method, "target": target, "kind": kind,
+    def record_request(self, request_id, method, target, body, kind, service, caller, node):
+        self.sent[request_id] = {"at": time.monotonic(), "method": method, "target": target, "kind": kind, "node": node,
                                  "digest": hashlib.sha256(body).digest(), "service": service, "caller": caller}
 
     def record_answer(self, request_id, node, response):
         if response is None:
             self.counts["no answer"] += 1
             return
+        told = (response.headers.get("soak-target"), node)
+        if "server-limit" in response.headers:
+            self.limit_told_at.setdefault(told, time.monotonic())
+            self.limit_named_at.setdefault(told[0], time.monotonic())
+        if "server-leaving" in response.headers:
+            self.leave_told_at.setdefault(told, time.monotonic())
         status = response.status
         if self.falsifies("false refusal", request_id) and status == 200:
             status = 503
@@ -135,6 +150,7 @@
         if (left_at is not None and now > left_at + self.bounds["drain"] + TIMESTAMP_TOLERANCE_S
                 and not self.overlaps_lag(now)):
             self.report_violation("DRAIN", request=request_id, target=target.id, late_s=round(now - left_at, 2))
+        self.check_notices(target, request_id, now)
         self.check_zone(target, request_id, now)
         if cold:
             self.check_cold(target, now)
@@ -142,6 +158,38 @@
     def overlaps_lag(self, now):
         return any(start - 0.5 < now < end + 0.5 for start, end in self.lag_spans)
 
+    def record_limit_end(self, target_id):
+        self.limit_named_at.pop(target_id, None)
+        self.limited_executions.pop(target_id, None)
+        self.limit_told_at = {told: at for told, at in self.limit_told_at.items() if told[0] != target_id}
+
+    def is_bound(self, told_at, node, now):
+        """Returns whether a node has passed on an answer, and had no fault of its own since."""
+        return told_at is not None and not any(start < now and end > told_at for start, end in self.node_faults[node])
+
+    def check_notices(self, target, request_id, now):
+        """Checks the limit and the leave that a target names in its answers."""
+        sent = self.sent[request_id]
+        told_at = self.leave_told_at.get((target.id, sent["node"]))
+        if self.falsifies("leave in answers", request_id):
+            told_at = sent["at"] - 10
+        if (self.is_bound(told_at, sent["node"], now) and not self.overlaps_lag(now)
+                and sent["at"] > told_at + self.bounds["drain"] + TIMESTAMP_TOLERANCE_S):
+            self.report_violation("DRAIN", request=request_id, target=target.id, what="said so in an answer")
+        told_at = self.limit_told_at.get((target.id, sent["node"]))
+        if not self.is_bound(told_at, sent["node"], now) or now < told_at + TOLD_DELAY_S:
+            return
+        window = self.limited_executions[target.id]
+        window.append(now)
+        while window[0] < now - LIMIT_WINDOW_S:
+            window.pop(0)
+        allowed = 1.5 * NAMED_LIMIT * LIMIT_WINDOW_S + 5
+        if self.falsification == "limit":
+            allowed = 3
+        if (len(window) > allowed and now > self.limit_named_at[target.id] + FAULT_SETTLE_S
+                and not self.overlaps_lag(now)):
+            self.report_violation("LIMIT", target=target.id, requests=len(window))
+
     def check_zone(self, target, request_id, now):
         for zone, start, end in self.evacuations:
             deadline = start + self.bounds["evacuation"] + TIMESTAMP_TOLERANCE_S
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -184,14 +184,14 @@
         request_id = f"{self.random.getrandbits(64):016x}"
         body = b"" if method == "GET" else self.random.randbytes(20000 if kind == "upload" else 300)
         target = f"{prefix}{request_id[:4]}?q={request_id[4:8]}"
-        self.ledger.record_request(request_id, method, target, body, kind, service, caller)
+        self.ledger.record_request(request_id, method, target, body, kind, service, caller.service, caller.name)
         return request_id, encode(f"{method} {target} HTTP/1.1", {
             "Host": "soak", "Request-Id": request_id, "Deadline-Milliseconds": deadline_ms}, body)
 
     async def nested_call(self, target):
         """Makes a call on behalf of a target that is executing another. Returns whether it succeeded."""
         node = next(node for node in self.nodes if node.target is target)
-        request_id, data = self.new_request("/call/", "GET", "idempotent", "b", node.service, 800)
+        request_id, data = self.new_request("/call/", "GET", "idempotent", "b", node, 800)
         response = await request_once((node.ip, PORTS["outbound"]), data, 0.8)
         self.ledger.record_answer(request_id, node.name, response)
         return response is not None and response.status == 200
@@ -204,7 +204,7 @@
             if not node.in_service:
                 continue
             name, method, service, kind = self.random.choices(REQUEST_KINDS, [5, 3, 1])[0]
-            request_id, data = self.new_request(f"/{name}/", method, kind, service, node.service)
+            request_id, data = self.new_request(f"/{name}/", method, kind, service, node)
             incarnation, sent_at, kept = node.incarnation, time.monotonic(), writer is not None
             try:
                 async with asyncio.timeout(DEADLINE_MS / 1000 + 1):
@@ -234,7 +234,7 @@
             if not node.in_service or self.version == 0:
                 continue
             incarnation = node.incarnation
-            request_id, data = self.new_request(f"/v{number}/", "GET", "idempotent", "a", node.service)
+            request_id, data = self.new_request(f"/v{number}/", "GET", "idempotent", "a", node)
             sent_at = time.monotonic()
             response = await request_once((node.ip, PORTS["outbound"]), data, 2.5)
             self.ledger.record_answer(request_id, node.name, response)
@@ -339,6 +339,24 @@
             await asyncio.sleep(self.random.expovariate(0.9))
         await asyncio.gather(*tasks)
 
+    async def limit_targets(self):
+        """Lets one target after the other name a limit in its answers for a while."""
+        choose = random.Random(self.args.seed + 1000)  # Leaves the sequence of the other faults as it is.
+        while not self.finished:
+            target = choose.choice(self.nodes).target
+            target.is_limited = True
+            await asyncio.sleep(choose.uniform(5, 9))
+            target.is_limited = False
+            self.ledger.record_limit_end(target.id)
+            await asyncio.sleep(choose.uniform(0, 2))
+
+    async def let_targets_leave(self):
+        """Lets targets leave that say so in their answers only."""
+        choose = random.Random(self.args.seed + 2000)
+        while not self.finished:
+            await asyncio.sleep(choose.uniform(4, 9))
+            await choose.choice(self.nodes).target.leave_by_answers(BOUNDS["drain"])
+
     async def watch_loop_lag(self):
         """Records when the event loop of the soak itself was delayed; time bounds are not checked then."""
         while not self.finished:
@@ -359,7 +377,8 @@
         self.write_config()
         for node in self.nodes:
             await node.start()
-        tasks = [asyncio.create_task(self.watch_loop_lag())]
+        tasks = [asyncio.create_task(self.watch_loop_lag()), asyncio.create_task(self.limit_targets()),
+                 asyncio.create_task(self.let_targets_leave())]
         for node in self.nodes:
             tasks += [asyncio.create_task(node.poll_readiness()), asyncio.create_task(self.probe_config(node))]
             tasks += [asyncio.create_task(self.run_caller(node)) for _ in range(3)]
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -13,6 +13,7 @@
 COLD_S = 3.0
 SLOTS = 9
 HEARTBEAT_S = 1.0
+NAMED_LIMIT = 3.0  # Requests per second that a target in need takes.
 
 
 def answer_body(request_id):
@@ -157,6 +158,8 @@
         self.running = 0
         self.writers = set()
         self.fault = None  # lose, garbage or slow
+        self.is_limited = False  # Names a limit in its answers.
+        self.says_leaving = False  # Says in its answers that it leaves.
         self.has_faulty_version = False
         self.alive = False
         self.leave_acknowledged_at = None
@@ -173,6 +176,7 @@
         self.started_ms = int(time.time() * 1000)
         self.cold_until = time.monotonic() + (COLD_S if cold else 0)
         self.state = "ready"
+        self.says_leaving = False
         self.sequence = 0
         self.leave_acknowledged_at = None
         self.alive = True
@@ -214,6 +218,7 @@
             return
         incarnation = self.incarnation
         self.state = "draining"
+        self.says_leaving = True
         await self.send_heartbeat()
         await asyncio.sleep(drain_s + 1.5)
         if self.alive and self.incarnation == incarnation:
@@ -221,6 +226,16 @@
                                encode(f"DELETE /instances/{self.id} HTTP/1.1", {"Host": "node"}), 1.0)
             await self.restart(2.0)
 
+    async def leave_by_answers(self, drain_s):
+        """Says in its answers only that it leaves, and returns later as a new incarnation."""
+        if not self.alive or self.state != "ready" or self.says_leaving:
+            return
+        incarnation = self.incarnation
+        self.says_leaving = True
+        await asyncio.sleep(drain_s + 4)
+        if self.alive and self.incarnation == incarnation:
+            await self.restart(1.0)
+
     async def restart(self, down_s):
         incarnation = self.incarnation
         self.stop()
@@ -271,8 +286,13 @@
         if incarnation != self.incarnation or fault == "lose" and self.world.random.random() < 0.3:
             return False
         body = answer_body(request_id)
-        writer.write(encode("HTTP/1.1 " + status, {"Request-Id": request_id, "Response-Signature": "s-" + request_id,
-                                                  "Server-Load": f"{self.running},0,{SLOTS}"}, body))
+        headers = {"Request-Id": request_id, "Response-Signature": "s-" + request_id,
+                   "Server-Load": f"{self.running},0,{SLOTS}", "Soak-Target": self.id}
+        if self.is_limited:
+            headers["Server-Limit"] = NAMED_LIMIT
+        if self.says_leaving:
+            headers["Server-Leaving"] = "1"
+        writer.write(encode("HTTP/1.1 " + status, headers, body))
         if fault == "garbage" and self.world.random.random() < 0.3:
             writer.write(b"HTTP/1.1 200 OK\r\nRequest-Id: other\r\nContent-Length: 3\r\n\r\nold")
         return True
