Fix: [Sidecar] A restarted node could adopt an older, looser limit

What targets would see: more calls than their limit, after the node beside them restarted, if two nodes tell it different limits.

Change: until the target has answered, the strictest limit that a node told holds. Test: sidecar_admission/strictest_told_limit_is_adopted; before, the limit told last (20) was adopted in place of 2.

--- a/src/sidecar/target_exchange.cpp
+++ b/src/sidecar/target_exchange.cpp
@@ -137,8 +137,12 @@
 
 void admission::implementation::adoptLimit(const forward_message &Forward,
                                            const request_id &Cause) {
-  if (!NamedLimit.DecidedAt && isAbout(Forward.Notice, Target)) {
-    NamedLimit.CallsPerSecond = Forward.Notice.CallsPerSecond;
+  auto Told = Forward.Notice.CallsPerSecond;
+  auto Known = NamedLimit.CallsPerSecond;
+  // Several nodes may tell different limits; the older ones are unknown.
+  if (!NamedLimit.DecidedAt && isAbout(Forward.Notice, Target) && Told &&
+      (!Known || *Told < *Known)) {
+    NamedLimit.CallsPerSecond = Told;
     enforceLimit(Cause);
   }
 }
--- a/test/sidecar_admission_test.cpp
+++ b/test/sidecar_admission_test.cpp
@@ -128,6 +128,22 @@
   cr_assert(Node.Admission.load().StartGap >= micros(400'000));
 }
 
+// Guards against an old limit that a node tells after another told a newer one.
+Test(sidecar_admission, strictest_told_limit_is_adopted) {
+  auto Node = admission_fixture();
+  Node.start();
+  auto Forward = inner::forward_message();
+  Forward.Service = {"svc"};
+  Forward.TimeLeft = micros(300'000);
+  for (auto Limit : {5.0, 2.0, 20.0}) {
+    Forward.Notice = {{"i-1"}, 1, Limit, false};
+    Forward.Call.Value += 1;
+    Node.Admission.submit({{"node-2"}, 1, Forward.Call}, Forward,
+                          [](const auto &) {});
+  }
+  cr_assert(Node.Admission.load().StartGap == micros(500'000));
+}
+
 // Guards against a limit of a previous start of the target.
 Test(sidecar_admission, limit_of_another_start_is_not_adopted) {
   auto Node = admission_fixture();
