Fix: [Soak] An answer that arrived late made the soak believe in an ended limit

Cause: the soak itself. The target ended its limit at 17 s; an answer that it had written before reached the caller afterwards, and the soak took it for a new limit. The node logged the end of the limit before the first report.

Change: an answer with a limit counts only while the target names one.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -30,6 +30,7 @@
         self.unplanned_faults = []
         self.planned_stops = collections.defaultdict(list)
         self.node_faults = collections.defaultdict(list)
+        self.limited_nodes = set()  # Nodes whose target names a limit.
         self.limit_told_at = {}  # By target and node, the first answer with a limit that the node passed on.
         self.limit_named_at = {}  # By target, the first of these.
         self.limited_executions = collections.defaultdict(list)
@@ -83,7 +84,8 @@
             self.counts["no answer"] += 1
             return
         told = (response.headers.get("soak-target"), node)
-        if "server-limit" in response.headers:
+        # An answer may arrive after the limit has ended.
+        if "server-limit" in response.headers and self.node_of(told[0]) in self.limited_nodes:
             self.limit_told_at.setdefault(told, time.monotonic())
             self.limit_named_at.setdefault(told[0], time.monotonic())
         if "server-leaving" in response.headers:
@@ -158,10 +160,20 @@
     def overlaps_lag(self, now):
         return any(start - 0.5 < now < end + 0.5 for start, end in self.lag_spans)
 
-    def record_limit_end(self, target_id):
-        self.limit_named_at.pop(target_id, None)
-        self.limited_executions.pop(target_id, None)
-        self.limit_told_at = {told: at for told, at in self.limit_told_at.items() if told[0] != target_id}
+    @staticmethod
+    def node_of(target_id):
+        return target_id.split("-")[1]
+
+    def record_limit(self, node, is_limited):
+        """Records that the target beside a node begins or ends to name a limit."""
+        if is_limited:
+            self.limited_nodes.add(node)
+            return
+        self.limited_nodes.discard(node)
+        for values in (self.limit_named_at, self.limited_executions):
+            for target_id in [target_id for target_id in values if self.node_of(target_id) == node]:
+                del values[target_id]
+        self.limit_told_at = {told: at for told, at in self.limit_told_at.items() if self.node_of(told[0]) != node}
 
     def is_bound(self, told_at, node, now):
         """Returns whether a node has passed on an answer, and had no fault of its own since."""
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -344,10 +344,11 @@
         choose = random.Random(self.args.seed + 1000)  # Leaves the sequence of the other faults as it is.
         while not self.finished:
             target = choose.choice(self.nodes).target
+            self.ledger.record_limit(target.node, True)
             target.is_limited = True
             await asyncio.sleep(choose.uniform(5, 9))
             target.is_limited = False
-            self.ledger.record_limit_end(target.id)
+            self.ledger.record_limit(target.node, False)
             await asyncio.sleep(choose.uniform(0, 2))
 
     async def let_targets_leave(self):
