Codechange: [Test] Shared steps of the new tests stand once

Two tests of configurations had the same steps after their set-up, and five tests of admission made the same call by hand. Found by reading the whole change; no assertion, bound or input changes.

--- a/test/sidecar_admission_test.cpp
+++ b/test/sidecar_admission_test.cpp
@@ -40,6 +40,13 @@
     State.Hosts.merge(State.Own);
     Admission.setTarget(Target, micros(0));
   }
+  /** @return a call for the service of the target. */
+  static auto forward(micros TimeLeft) -> inner::forward_message {
+    auto Forward = inner::forward_message();
+    Forward.Service = {"svc"};
+    Forward.TimeLeft = TimeLeft;
+    return Forward;
+  }
   auto submit(const call_key &Key) -> std::optional<reply_outcome> {
     auto Forward = inner::forward_message();
     Forward.Call = Key.Call;
@@ -89,9 +96,7 @@
 Test(sidecar_admission, end_of_the_old_connection_leaves_the_newer_one) {
   auto Node = admission_fixture();
   Node.start();
-  auto Forward = inner::forward_message();
-  Forward.Service = {"svc"};
-  Forward.TimeLeft = micros(300'000);
+  auto Forward = admission_fixture::forward(micros(300'000));
   auto Old = 0;
   auto New = 0;
   auto Replies = std::string();
@@ -114,9 +119,7 @@
   auto Node = admission_fixture();
   Node.start();
   Node.State.Settings.TargetAddress = {"127.0.0.1", 1};
-  auto Forward = inner::forward_message();
-  Forward.Service = {"svc"};
-  Forward.TimeLeft = micros(300'000);
+  auto Forward = admission_fixture::forward(micros(300'000));
   Forward.TimeToLatestStart = micros(200'000);
   Forward.Notice = {{"i-1"}, 1, 2.0, false};
   auto Reply = std::optional<inner::reply_message>();
@@ -132,9 +135,7 @@
 Test(sidecar_admission, strictest_told_limit_is_adopted) {
   auto Node = admission_fixture();
   Node.start();
-  auto Forward = inner::forward_message();
-  Forward.Service = {"svc"};
-  Forward.TimeLeft = micros(300'000);
+  auto Forward = admission_fixture::forward(micros(300'000));
   for (auto Limit : {5.0, 2.0, 20.0}) {
     Forward.Notice = {{"i-1"}, 1, Limit, false};
     Forward.Call.Value += 1;
@@ -149,9 +150,7 @@
   auto Node = admission_fixture();
   Node.start();
   Node.State.Settings.TargetAddress = {"127.0.0.1", 1};
-  auto Forward = inner::forward_message();
-  Forward.Service = {"svc"};
-  Forward.TimeLeft = micros(300'000);
+  auto Forward = admission_fixture::forward(micros(300'000));
   Forward.Notice = {{"i-1"}, 2, 2.0, false};
   Node.Admission.submit(Key, Forward, [](const auto &) {});
   cr_assert(Node.Admission.load().StartGap == micros(0));
@@ -183,9 +182,7 @@
         Streams.push_back(Stream);
       });
   cr_assert(isOk(Target));
-  auto Forward = inner::forward_message();
-  Forward.Service = {"svc"};
-  Forward.TimeLeft = micros(3'000'000);
+  auto Forward = admission_fixture::forward(micros(3'000'000));
   Forward.Request.Method = "POST";
   Forward.Request.Target = "/a/";
   Forward.Request.Headers = {{"Request-Id", "r-1"}};
--- a/test/sidecar_config_test.cpp
+++ b/test/sidecar_config_test.cpp
@@ -27,6 +27,18 @@
   return -1;
 }
 
+/** Publishes a configuration that the readers don't get from the store, and
+ * checks that another node has it in time. */
+static void expectConfigWithoutReaders(mesh_sim &Mesh, int Node) {
+  for (auto Reader : Mesh.store().pollingNodes()) {
+    Mesh.store().setAccess(Reader, store_access::Silent);
+  }
+  auto Version = Mesh.publishConfig();
+  Mesh.run(ApplyBound);
+  cr_assert_eq(Mesh.call(Node, Version), 503,
+               "the configuration is not in force");
+}
+
 // Regression test (incident config-readers): a node kept an old configuration
 // for seconds, because the readers of its zone announced themselves while
 // their polls of the store got no answer.
@@ -35,13 +47,7 @@
   Mesh.run(StartTime);
   auto Node = findNonReader(Mesh, 0);
   cr_assert_geq(Node, 0, "all nodes poll the store");
-  for (auto Reader : Mesh.store().pollingNodes()) {
-    Mesh.store().setAccess(Reader, store_access::Silent);
-  }
-  auto Version = Mesh.publishConfig();
-  Mesh.run(ApplyBound);
-  cr_assert_eq(Mesh.call(Node, Version), 503,
-               "the configuration is not in force");
+  expectConfigWithoutReaders(Mesh, Node);
 }
 
 // Guards against a node that asks the store late, because it first waits for an
@@ -52,13 +58,7 @@
   auto Node = findNonReader(Mesh, 0);
   cr_assert_geq(Node, 0, "all nodes poll the store");
   Mesh.store().silenceConnections(Node);
-  for (auto Reader : Mesh.store().pollingNodes()) {
-    Mesh.store().setAccess(Reader, store_access::Silent);
-  }
-  auto Version = Mesh.publishConfig();
-  Mesh.run(ApplyBound);
-  cr_assert_eq(Mesh.call(Node, Version), 503,
-               "the configuration is not in force");
+  expectConfigWithoutReaders(Mesh, Node);
 }
 
 namespace {
