Feature: [Http] Pipelined requests run side by side

Ruled out: waits at the targets; only this kind of request was late. Change: http/pipeline decides without sockets which request begins and which response leaves. Idempotent requests run side by side, others alone; responses keep the order; the connection closes only after the last request that has begun. Limits on requests and bytes for each connection and for the host are settings; beyond them reading pauses. Counters and a gauge for responses on hold. Also: a connection counts as reading from the first byte of a request, so that one that was idle for long isn't closed in the middle of a head.

--- a/include/sycamorelb/http/server_connection.h
+++ b/include/sycamorelb/http/server_connection.h
@@ -3,6 +3,7 @@
 
 #include "sycamorelb/event/stream.h"
 #include "sycamorelb/http/message_type.h"
+#include "sycamorelb/http/pipeline_type.h"
 
 #include <functional>
 #include <memory>
@@ -15,38 +16,53 @@
   std::size_t MaxBodyBytes = std::size_t{64} * 1024 * 1024; ///< Body.
 };
 
+/** Options of a connection. */
+struct server_options {
+  server_limits Limits;     ///< Limits on each request.
+  pipeline_limits Pipeline; ///< Limits on requests in progress.
+  /** Shared by the connections of a process; null for one of its own. */
+  std::shared_ptr<pipeline_budget> Budget;
+  /** Tells whether a request may run beside others of its connection; without
+   * it, all requests run one at a time. */
+  std::function<bool(const request &)> MayRunBeside;
+};
+
 /**
- * Reads complete requests and writes complete responses, one at a time. A
- * malformed request gets an error response and closes the connection; the
- * handler is not called for it.
+ * Reads complete requests and writes complete responses. Pipelined requests run
+ * side by side if the options allow it; the responses are sent in the order of
+ * the requests. A malformed request gets an error response after the responses
+ * to those before it, then the connection closes; the handler is not called for
+ * it.
  */
 class server_connection
     : public std::enable_shared_from_this<server_connection> {
 public:
-  using request_handler =
-      std::function<void(const std::shared_ptr<server_connection> &, request)>;
+  using request_handler = std::function<void(
+      const std::shared_ptr<server_connection> &, exchange_number, request)>;
 
   static auto create(std::shared_ptr<event::stream> Stream,
-                     server_limits Limits, request_handler Handler)
+                     server_options Options, request_handler Handler)
       -> std::shared_ptr<server_connection>;
   ~server_connection();
   server_connection(const server_connection &) = delete;
   auto operator=(const server_connection &) -> server_connection & = delete;
 
   /** Called at most once, when the connection ends: closed by the client, also
-   * while its request is in progress, or after a last response. Not called
+   * while its requests are in progress, or after a last response. Not called
    * after close(). */
   std::function<void()> OnClosed;
 
-  /** Sends the response to the request in progress. Does nothing if there is
-   * none.
-   * @param Close whether to close the connection after the response. */
-  void respond(const response &Response, bool Close);
+  /** Sends the response to a request in progress, after those to the requests
+   * before it. Does nothing if it was answered before.
+   * @param Close whether to begin no further request, and to close the
+   * connection after the responses to those in progress. */
+  void respond(exchange_number Number, response Response, bool Close);
   /** @return whether a request is in progress. */
   auto isBusy() const -> bool;
   /** @return whether a request has been received in part. */
   auto isReading() const -> bool;
-  /** @return the time of the last change to reading a body, busy or idle. */
+  /** @return the time of the last change between reading a request, busy and
+   * idle. */
   auto stateChangedAt() const -> steady_time;
   /** Closes the connection at once. */
   void close();
@@ -55,7 +71,7 @@
   struct implementation;
   explicit server_connection(std::unique_ptr<implementation> Impl);
   void readRequests();
-  void reject(int Status, const std::string &Reason);
+  void sendReady();
   std::unique_ptr<implementation> Impl;
 };
 
--- a/include/sycamorelb/sidecar/settings_type.h
+++ b/include/sycamorelb/sidecar/settings_type.h
@@ -4,6 +4,7 @@
 #include "sycamorelb/core/id_type.h"
 #include "sycamorelb/core/unit_type.h"
 #include "sycamorelb/event/stream.h"
+#include "sycamorelb/http/pipeline_type.h"
 
 #include <cstdint>
 
@@ -38,6 +39,9 @@
   double LinkMbps = 1000;         ///< Bandwidth of the host's link in Mbit/s.
   double CpuShare = 1;            ///< CPU of the host, in cores.
   mesh_bounds Bounds;             ///< Limits guaranteed by the deployment.
+  http::pipeline_limits Pipeline; ///< Limits on pipelined requests.
+  /** Responses of pipelined requests on hold, over all connections. */
+  std::size_t MaxHeldBytes = http::pipeline_budget().MaxHeldBytes;
 };
 
 } // namespace sycamorelb::sidecar
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -3,6 +3,7 @@
 
 #include "proxy/body_decoder.h"
 #include "proxy/message_head.h"
+#include "sycamorelb/http/pipeline_func.h"
 
 #include <utility>
 
@@ -12,58 +13,122 @@
 static constexpr auto MaxPipelinedBytes = std::size_t{64} * 1024;
 
 struct server_connection::implementation {
+  /** What has been received of the next request. */
+  enum class read_stage : std::uint8_t { None, Head, Body, Complete };
+
   std::shared_ptr<event::stream> Stream;
-  server_limits Limits;
+  server_options Options;
   request_handler Handler;
-  request Current;
-  std::string Method; // Of the request in progress.
-  bool ReadingBody = false;
-  bool Busy = false;
-  bool ClosingAfterOutput = false;
-  bool KeepAlive = true;
+  pipeline Pipeline;
+  read_stage Stage = read_stage::None;
+  request Next;
+  bool NextKeepsAlive = true;
+  bool NextAwaitsContinue = false;
   bool InReadLoop = false;
   proxy::body_decoder Decoder;
   steady_time StateChangedAt = event::bootTime();
 
-  /** Decodes input into the body of the current request. */
+  void setStage(read_stage Reached) {
+    if (Stage != Reached) {
+      Stage = Reached;
+      StateChangedAt = event::bootTime();
+    }
+  }
+
+  /** Decodes input into the body of the next request. */
   void readBody() {
     while (!Decoder.isComplete() && !Decoder.isInvalid()) {
       auto Step = Decoder.decode(Stream->input());
       if (Step.Consumed == 0) {
         return;
       }
-      Current.Body.append(Step.Data);
+      Next.Body.append(Step.Data);
       Stream->consume(Step.Consumed);
     }
   }
 
-  void beginRequest(proxy::request_head Head) {
-    KeepAlive = Head.KeepAlive;
-    Current = request();
-    Current.Method = std::move(Head.Method);
-    Current.Target = std::move(Head.Target);
-    Current.Path = std::move(Head.Path);
-    Current.Headers = std::move(Head.Headers);
-    Current.HasBody = Head.Body.Kind != proxy::body_kind::None;
-    Decoder = proxy::body_decoder(Head.Body, Limits.MaxBodyBytes);
-    ReadingBody = true;
-    if (Head.ExpectContinue) {
+  void setNext(proxy::request_head Head) {
+    NextKeepsAlive = Head.KeepAlive;
+    NextAwaitsContinue = Head.ExpectContinue;
+    Next = request();
+    Next.Method = std::move(Head.Method);
+    Next.Target = std::move(Head.Target);
+    Next.Path = std::move(Head.Path);
+    Next.Headers = std::move(Head.Headers);
+    Next.HasBody = Head.Body.Kind != proxy::body_kind::None;
+    Decoder = proxy::body_decoder(Head.Body, Options.Limits.MaxBodyBytes);
+    setStage(read_stage::Body);
+  }
+
+  /** Answers an invalid request; nothing after it can be read. */
+  void reject(int Status, const std::string &Reason) {
+    auto Number = beginExchange(Pipeline, *Options.Budget, "GET", false, true);
+    completeExchange(Pipeline, *Options.Budget, Number,
+                     response{Status, "", {}, Reason + "\n"}, true);
+    setStage(read_stage::None);
+  }
+
+  void readHead() {
+    auto Input = Stream->input();
+    if (Input.empty()) {
+      return;
+    }
+    setStage(read_stage::Head);
+    auto End = proxy::findHeadEnd(Input);
+    if (!End.Found && Input.size() <= Options.Limits.MaxHeadBytes) {
+      return;
+    }
+    auto Limits = proxy::head_limits();
+    Limits.MaxBytes = Options.Limits.MaxHeadBytes;
+    Limits.MaxBodyBytes = Options.Limits.MaxBodyBytes;
+    auto Size = End.Found ? End.Size : Input.size();
+    auto Head = proxy::parseRequestHead(Input.substr(0, Size), Limits);
+    if (auto *Error = std::get_if<proxy::framing_error>(&Head)) {
+      return reject(Error->Status, Error->Reason);
+    }
+    Stream->consume(Size);
+    setNext(std::move(std::get<proxy::request_head>(Head)));
+  }
+
+  /** Reads as much of the next request as was received. */
+  void readNext() {
+    if (Stage < read_stage::Body) {
+      readHead();
+    }
+    if (Stage != read_stage::Body) {
+      return;
+    }
+    if (NextAwaitsContinue && Pipeline.Exchanges.empty()) {
+      // Sent earlier, it would precede the responses to other requests.
+      NextAwaitsContinue = false;
       Stream->send("HTTP/1.1 100 Continue\r\n\r\n");
     }
+    readBody();
+    if (Decoder.isInvalid()) {
+      reject(Decoder.isTooLarge() ? 413 : 400, "malformed body");
+    } else if (Decoder.isComplete()) {
+      setStage(read_stage::Complete);
+    }
   }
 };
 
 server_connection::server_connection(std::unique_ptr<implementation> Impl)
     : Impl(std::move(Impl)) {}
 
-server_connection::~server_connection() { Impl->Stream->close(); }
+server_connection::~server_connection() {
+  clearPipeline(Impl->Pipeline, *Impl->Options.Budget);
+  Impl->Stream->close();
+}
 
 auto server_connection::create(std::shared_ptr<event::stream> Stream,
-                               server_limits Limits, request_handler Handler)
+                               server_options Options, request_handler Handler)
     -> std::shared_ptr<server_connection> {
   auto Impl = std::make_unique<implementation>();
   Impl->Stream = std::move(Stream);
-  Impl->Limits = Limits;
+  Impl->Options = std::move(Options);
+  if (!Impl->Options.Budget) {
+    Impl->Options.Budget = std::make_shared<pipeline_budget>();
+  }
   Impl->Handler = std::move(Handler);
   auto Connection = std::shared_ptr<server_connection>(
       new server_connection(std::move(Impl)));
@@ -74,24 +139,16 @@
     }
   };
   Connection->Impl->Stream->OnClosed = [Weak](event::close_reason) {
-    if (auto Self = Weak.lock(); Self && Self->OnClosed) {
-      auto Callback = std::move(Self->OnClosed);
-      Callback();
+    if (auto Self = Weak.lock()) {
+      clearPipeline(Self->Impl->Pipeline, *Self->Impl->Options.Budget);
+      if (auto Callback = std::exchange(Self->OnClosed, nullptr)) {
+        Callback();
+      }
     }
   };
   return Connection;
 }
 
-void server_connection::reject(int Status, const std::string &Reason) {
-  auto Response = response{Status, "", {}, Reason + "\n"};
-  Impl->Stream->send(renderResponse(Response, "GET", true));
-  Impl->ClosingAfterOutput = true;
-  Impl->Stream->closeAfterOutput();
-  if (auto Callback = std::move(OnClosed)) {
-    Callback();
-  }
-}
-
 void server_connection::readRequests() {
   auto Self = shared_from_this();
   // The handler below may call respond(), which calls this method again.
@@ -99,78 +156,70 @@
     return;
   }
   Impl->InReadLoop = true;
-  while (!Impl->Busy && !Impl->ClosingAfterOutput) {
-    if (!Impl->ReadingBody) {
-      auto Input = Impl->Stream->input();
-      auto End = proxy::findHeadEnd(Input);
-      if (!End.Found && Input.size() <= Impl->Limits.MaxHeadBytes) {
-        break;
-      }
-      auto Limits = proxy::head_limits();
-      Limits.MaxBytes = Impl->Limits.MaxHeadBytes;
-      Limits.MaxBodyBytes = Impl->Limits.MaxBodyBytes;
-      auto Size = End.Found ? End.Size : Input.size();
-      auto Head = proxy::parseRequestHead(Input.substr(0, Size), Limits);
-      if (auto *Error = std::get_if<proxy::framing_error>(&Head)) {
-        reject(Error->Status, Error->Reason);
-        break;
-      }
-      Impl->Stream->consume(Size);
-      Impl->beginRequest(std::move(std::get<proxy::request_head>(Head)));
-      Impl->StateChangedAt = event::bootTime();
+  auto &Pipeline = Impl->Pipeline;
+  auto &Options = Impl->Options;
+  while (mayReadNext(Pipeline, Options.Pipeline, *Options.Budget)) {
+    if (Impl->Stage != implementation::read_stage::Complete) {
+      Impl->readNext();
     }
-    Impl->readBody();
-    if (Impl->Decoder.isInvalid()) {
-      reject(Impl->Decoder.isTooLarge() ? 413 : 400, "malformed body");
+    if (Impl->Stage != implementation::read_stage::Complete) {
       break;
     }
-    if (!Impl->Decoder.isComplete()) {
+    auto RunsAlone = !Options.MayRunBeside || !Options.MayRunBeside(Impl->Next);
+    if (!mayBegin(Pipeline, RunsAlone)) {
       break;
     }
-    Impl->ReadingBody = false;
-    Impl->Busy = true;
-    Impl->StateChangedAt = event::bootTime();
-    Impl->Method = Impl->Current.Method;
-    Impl->Handler(Self, std::exchange(Impl->Current, request()));
+    auto Number = beginExchange(Pipeline, *Options.Budget, Impl->Next.Method,
+                                RunsAlone, !Impl->NextKeepsAlive);
+    Impl->setStage(implementation::read_stage::None);
+    Impl->Handler(Self, Number, std::exchange(Impl->Next, request()));
   }
   Impl->InReadLoop = false;
-  if (Impl->Busy && Impl->Stream->input().size() > MaxPipelinedBytes) {
-    Impl->Stream->pauseReading(true);
-  }
+  Impl->Stream->pauseReading(isBusy() &&
+                             Impl->Stream->input().size() > MaxPipelinedBytes);
+  sendReady();
 }
 
-void server_connection::respond(const response &Response, bool Close) {
-  if (!Impl->Busy) {
-    return;
-  }
-  Impl->Busy = false;
-  Impl->StateChangedAt = event::bootTime();
-  auto Closing = Close || !Impl->KeepAlive;
-  Impl->Stream->send(renderResponse(Response, Impl->Method, Closing));
-  if (Closing) {
-    Impl->ClosingAfterOutput = true;
-    Impl->Stream->closeAfterOutput();
-    if (auto Callback = std::move(OnClosed)) {
-      Callback();
+void server_connection::sendReady() {
+  for (auto &Ready : takeReady(Impl->Pipeline, *Impl->Options.Budget)) {
+    Impl->StateChangedAt = event::bootTime();
+    Impl->Stream->send(
+        renderResponse(Ready.Response, Ready.Method, Ready.Close));
+    if (Ready.Close) {
+      Impl->Stream->closeAfterOutput();
+      if (auto Callback = std::exchange(OnClosed, nullptr)) {
+        Callback();
+      }
+      return;
     }
-    return;
-  }
-  Impl->Stream->pauseReading(false);
-  if (!Impl->Stream->input().empty()) {
-    readRequests();
   }
 }
 
-auto server_connection::isBusy() const -> bool { return Impl->Busy; }
+void server_connection::respond(exchange_number Number, response Response,
+                                bool Close) {
+  auto Self = shared_from_this();
+  completeExchange(Impl->Pipeline, *Impl->Options.Budget, Number,
+                   std::move(Response), Close);
+  sendReady();
+  readRequests();
+}
+
+auto server_connection::isBusy() const -> bool {
+  return !Impl->Pipeline.Exchanges.empty();
+}
 
 auto server_connection::isReading() const -> bool {
-  return Impl->ReadingBody || (!Impl->Busy && !Impl->Stream->input().empty());
+  return Impl->Stage != implementation::read_stage::None ||
+         !Impl->Stream->input().empty();
 }
 
 auto server_connection::stateChangedAt() const -> steady_time {
   return Impl->StateChangedAt;
 }
 
-void server_connection::close() { Impl->Stream->close(); }
+void server_connection::close() {
+  clearPipeline(Impl->Pipeline, *Impl->Options.Budget);
+  Impl->Stream->close();
+}
 
 } // namespace sycamorelb::http
--- a/src/sidecar/call_dispatch.cpp
+++ b/src/sidecar/call_dispatch.cpp
@@ -249,8 +249,7 @@
 void entry::implementation::answerCall(const call_ref &Call,
                                        const http::response &Response,
                                        const char *Outcome) {
-  State.Loop.cancelTimer(Call->Timer);
-  Calls.erase(Call->Serial);
+  removeCall(*Call);
   auto Duration = State.Loop.now() - Call->ArrivedAt;
   ++State.Counters.Calls[Outcome];
   recordLatency(State.Counters.Latency[Call->Route->Name], Duration);
@@ -266,14 +265,9 @@
        {"bounces", std::int64_t{Call->Bounces}},
        {"body", static_cast<std::int64_t>(Call->Request.Body.size())},
        {"took_us", Duration.count()}});
-  auto Caller = Call->Caller.lock();
-  if (!Caller) {
-    return;
+  if (auto Caller = Call->Caller.lock()) {
+    Caller->respond(Call->Exchange, Response, State.Stopping);
   }
-  Caller->OnClosed = [this, Connection = Call->Caller] {
-    Connections.erase(Connection.lock());
-  };
-  Caller->respond(Response, State.Stopping);
 }
 
 void entry::implementation::cancelAttempt(const call_ref &Call) {
@@ -303,9 +297,32 @@
   refuseCall(Call, "time is over");
 }
 
+void entry::implementation::removeCall(const open_call &Call) {
+  State.Loop.cancelTimer(Call.Timer);
+  Calls.erase(Call.Serial);
+  auto Found = Connections.find(Call.Caller.lock());
+  if (Found != Connections.end()) {
+    Found->second.erase(Call.Serial);
+  }
+}
+
+void entry::implementation::handleConnectionClosed(
+    const std::shared_ptr<http::server_connection> &Connection) {
+  auto Found = Connections.find(Connection);
+  if (Found == Connections.end()) {
+    return;
+  }
+  auto Serials = std::move(Found->second);
+  Connections.erase(Found);
+  for (auto Serial : Serials) {
+    if (auto Open = Calls.find(Serial); Open != Calls.end()) {
+      handleCallerDisconnect(call_ref(Open->second));
+    }
+  }
+}
+
 void entry::implementation::handleCallerDisconnect(const call_ref &Call) {
-  State.Loop.cancelTimer(Call->Timer);
-  Calls.erase(Call->Serial);
+  removeCall(*Call);
   ++State.Counters.Calls["abandoned by caller"];
   State.Log.write(log_class::Decision, "call.abandoned",
                   {{"id", Call->Id.Value},
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -13,7 +13,7 @@
 /** Maximum number of times that a call is resumed after a lost connection. */
 static constexpr auto MaxResumes = std::uint32_t{2};
 
-/** Retry delay sent to callers during the last part of a shutdown. */
+/** Retry delay sent to callers whose calls might outlast a shutdown. */
 static constexpr auto StoppingRetryDelay = micros(250'000);
 
 /** Interval of the checks for connections that exceed their timeouts, and thus
@@ -41,55 +41,74 @@
 }
 
 void entry::implementation::accept(std::shared_ptr<event::stream> Stream) {
-  auto Limits = http::server_limits();
+  auto Options = http::server_options();
   if (State.Routes) {
-    Limits.MaxHeadBytes = State.Routes->config().Limits.MaxHeadBytes;
-    Limits.MaxBodyBytes = State.Routes->config().Limits.MaxBodyBytes;
+    Options.Limits.MaxHeadBytes = State.Routes->config().Limits.MaxHeadBytes;
+    Options.Limits.MaxBodyBytes = State.Routes->config().Limits.MaxBodyBytes;
   }
+  Options.Pipeline = State.Settings.Pipeline;
+  Options.Budget = Pipelining;
+  Options.MayRunBeside = [this](const http::request &Request) {
+    return mayRunBeside(Request);
+  };
   auto Connection = http::server_connection::create(
-      std::move(Stream), Limits,
+      std::move(Stream), std::move(Options),
       [this](const std::shared_ptr<http::server_connection> &Caller,
-             http::request Request) { beginCall(Caller, std::move(Request)); });
-  Connections.insert(Connection);
+             http::exchange_number Exchange, http::request Request) {
+        beginCall(Caller, Exchange, std::move(Request));
+      });
+  Connections.emplace(Connection, std::set<std::uint64_t>());
   auto Weak = std::weak_ptr<http::server_connection>(Connection);
-  Connection->OnClosed = [this, Weak] { Connections.erase(Weak.lock()); };
+  Connection->OnClosed = [this, Weak] { handleConnectionClosed(Weak.lock()); };
+}
+
+auto entry::implementation::mayRunBeside(const http::request &Request) const
+    -> bool {
+  const auto *Route =
+      State.Routes ? State.Routes->find(
+                         platform::decodeCallHeader(Request).Host, Request.Path)
+                   : nullptr;
+  return Route != nullptr && Route->Kind == mesh::call_kind::Idempotent;
 }
 
 void entry::implementation::rejectRequest(
     const std::shared_ptr<http::server_connection> &Caller,
-    const request_id &Id, int Status, std::optional<micros> RetryDelay,
-    const char *Reason) {
+    http::exchange_number Exchange, const request_id &Id, int Status,
+    std::optional<micros> RetryDelay, const char *Reason) {
   ++State.Counters.Calls[std::string("rejected: ") + Reason];
   State.Log.write(
       log_class::Decision, "call.rejected",
       {{"id", Id.Value}, {"status", std::int64_t{Status}}, {"reason", Reason}});
-  Caller->respond(platform::encodeLocalReply(Status, Id, RetryDelay, Reason),
+  Caller->respond(Exchange,
+                  platform::encodeLocalReply(Status, Id, RetryDelay, Reason),
                   State.Stopping);
 }
 
 void entry::implementation::beginCall(
     const std::shared_ptr<http::server_connection> &Caller,
-    http::request Request) {
+    http::exchange_number Exchange, http::request Request) {
   auto Now = State.Loop.now();
   auto Header = platform::decodeCallHeader(Request);
-  if (IsRefusingCalls) {
-    return rejectRequest(Caller, Header.Id, 503, StoppingRetryDelay,
-                         "stopping");
-  }
   if (!State.Routes) {
-    return rejectRequest(Caller, Header.Id, 503, DefaultRetryDelay,
+    return rejectRequest(Caller, Exchange, Header.Id, 503, DefaultRetryDelay,
                          "no configuration");
   }
   const auto *Route = State.Routes->find(Header.Host, Request.Path);
   if (Route == nullptr) {
     logMissingRoute(State, Header.Id);
-    return rejectRequest(Caller, Header.Id, 404, std::nullopt, "no route");
+    return rejectRequest(Caller, Exchange, Header.Id, 404, std::nullopt,
+                         "no route");
   }
   auto TimeLeft = std::min<micros>(Header.TimeLeft.value_or(Route->Timeout),
                                    Route->Timeout);
+  if (!endsBeforeStop(State, Now + TimeLeft)) {
+    return rejectRequest(Caller, Exchange, Header.Id, 503, StoppingRetryDelay,
+                         "stopping");
+  }
   auto Call = std::make_shared<open_call>();
   Call->Serial = NextNumber++;
   Call->Caller = Caller;
+  Call->Exchange = Exchange;
   Call->Id = Header.Id;
   Call->Request = std::move(Request);
   Call->Route = Route;
@@ -102,13 +121,8 @@
   Call->DeadlineAt = Now + TimeLeft;
   Call->PrefersCanary = takeCanaryTurn(State, Balancer, Call->Service);
   Calls.emplace(Call->Serial, Call);
+  Connections[Caller].insert(Call->Serial);
   auto Weak = std::weak_ptr<open_call>(Call);
-  Caller->OnClosed = [this, Weak, Connection = std::weak_ptr(Caller)] {
-    Connections.erase(Connection.lock());
-    if (auto Self = Weak.lock()) {
-      handleCallerDisconnect(Self);
-    }
-  };
   Call->Timer = State.Loop.addTimer(Call->DeadlineAt, [this, Weak] {
     if (auto Self = Weak.lock()) {
       handleTimeout(Self);
@@ -159,7 +173,7 @@
       State.Routes ? State.Routes->config().Limits : mesh::caller_limits();
   auto Now = State.Loop.now();
   auto Expired = std::vector<std::shared_ptr<http::server_connection>>();
-  for (const auto &Connection : Connections) {
+  for (const auto &[Connection, Serials] : Connections) {
     auto Age = Now - Connection->stateChangedAt();
     auto Limit =
         Connection->isReading() ? Limits.HeadTimeout * 2 : Limits.IdleTimeout;
@@ -177,7 +191,7 @@
 
 void entry::closeIdleConnections() {
   auto Idle = std::vector<std::shared_ptr<http::server_connection>>();
-  for (const auto &Connection : Impl->Connections) {
+  for (const auto &[Connection, Serials] : Impl->Connections) {
     if (!Connection->isBusy() && !Connection->isReading()) {
       Idle.push_back(Connection);
     }
@@ -188,7 +202,19 @@
   }
 }
 
-void entry::refuseNewCalls() { Impl->IsRefusingCalls = true; }
+void entry::endCalls() {
+  auto Calls = std::vector<call_ref>();
+  for (const auto &[Serial, Call] : Impl->Calls) {
+    Calls.push_back(Call);
+  }
+  for (const auto &Call : Calls) {
+    Impl->handleTimeout(Call);
+  }
+}
+
+auto entry::pipelining() const -> const http::pipeline_budget & {
+  return *Impl->Pipelining;
+}
 
 auto entry::openCalls() const -> std::size_t { return Impl->Calls.size(); }
 
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -31,10 +31,12 @@
   void handleLinkLost(const node_id &Node, bool Established);
   /** Closes idle connections of callers, as part of a shutdown. */
   void closeIdleConnections();
-  /** Refuses all further calls, as part of a shutdown. */
-  void refuseNewCalls();
+  /** Ends all calls in progress, as the last step of a shutdown. */
+  void endCalls();
   /** @return the number of calls in progress. */
   auto openCalls() const -> std::size_t;
+  /** @return counts of the pipelined requests of callers. */
+  auto pipelining() const -> const http::pipeline_budget &;
 
 private:
   struct implementation;
--- a/src/sidecar/entry_state.h
+++ b/src/sidecar/entry_state.h
@@ -23,6 +23,7 @@
   std::uint64_t Serial = 0;   // Key in implementation::Calls.
   inner::call_number Attempt; // Number of the attempt at Host.
   std::weak_ptr<http::server_connection> Caller;
+  http::exchange_number Exchange; // Number of the request at Caller.
   request_id Id;
   http::request Request;
   const mesh::route_rule *Route = nullptr;
@@ -49,27 +50,36 @@
 
 struct entry::implementation {
   implementation(node_state &State, admission &Admission, peer_links &Links)
-      : State(State), Admission(Admission), Links(Links) {}
+      : State(State), Admission(Admission), Links(Links) {
+    Pipelining->MaxHeldBytes = State.Settings.MaxHeldBytes;
+  }
 
   node_state &State;
   admission &Admission;
   peer_links &Links;
   balancer_state Balancer;
   std::unique_ptr<event::listener> Listener;
-  std::set<std::shared_ptr<http::server_connection>> Connections;
+  /** The connections of callers, with the serials of their open calls. */
+  std::map<std::shared_ptr<http::server_connection>, std::set<std::uint64_t>>
+      Connections;
+  /** Shared by all connections. */
+  std::shared_ptr<http::pipeline_budget> Pipelining =
+      std::make_shared<http::pipeline_budget>();
   std::unordered_map<std::uint64_t, call_ref> Calls;    // By Serial.
   std::unordered_map<std::uint64_t, call_ref> Attempts; // By Attempt.
   std::map<route_id, mesh::round_robin_state> RoundRobinStates;
   std::uint64_t NextNumber = 1;
-  bool IsRefusingCalls = false;
 
   void accept(std::shared_ptr<event::stream> Stream);
+  /** @return whether a request may run beside others of its connection. */
+  auto mayRunBeside(const http::request &Request) const -> bool;
   void beginCall(const std::shared_ptr<http::server_connection> &Caller,
-                 http::request Request);
+                 http::exchange_number Exchange, http::request Request);
   /** Responds with an error to a request for which no call is created. */
   void rejectRequest(const std::shared_ptr<http::server_connection> &Caller,
-                     const request_id &Id, int Status,
-                     std::optional<micros> RetryDelay, const char *Reason);
+                     http::exchange_number Exchange, const request_id &Id,
+                     int Status, std::optional<micros> RetryDelay,
+                     const char *Reason);
   void dispatchCall(const call_ref &Call);
   auto pickHost(const call_ref &Call) -> const mesh::host_record *;
   void sendAttempt(const call_ref &Call, const mesh::host_record &Host);
@@ -91,7 +101,11 @@
   void answerCall(const call_ref &Call, const http::response &Response,
                   const char *Outcome);
   void handleTimeout(const call_ref &Call);
+  void handleConnectionClosed(
+      const std::shared_ptr<http::server_connection> &Connection);
   void handleCallerDisconnect(const call_ref &Call);
+  /** Removes a call that ends. */
+  void removeCall(const open_call &Call);
   /** Cancels the attempt in progress, if any, at its node. */
   void cancelAttempt(const call_ref &Call);
   auto retryDelay(const open_call &Call) -> micros;
--- a/src/sidecar/http_endpoint.cpp
+++ b/src/sidecar/http_endpoint.cpp
@@ -22,13 +22,13 @@
     if (Connections.size() >= MaxConnections) {
       return Stream->close();
     }
-    auto Limits = http::server_limits();
-    Limits.MaxBodyBytes = MaxBodyBytes;
+    auto Options = http::server_options();
+    Options.Limits.MaxBodyBytes = MaxBodyBytes;
     auto Connection = http::server_connection::create(
-        std::move(Stream), Limits,
+        std::move(Stream), std::move(Options),
         [this](const std::shared_ptr<http::server_connection> &Caller,
-               const http::request &Request) {
-          Caller->respond(Handle(Request), false);
+               http::exchange_number Exchange, const http::request &Request) {
+          Caller->respond(Exchange, Handle(Request), false);
         });
     auto Weak = std::weak_ptr<http::server_connection>(Connection);
     Connection->OnClosed = [this, Weak] { Connections.erase(Weak.lock()); };
--- a/src/sidecar/node_counters.h
+++ b/src/sidecar/node_counters.h
@@ -46,6 +46,9 @@
   std::uint64_t Queued = 0;        ///< Calls queued for a slot.
   std::uint64_t OpenCalls = 0;     ///< Local callers' calls.
   std::uint64_t Suppressed = 0;    ///< Log lines dropped.
+  std::uint64_t Pipelined = 0;     ///< Requests begun beside earlier ones.
+  std::uint64_t HeldResponses = 0; ///< Responses that waited for earlier ones.
+  std::uint64_t HeldBytes = 0;     ///< Size of those that wait now.
   bool StoreLost = false;          ///< The store is unreachable.
 };
 
--- a/src/sidecar/state_view.cpp
+++ b/src/sidecar/state_view.cpp
@@ -47,7 +47,8 @@
   for (const auto &Zone : State.EvacuatedZones) {
     Json["evacuated"].push_back(Zone.Value);
   }
-  return Json.dump(2);
+  // Names from other writers may not be UTF-8.
+  return Json.dump(2, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 auto collectGauges(const state_view &View) -> node_gauges {
@@ -62,6 +63,9 @@
   Gauges.Running = View.Load.Running;
   Gauges.Queued = View.Load.Queued;
   Gauges.OpenCalls = View.OpenCalls;
+  Gauges.Pipelined = View.Pipelining.Pipelined;
+  Gauges.HeldResponses = View.Pipelining.HeldResponses;
+  Gauges.HeldBytes = View.Pipelining.HeldBytes;
   Gauges.Suppressed = State.Log.suppressed();
   Gauges.StoreLost = State.Own.StoreLost;
   return Gauges;
--- a/src/sidecar/state_view.h
+++ b/src/sidecar/state_view.h
@@ -3,6 +3,7 @@
 
 #include "sidecar/node_state.h"
 #include "sycamorelb/dispatch/pick.h"
+#include "sycamorelb/http/pipeline_type.h"
 
 #include <string>
 
@@ -10,9 +11,10 @@
 
 /** Input of the state dump and the gauges. */
 struct state_view {
-  const node_state &State;    ///< Shared state.
-  dispatch::load_report Load; ///< Load of the target.
-  std::size_t OpenCalls = 0;  ///< Open calls from callers on this host.
+  const node_state &State;          ///< Shared state.
+  dispatch::load_report Load;       ///< Load of the target.
+  std::size_t OpenCalls = 0;        ///< Open calls from callers on this host.
+  http::pipeline_budget Pipelining; ///< Their pipelined requests.
 };
 
 /** @return the state as JSON. */
--- a/test/http_connection_test.cpp
+++ b/test/http_connection_test.cpp
@@ -251,9 +251,9 @@
         Server = server_connection::create(
             std::move(Stream), {},
             [&](const std::shared_ptr<server_connection> &Caller,
-                const request &Request) {
+                exchange_number Exchange, const request &Request) {
               Seen.push_back(Request.Target + " " + Request.Body);
-              Caller->respond({200, "", {}, Request.Target}, false);
+              Caller->respond(Exchange, {200, "", {}, Request.Target}, false);
             });
       });
   auto Client = event::stream::connect(Loop, Address, millis(1000));
--- a/test/platform_document_test.cpp
+++ b/test/platform_document_test.cpp
@@ -282,6 +282,17 @@
   cr_assert(isOk(Settings));
   cr_assert_eq(valueOf(Settings).MetricsAddress.Port, 20);
   cr_assert_eq(valueOf(Settings).Bounds.StopGrace.count(), 6000);
+  auto Limited = Valid;
+  Limited.insert(1, R"("pipelining":{"requests":4,"hostBytes":9},)");
+  Settings = decodeSettings(Limited);
+  cr_assert(isOk(Settings));
+  cr_assert_eq(valueOf(Settings).Pipeline.MaxRequests, 4U);
+  cr_assert_eq(valueOf(Settings).MaxHeldBytes, 9U);
+  Limited = Valid;
+  Limited.insert(1, R"("pipelining":{"requests":"many"},)");
+  Settings = decodeSettings(Limited);
+  cr_assert_not(isOk(Settings));
+  cr_assert(errorOf(Settings).Message.starts_with("/pipelining/requests"));
   for (const auto *Name : {"nodeName", "application", "internalPortRange",
                            "gracePeriod", "outbound", "linkMbps"}) {
     auto Text = Valid;
--- a/test/store_sim.cpp
+++ b/test/store_sim.cpp
@@ -33,10 +33,11 @@
   auto Opened = event::listener::open(
       Loop, Address, [this, Node](std::shared_ptr<event::stream> Stream) {
         auto Connection = http::server_connection::create(
-            std::move(Stream), http::server_limits(),
+            std::move(Stream), http::server_options(),
             [this, Node](const connection &Caller,
+                         http::exchange_number Exchange,
                          const http::request &Request) {
-              handle(Node, Caller, Request);
+              handle(Node, Caller, Exchange, Request);
             });
         auto &Client = Clients[Node];
         Connection->OnClosed = [&Client, Weak = std::weak_ptr(Connection)] {
@@ -144,11 +145,13 @@
   Loop.cancelTimer(Poll.Timer);
   Polls.erase(Found);
   if (auto Connection = Poll.Connection.lock()) {
-    Connection->respond(renderRead(Poll.Topic, Poll.From), false);
+    Connection->respond(Poll.Exchange, renderRead(Poll.Topic, Poll.From),
+                        false);
   }
 }
 
 void store_stand_in::handle(int Node, const connection &Connection,
+                            http::exchange_number Exchange,
                             const http::request &Request) {
   auto Access = Clients[Node].Access;
   // A connection on which a response was lost returns nothing further.
@@ -159,11 +162,11 @@
     return;
   }
   if (Access == store_access::Refused) {
-    return Connection->respond({503, "", {}, ""}, false);
+    return Connection->respond(Exchange, {503, "", {}, ""}, false);
   }
   auto Topic = queryParameter(Request, "topic");
   if (Request.Path == "/log-newest") {
-    return Connection->respond(renderListing(Topic), false);
+    return Connection->respond(Exchange, renderListing(Topic), false);
   }
   if (Request.Path == "/log-append") {
     auto KeySize = static_cast<unsigned char>(Request.Body.at(4));
@@ -171,6 +174,7 @@
            Request.Body.substr(5U + KeySize));
     auto End = Topics[Topic].size();
     return Connection->respond(
+        Exchange,
         {200, "", {}, nlohmann::json{{"offset", End - 1}, {"end", End}}.dump()},
         false);
   }
@@ -179,7 +183,7 @@
   auto Id = NextPoll++;
   auto Timer = Loop.addTimer(Loop.now() + micros(Wait * 1000),
                              [this, Id] { answerPoll(Id); });
-  Polls.emplace(Id, poll{Node, Connection, Topic, From, Timer});
+  Polls.emplace(Id, poll{Node, Connection, Exchange, Topic, From, Timer});
   if (From < Topics[Topic].size()) {
     answerPoll(Id);
   }
--- a/test/store_sim.h
+++ b/test/store_sim.h
@@ -48,13 +48,14 @@
   struct poll {
     int Node;
     std::weak_ptr<http::server_connection> Connection;
+    http::exchange_number Exchange;
     std::string Topic;
     std::size_t From;
     event::timer_id Timer;
   };
 
   void handle(int Node, const connection &Connection,
-              const http::request &Request);
+              http::exchange_number Exchange, const http::request &Request);
   auto renderRead(const std::string &Topic, std::size_t From) const
       -> http::response;
   auto renderListing(const std::string &Topic) const -> http::response;
