Fix: [Rollout] A version without run times passed, and evidence died with processes

Cause, by reading: a Good verdict needed ten calls, timed or not. The calls of cold targets, and of targets whose node had just started, aren't timed, so a version that is several times slower could get all calls, and after the switch nothing was left to compare with if the nodes that had counted the old version's calls were killed: each report replaced the last one of its node. Change: Good needs the run times of both versions. A decider keeps what earlier processes and targets of a node counted (evidence_ledger; reports tell their start). If evidence is missing 1.2 s after the switch, the version is rolled back. The codec of gossip is a file of its own. Ruled out: a node that doesn't know the order sends nothing to the new version.

--- a/include/sycamorelb/inner/mesh_message_type.h
+++ b/include/sycamorelb/inner/mesh_message_type.h
@@ -8,6 +8,7 @@
 #include "sycamorelb/mesh/config_type.h"
 #include "sycamorelb/mesh/host_table.h"
 #include "sycamorelb/mesh/operator_table.h"
+#include "sycamorelb/rollout/evidence_type.h"
 #include "sycamorelb/rollout/rollout_type.h"
 
 #include <cstdint>
@@ -80,6 +81,7 @@
   service_id Service;                 ///< Service that is rolled out.
   log_offset OrderOffset{0};          ///< Log offset of the rollout order.
   version_id Version;                 ///< Version of the target on the node.
+  rollout::evidence_start Start;      ///< Since when it counts.
   rollout::version_evidence Evidence; ///< Statistics since the order.
 };
 
--- a/include/sycamorelb/rollout/rollout_type.h
+++ b/include/sycamorelb/rollout/rollout_type.h
@@ -57,7 +57,8 @@
 /**
  * Compares a new version with the old one, on each route and over all routes.
  * @return Bad if the new version fails clearly more often, or takes much longer
- * on a route; Good if it is not bad and has enough calls; Unclear otherwise.
+ * on a route; Good if it is not bad, has enough calls and the run times of both
+ * versions are known; Unclear otherwise.
  */
 auto judge(const version_evidence &New, const version_evidence &Old) -> verdict;
 
--- a/src/inner/mesh.capnp
+++ b/src/inner/mesh.capnp
@@ -124,6 +124,8 @@
   orderOffset @2 :UInt64;
   version @3 :Text;
   tallies @4 :List(Tally);
+  incarnation @5 :UInt64;   # Of the process that counted.
+  targetStart @6 :UInt64;   # Number of the target among those of that process.
 }
 
 struct Gossip {
--- a/src/inner/mesh_codec.cpp
+++ b/src/inner/mesh_codec.cpp
@@ -1,7 +1,7 @@
 /** @file mesh_codec.cpp Encoding of mesh messages as Cap'n Proto. */
 #include "sycamorelb/inner/mesh_message_type.h"
 
-#include "mesh.capnp.h"
+#include "inner/gossip_codec.h"
 
 #include <algorithm>
 #include <capnp/message.h>
@@ -14,21 +14,6 @@
 
 /** Size of the length prefix of a message. */
 constexpr auto LengthBytes = std::size_t{4};
-/** Longest node name. */
-constexpr auto MaxNameBytes = std::size_t{4096};
-
-auto textOf(capnp::Text::Reader Text) -> std::string {
-  return {Text.begin(), Text.size()};
-}
-
-auto dataOf(capnp::Data::Reader Data) -> std::string {
-  return {Data.asChars().begin(), Data.size()};
-}
-
-auto asData(std::string_view Text) -> capnp::Data::Reader {
-  return {reinterpret_cast<const kj::byte *>(Text.data()), Text.size()};
-}
-
 template <class Builder>
 void writeHeaders(Builder Out, const proxy::header_list &Headers) {
   for (auto Index = 0U; Index < Headers.size(); ++Index) {
@@ -108,9 +93,9 @@
   Message.Kind = static_cast<mesh::call_kind>(std::min<std::uint16_t>(
       In.getKind(), static_cast<std::uint16_t>(mesh::call_kind::Upload)));
   Message.Priority = In.getPriority();
-  Message.TimeToStartOnTime = micros(In.getOnTimeMicros());
-  Message.TimeToLatestStart = micros(In.getStartMicros());
-  Message.TimeLeft = micros(In.getLeftMicros());
+  Message.TimeToStartOnTime = timeOf(In.getOnTimeMicros());
+  Message.TimeToLatestStart = timeOf(In.getStartMicros());
+  Message.TimeLeft = timeOf(In.getLeftMicros());
   Message.Notice = readNotice(In.getNotice());
   return Message;
 }
@@ -180,203 +165,6 @@
   return Message;
 }
 
-void writeHost(mesh_wire::Host::Builder Out, const mesh::host_record &Host) {
-  Out.setNode(Host.Node.Value);
-  Out.setPeer(event::formatEndpoint(Host.Peer));
-  Out.setZone(Host.Zone.Value);
-  Out.setIncarnation(Host.Incarnation);
-  Out.setRevision(Host.Revision);
-  Out.setStoreLost(Host.StoreLost);
-  Out.setLeaving(Host.Leaving);
-  Out.setCapable(Host.ReaderCapable);
-  Out.setTargetId(Host.Target.Id.Value);
-  Out.setBornAt(Host.Target.StartedAtMs);
-  Out.setService(Host.Target.Service.Value);
-  Out.setVersion(Host.Target.Version.Value);
-  Out.setSlots(Host.Target.Slots);
-  Out.setState(static_cast<std::uint16_t>(Host.Target.State));
-}
-
-/** @return the record, or nothing if its name or address is invalid. */
-auto readHost(mesh_wire::Host::Reader In) -> std::optional<mesh::host_record> {
-  auto Peer = event::parseEndpoint(textOf(In.getPeer()));
-  if (In.getNode().size() == 0 || In.getNode().size() > MaxNameBytes ||
-      !isOk(Peer)) {
-    return std::nullopt;
-  }
-  auto Host = mesh::host_record();
-  Host.Node.Value = textOf(In.getNode());
-  Host.Peer = valueOf(Peer);
-  Host.Zone.Value = textOf(In.getZone());
-  Host.Incarnation = In.getIncarnation();
-  Host.Revision = In.getRevision();
-  Host.StoreLost = In.getStoreLost();
-  Host.Leaving = In.getLeaving();
-  Host.ReaderCapable = In.getCapable();
-  Host.Target.Id.Value = textOf(In.getTargetId());
-  Host.Target.StartedAtMs = In.getBornAt();
-  Host.Target.Service.Value = textOf(In.getService());
-  Host.Target.Version.Value = textOf(In.getVersion());
-  Host.Target.Slots = In.getSlots();
-  Host.Target.State = static_cast<mesh::target_state>(std::min<std::uint16_t>(
-      In.getState(), static_cast<std::uint16_t>(mesh::target_state::Gone)));
-  return Host;
-}
-
-void writeEvidence(mesh_wire::Evidence::Builder Out,
-                   const rollout_evidence_report &Report) {
-  Out.setNode(Report.Node.Value);
-  Out.setService(Report.Service.Value);
-  Out.setOrderOffset(Report.OrderOffset.Value);
-  Out.setVersion(Report.Version.Value);
-  auto Tallies = Out.initTallies(static_cast<unsigned>(Report.Evidence.size()));
-  auto Index = 0U;
-  for (const auto &[Route, Tally] : Report.Evidence) {
-    auto Item = Tallies[Index++];
-    Item.setRoute(Route.Value);
-    Item.setCalls(Tally.Calls);
-    Item.setFailures(Tally.Failures);
-    Item.setTimed(Tally.TimedCalls);
-    Item.setRunMicros(Tally.RunMicros);
-  }
-}
-
-auto readEvidence(mesh_wire::Evidence::Reader In) -> rollout_evidence_report {
-  auto Report = rollout_evidence_report();
-  Report.Node.Value = textOf(In.getNode());
-  Report.Service.Value = textOf(In.getService());
-  Report.OrderOffset.Value = In.getOrderOffset();
-  Report.Version.Value = textOf(In.getVersion());
-  for (auto Item : In.getTallies()) {
-    Report.Evidence[route_id{textOf(Item.getRoute())}] = {
-        Item.getCalls(), Item.getFailures(), Item.getTimed(),
-        Item.getRunMicros()};
-  }
-  return Report;
-}
-
-void writeRecords(mesh_wire::Gossip::Builder Out,
-                  const std::vector<mesh::operator_record> &Records) {
-  auto List = Out.initRecords(static_cast<unsigned>(Records.size()));
-  for (auto Index = 0U; Index < Records.size(); ++Index) {
-    List[Index].setKey(Records[Index].Key);
-    List[Index].setOffset(Records[Index].Offset.Value);
-    List[Index].setDropped(Records[Index].Dropped);
-    List[Index].setValue(asData(Records[Index].Value));
-    List[Index].setCompressed(Records[Index].Compressed);
-    if (Records[Index].Base) {
-      List[Index].setBaseAfter(Records[Index].Base->Value + 1);
-    }
-  }
-}
-
-void writeRollouts(mesh_wire::Gossip::Builder Out,
-                   const std::vector<rollout::rollout_state> &Rollouts,
-                   steady_time Now) {
-  auto List = Out.initRollouts(static_cast<unsigned>(Rollouts.size()));
-  for (auto Index = 0U; Index < Rollouts.size(); ++Index) {
-    List[Index].setService(Rollouts[Index].Order.Service.Value);
-    List[Index].setOrderOffset(Rollouts[Index].OrderOffset.Value);
-    List[Index].setVersion(Rollouts[Index].Order.Version.Value);
-    List[Index].setStage(static_cast<std::uint16_t>(Rollouts[Index].Stage));
-    List[Index].setElapsedMicros((Now - Rollouts[Index].SeenAt).count());
-  }
-}
-
-void writeGossip(mesh_wire::Gossip::Builder Out, const gossip_message &Message,
-                 steady_time Now) {
-  writeHost(Out.initSender(), Message.Sender);
-  Out.setOperatorEnd(Message.OperatorEnd.Value);
-  Out.setHostDigest(Message.HostDigest);
-  auto Hosts = Out.initHosts(static_cast<unsigned>(Message.Hosts.size()));
-  for (auto Index = 0U; Index < Message.Hosts.size(); ++Index) {
-    writeHost(Hosts[Index], Message.Hosts[Index]);
-  }
-  writeRecords(Out, Message.Records);
-  writeRollouts(Out, Message.Rollouts, Now);
-  auto Summary = Out.initSummary(static_cast<unsigned>(Message.Summary.size()));
-  for (auto Index = 0U; Index < Message.Summary.size(); ++Index) {
-    Summary[Index].setNode(Message.Summary[Index].Node.Value);
-    Summary[Index].setIncarnation(Message.Summary[Index].Incarnation);
-    Summary[Index].setRevision(Message.Summary[Index].Revision);
-  }
-  Out.setRecordsFrom(Message.RecordsFrom.Value);
-  Out.setReader(Message.StoreAge.has_value());
-  Out.setStoreAgeMicros(Message.StoreAge.value_or(micros(0)).count());
-  Out.setRelay(Message.RelayToZone);
-  Out.setWantHosts(Message.WantHosts);
-  Out.setWantRecords(Message.WantRecords);
-  auto Evidence =
-      Out.initEvidence(static_cast<unsigned>(Message.Evidence.size()));
-  for (auto Index = 0U; Index < Message.Evidence.size(); ++Index) {
-    writeEvidence(Evidence[Index], Message.Evidence[Index]);
-  }
-}
-
-/** @return the rollout, or nothing if its stage is unknown. */
-auto readRollout(mesh_wire::Rollout::Reader In, steady_time Now)
-    -> std::optional<rollout::rollout_state> {
-  auto Rollout = rollout::rollout_state();
-  Rollout.Order.Service.Value = textOf(In.getService());
-  Rollout.OrderOffset.Value = In.getOrderOffset();
-  Rollout.Order.Version.Value = textOf(In.getVersion());
-  Rollout.SeenAt = Now - micros(In.getElapsedMicros());
-  if (In.getStage() < static_cast<int>(rollout::rollout_stage::Canary) ||
-      In.getStage() > static_cast<int>(rollout::rollout_stage::Completed)) {
-    return std::nullopt;
-  }
-  Rollout.Stage = static_cast<rollout::rollout_stage>(In.getStage());
-  return Rollout;
-}
-
-/** @return the message, or nothing if its sender is invalid. Invalid host and
- * rollout entries are skipped. */
-auto readGossip(mesh_wire::Gossip::Reader In, steady_time Now)
-    -> std::optional<gossip_message> {
-  auto Message = gossip_message();
-  auto Sender = readHost(In.getSender());
-  if (!Sender) {
-    return std::nullopt;
-  }
-  Message.Sender = *Sender;
-  Message.OperatorEnd.Value = In.getOperatorEnd();
-  Message.HostDigest = In.getHostDigest();
-  for (auto Item : In.getHosts()) {
-    if (auto Host = readHost(Item)) {
-      Message.Hosts.push_back(std::move(*Host));
-    }
-  }
-  for (auto Item : In.getRecords()) {
-    auto Record = mesh::operator_record{
-        textOf(Item.getKey()),   {Item.getOffset()}, Item.getDropped(),
-        dataOf(Item.getValue()), std::nullopt,       Item.getCompressed()};
-    if (Item.getBaseAfter() > 0) {
-      Record.Base = log_offset{Item.getBaseAfter() - 1};
-    }
-    Message.Records.push_back(std::move(Record));
-  }
-  for (auto Item : In.getRollouts()) {
-    if (auto Rollout = readRollout(Item, Now)) {
-      Message.Rollouts.push_back(std::move(*Rollout));
-    }
-  }
-  for (auto Item : In.getSummary()) {
-    Message.Summary.push_back(
-        {{textOf(Item.getNode())}, Item.getIncarnation(), Item.getRevision()});
-  }
-  Message.RecordsFrom.Value = In.getRecordsFrom();
-  if (In.getReader()) {
-    Message.StoreAge = std::max(micros(0), micros(In.getStoreAgeMicros()));
-  }
-  Message.RelayToZone = In.getRelay();
-  Message.WantHosts = In.getWantHosts();
-  Message.WantRecords = In.getWantRecords();
-  for (auto Item : In.getEvidence()) {
-    Message.Evidence.push_back(readEvidence(Item));
-  }
-  return Message;
-}
-
 /** Writes a mesh_message into the union of the Cap'n Proto message. */
 struct message_writer {
   mesh_wire::Message::Builder Out;
@@ -417,7 +205,7 @@
     return cancel_message{{In.getCancel()}};
   case mesh_wire::Message::RESUME:
     return resume_message{{In.getResume().getCall()},
-                          micros(In.getResume().getAgeMicros())};
+                          timeOf(In.getResume().getAgeMicros())};
   case mesh_wire::Message::GOSSIP:
     if (auto Gossip = readGossip(In.getGossip(), Now)) {
       return std::move(*Gossip);
--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -16,6 +16,9 @@
 /** Minimum time for which the new version gets all calls before the rollout
  * completes and the old targets may stop. */
 static constexpr auto MinSwitchTime = micros(2'200'000);
+/** Time for which a decider accepts that evidence is missing after the switch.
+ */
+static constexpr auto MaxUnclearTime = micros(1'200'000);
 /** Minimum slots of the new version for the switch, as a share of the old
  * version's slots. */
 static constexpr auto MinSlotShare = 0.6;
@@ -30,7 +33,8 @@
 /** Mean run time relative to the old version above which the new version is
  * bad. */
 static constexpr auto SlowFactor = 2.5;
-/** Minimum number of timed calls of each version to compare run times. */
+/** Minimum number of timed calls of each version to compare run times, and for
+ * a Good verdict. */
 static constexpr auto MinTimedCalls = std::uint32_t{6};
 /** Minimum failures and failure share in the brake window at which a node
  * stops a version on its own. */
@@ -99,11 +103,16 @@
     NewAll.Failures += Tally.Failures;
     OldAll.Calls += OldTally.Calls;
     OldAll.Failures += OldTally.Failures;
+    NewAll.TimedCalls += Tally.TimedCalls;
+    OldAll.TimedCalls += OldTally.TimedCalls;
   }
   if (isFailing(NewAll, OldAll)) {
     return verdict::Bad;
   }
-  return NewAll.Calls >= MinGoodCalls ? verdict::Good : verdict::Unclear;
+  auto CanCompareTimes =
+      NewAll.TimedCalls >= MinTimedCalls && OldAll.TimedCalls >= MinTimedCalls;
+  return NewAll.Calls >= MinGoodCalls && CanCompareTimes ? verdict::Good
+                                                         : verdict::Unclear;
 }
 
 auto decideRollout(const rollout_state &State, const rollout_inputs &Inputs)
@@ -114,6 +123,12 @@
     return rollout_step::RollBack;
   }
   if (State.Stage == rollout_stage::Switching) {
+    if (Inputs.Verdict != verdict::Good) {
+      // The evidence is lost, so a bad version would not be noticed. A node
+      // that has just started gets its evidence first.
+      return Inputs.SinceSwitch >= MaxUnclearTime ? rollout_step::RollBack
+                                                  : rollout_step::Wait;
+    }
     auto Settled = Inputs.SinceSwitch >= MinSwitchTime;
     return Settled && ElapsedShare >= CompleteShare ? rollout_step::Complete
                                                     : rollout_step::Wait;
--- a/src/sidecar/admission.h
+++ b/src/sidecar/admission.h
@@ -81,6 +81,8 @@
   auto load() const -> dispatch::load_report;
   /** @return the number of running and queued calls. */
   auto pendingCalls() const -> std::size_t;
+  /** @return the number of different targets so far. */
+  auto targetStarts() const -> std::uint64_t;
   /** @return call statistics of the target by route, since the newest rollout
    * of its service. */
   auto evidence() const -> const rollout::version_evidence &;
--- a/src/sidecar/rollout_control.cpp
+++ b/src/sidecar/rollout_control.cpp
@@ -33,7 +33,7 @@
     bool WriteInProgress = false; // A store call is pending.
     bool RunningReported = false; // Status in the store: running.
     bool FinalReported = false;   // Status in the store: the outcome.
-    std::map<node_id, rollout_evidence_report> Reports;
+    rollout::evidence_ledger Ledger;
   };
 
   node_state &State;
@@ -43,6 +43,11 @@
   std::map<service_id, order_progress> ProgressByService;
   bool TickScheduled = false;
 
+  static void recordReport(order_progress &Progress,
+                           const rollout_evidence_report &Report) {
+    rollout::recordEvidence(Progress.Ledger, Report.Node,
+                            {Report.Start, Report.Version, Report.Evidence});
+  }
   auto selectDeciders(const service_id &Service) const -> std::vector<node_id>;
   auto progressOf(const rollout::rollout_state &Rollout) -> order_progress &;
   void scheduleTick();
@@ -148,12 +153,16 @@
   if (Rollout.Order.Service != State.Settings.Service) {
     return;
   }
-  auto Report = rollout_evidence_report{
-      State.Own.Node, Rollout.Order.Service, Rollout.OrderOffset,
-      State.Own.Target.Version, Admission.evidence()};
+  auto Report =
+      rollout_evidence_report{State.Own.Node,
+                              Rollout.Order.Service,
+                              Rollout.OrderOffset,
+                              State.Own.Target.Version,
+                              {State.Own.Incarnation, Admission.targetStarts()},
+                              Admission.evidence()};
   for (const auto &Decider : Deciders) {
     if (Decider == State.Own.Node) {
-      progressOf(Rollout).Reports[State.Own.Node] = Report;
+      recordReport(progressOf(Rollout), Report);
     } else {
       Gossip.sendEvidence(Decider, Report);
     }
@@ -179,13 +188,8 @@
       (IsNew ? Inputs.NewSlots : Inputs.OldSlots) += Target.Slots;
     }
   }
-  auto New = rollout::version_evidence();
-  auto Old = rollout::version_evidence();
-  for (const auto &[Node, Report] : Progress.Reports) {
-    auto IsNew = Report.Version == Rollout.Order.Version;
-    rollout::addEvidence(IsNew ? New : Old, Report.Evidence);
-  }
-  Inputs.Verdict = rollout::judge(New, Old);
+  auto Sums = rollout::sumEvidence(Progress.Ledger, Rollout.Order.Version);
+  Inputs.Verdict = rollout::judge(Sums.New, Sums.Old);
   return Inputs;
 }
 
@@ -371,7 +375,7 @@
   auto Found = Impl->State.Rollouts.find(Report.Service);
   if (Found != Impl->State.Rollouts.end() &&
       Found->second.OrderOffset == Report.OrderOffset) {
-    Impl->progressOf(Found->second).Reports[Report.Node] = Report;
+    implementation::recordReport(Impl->progressOf(Found->second), Report);
   }
 }
 
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -1,4 +1,5 @@
 /** @file rollout_test.cpp Tests of the decisions on version rollouts. */
+#include "sycamorelb/rollout/evidence_type.h"
 #include "sycamorelb/rollout/rollout_type.h"
 
 #include <criterion/criterion.h>
@@ -43,6 +44,66 @@
   cr_assert(judge(New, Old) == verdict::Good);
 }
 
+// Guards against moving all calls to a slow version whose few calls were not
+// timed, as its targets were cold, or as their nodes had just started.
+Test(rollout, version_without_run_times_is_unclear) {
+  auto Old = version_evidence{{{"a"}, tally(500, 2, 100)}};
+  auto Untimed = version_evidence{{{"a"}, {30, 0, 2, 1'600'000}}};
+  cr_assert(judge(Untimed, Old) == verdict::Unclear);
+  auto New = version_evidence{{{"a"}, tally(30, 0, 100)}};
+  cr_assert(judge(New, Old) == verdict::Good);
+  // Nothing to compare with.
+  cr_assert(judge(New, {{{"a"}, {500, 2, 0, 0}}}) == verdict::Unclear);
+}
+
+// Guards against losing what a process counted when it is killed: its next
+// report replaced the last one, and a bad version became unclear or good.
+Test(rollout, evidence_of_an_ended_process_is_kept) {
+  auto Ledger = evidence_ledger();
+  auto Slow = version_evidence{{{"a"}, tally(10, 0, 800)}};
+  auto Few = version_evidence{{{"a"}, tally(1, 0, 800)}};
+  auto Old = version_evidence{{{"a"}, tally(100, 0, 100)}};
+  recordEvidence(Ledger, {"new"}, {{1, 1}, {"v2"}, Few});
+  recordEvidence(Ledger, {"new"}, {{1, 1}, {"v2"}, Slow});
+  recordEvidence(Ledger, {"old"}, {{1, 1}, {"v1"}, Old});
+  auto Judge = [&Ledger] {
+    auto Sums = sumEvidence(Ledger, {"v2"});
+    return judge(Sums.New, Sums.Old);
+  };
+  cr_assert(Judge() == verdict::Bad);
+  recordEvidence(Ledger, {"new"}, {{2, 1}, {"v2"}, {}});
+  recordEvidence(Ledger, {"old"}, {{1, 2}, {"v1"}, {}});
+  cr_assert(Judge() == verdict::Bad);
+  // A report of an earlier start that arrives late counts once only.
+  recordEvidence(Ledger, {"new"}, {{1, 1}, {"v2"}, Slow});
+  auto Sums = sumEvidence(Ledger, {"v2"});
+  cr_assert_eq(Sums.New.at({"a"}).Calls, 10U);
+  cr_assert_eq(Sums.Old.at({"a"}).Calls, 100U);
+}
+
+// Guards against sums that depend on when processes end: the sum is that of the
+// last report of each start.
+Test(rollout, evidence_counts_each_start_once) {
+  cr_assert(rc::check("starts", [] {
+    auto Ledger = evidence_ledger();
+    auto Expected = std::uint32_t{0};
+    auto Starts = *rc::gen::inRange(1, 6);
+    for (auto Start = 1; Start <= Starts; ++Start) {
+      auto Calls = std::uint32_t{0};
+      auto Reports = *rc::gen::inRange(1, 4);
+      for (auto Report = 0; Report < Reports; ++Report) {
+        Calls += *rc::gen::inRange(0U, 9U);
+        auto Evidence = version_evidence{{{"a"}, {Calls, 0, 0, 0}}};
+        recordEvidence(
+            Ledger, {"n"},
+            {{static_cast<std::uint64_t>(Start), 1}, {"v2"}, Evidence});
+      }
+      Expected += Calls;
+    }
+    RC_ASSERT(sumEvidence(Ledger, {"v2"}).New[{"a"}].Calls == Expected);
+  }));
+}
+
 // Guards against a verdict from too few calls.
 Test(rollout, few_calls_are_unclear) {
   auto New = version_evidence{{{"a"}, tally(4, 1, 100)}};
@@ -80,6 +141,12 @@
   auto Inputs = rollout_inputs();
   Inputs.Verdict = verdict::Bad;
   cr_assert(decideRollout(State, Inputs) == rollout_step::RollBack);
+  // After the switch, evidence that is lost doesn't come back.
+  Inputs.Verdict = verdict::Unclear;
+  Inputs.SinceSwitch = micros(800'000);
+  cr_assert(decideRollout(State, Inputs) == rollout_step::Wait);
+  Inputs.SinceSwitch = micros(2'000'000);
+  cr_assert(decideRollout(State, Inputs) == rollout_step::RollBack);
   State.Stage = rollout_stage::Canary;
   Inputs.Verdict = verdict::Unclear;
   Inputs.Elapsed = micros(12'500'000);
