Fix: [Sidecar] Calls taken late in a planned stop were cut at its end

Report of other operators: in a planned stop, requests that came late in the grace were passed on and cut at its end. Here a node took calls until 3 s after the signal, whatever their deadline, and its target took those of other nodes until they heard that it leaves; the process ended 0.3 s before its grace does. Change: while it stops, a node takes a call, its own callers' or another node's, only if its deadline leaves time to answer; others are refused at once as not run. Calls that a target makes for a run in progress are taken as long as they fit, not only in the first 3 s. Calls from before the signal that outlast the grace get an answer instead of a cut.

--- a/include/sycamorelb/sidecar/sidecar.h
+++ b/include/sycamorelb/sidecar/sidecar.h
@@ -5,6 +5,7 @@
 #include "sycamorelb/event/loop.h"
 #include "sycamorelb/sidecar/settings_type.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -41,10 +42,14 @@
   /** Starts the protocols with the store and the other nodes; run() does so
    * itself. */
   void start();
-  /** Runs until SIGTERM or SIGINT, then shuts down gracefully: reports not
-   * ready, still accepts new calls for a while, finishes the calls in progress,
-   * and returns when none is left or the grace period is nearly over. */
+  /** Runs until SIGTERM or SIGINT, then shuts down gracefully, see stop(). */
   void run();
+  /** Begins a graceful shutdown: reports not ready, still accepts calls that
+   * end in time, and finishes the calls in progress. Does nothing if one has
+   * begun.
+   * @param OnStopped called when no call is left or the grace period is nearly
+   * over. */
+  void stop(std::function<void()> OnStopped);
 
 private:
   struct implementation;
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -242,6 +242,9 @@
   if (Call->DeadlineAt <= Now) {
     return Impl->refuseCall(*Call, "deadline passed on the way");
   }
+  if (!endsBeforeStop(State, Call->DeadlineAt)) {
+    return Impl->refuseCall(*Call, "node stopping");
+  }
   if (!Impl->Queue.push(Waiting, Impl->capacity(), Now)) {
     return Impl->refuseCall(*Call, "no room in time");
   }
@@ -416,6 +419,10 @@
   return Impl->Running + Impl->Queue.size();
 }
 
+auto admission::targetStarts() const -> std::uint64_t {
+  return Impl->TargetStarts;
+}
+
 auto admission::evidence() const -> const rollout::version_evidence & {
   return Impl->Evidence;
 }
--- a/src/sidecar/node_state.cpp
+++ b/src/sidecar/node_state.cpp
@@ -25,6 +25,13 @@
                       this->Settings.CpuShare >= MinReaderCpuShare;
 }
 
+/** Time for an answer at the deadline to reach the caller. */
+static constexpr auto AnswerTime = micros(100'000);
+
+auto endsBeforeStop(const node_state &State, steady_time DeadlineAt) -> bool {
+  return DeadlineAt <= State.StopEndsAt - AnswerTime;
+}
+
 auto findRollout(const node_state &State, const service_id &Service)
     -> const rollout::rollout_state * {
   auto Found = State.Rollouts.find(Service);
--- a/src/sidecar/node_state.h
+++ b/src/sidecar/node_state.h
@@ -55,13 +55,19 @@
   std::map<service_id, rollout::rollout_state> Rollouts;
   /** Rollout progress received from peers before the order itself. */
   std::map<service_id, rollout::rollout_state> EarlyProgress;
-  steady_time StartedAt{};      ///< Start of this process.
-  bool Stopping = false;        ///< A stop signal arrived.
+  steady_time StartedAt{}; ///< Start of this process.
+  bool Stopping = false;   ///< A stop signal arrived.
+  /** While stopping: when the process ends at the latest. */
+  steady_time StopEndsAt = steady_time::max();
   double LinkUtilization = 0;   ///< Moving average of link utilization, 0 to 1.
   double BulkShare = 1;         ///< Share of large requests this host accepts.
   bool MeshTopicListed = false; ///< The mesh topic was listed once.
 };
 
+/** @return whether a call with this deadline gets its answer before a stop in
+ * progress ends the process; true without one. */
+auto endsBeforeStop(const node_state &State, steady_time DeadlineAt) -> bool;
+
 /** @return the newest rollout of a service, or null. */
 auto findRollout(const node_state &State, const service_id &Service)
     -> const rollout::rollout_state *;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -35,9 +35,10 @@
  * suspended. */
 static constexpr auto PauseThreshold = micros(1'500'000);
 
-/** Time after a stop signal during which new calls from callers are accepted:
- * readiness is probed once a second, and a node counts as not ready after two
- * failed probes. */
+/** Time after a stop signal before which the process doesn't end: readiness is
+ * probed once a second, and a node counts as not ready after two failed probes.
+ * Calls are accepted as long as they end before the process does; those that
+ * the target makes for calls in progress come late. */
 static constexpr auto CallerAcceptPeriod = micros(3'000'000);
 
 /** Time after a stop signal during which other nodes may still forward calls
@@ -262,7 +263,7 @@
 }
 
 auto sidecar::implementation::stateView() const -> state_view {
-  return {State, Admission.load(), Entry.openCalls()};
+  return {State, Admission.load(), Entry.openCalls(), Entry.pipelining()};
 }
 
 auto sidecar::implementation::answerMetrics(const http::request &Request)
@@ -387,12 +388,15 @@
                    {"needs_restart", std::int64_t{NeedsRestart ? 1 : 0}}});
 }
 
-void sidecar::implementation::beginStop() {
+void sidecar::implementation::beginStop(std::function<void()> Finish) {
   if (State.Stopping) {
     return;
   }
+  OnStopped = std::move(Finish);
   State.Stopping = true;
   StopRequestedAt = Loop.now();
+  State.StopEndsAt =
+      StopRequestedAt + micros(State.Settings.Bounds.StopGrace) - StopMargin;
   State.Log.write(
       log_class::State, "process.stopping",
       {{"open_calls", static_cast<std::int64_t>(Entry.openCalls())},
@@ -410,19 +414,17 @@
   if (Elapsed >= IdleCloseDelay) {
     Entry.closeIdleConnections();
   }
-  if (Elapsed >= CallerAcceptPeriod) {
-    Entry.refuseNewCalls();
-  }
   auto AllCallsEnded = Entry.openCalls() == 0 && Admission.pendingCalls() == 0;
-  auto MaxStopTime = micros(State.Settings.Bounds.StopGrace) - StopMargin;
-  if ((Elapsed >= CallerAcceptPeriod && AllCallsEnded) ||
-      Elapsed >= MaxStopTime) {
+  auto IsOver = Loop.now() >= State.StopEndsAt;
+  if ((Elapsed >= CallerAcceptPeriod && AllCallsEnded) || IsOver) {
     State.Log.write(
         log_class::State, "process.stopped",
         {{"after_us", Elapsed.count()},
          {"open_calls", static_cast<std::int64_t>(Entry.openCalls())}});
+    // These began before the stop; their callers get an answer all the same.
+    Entry.endCalls();
     State.Log.flush();
-    return Loop.stop();
+    return OnStopped();
   }
   Loop.addTimer(Loop.now() + StopCheckInterval, [this] { checkStop(); });
 }
@@ -466,10 +468,15 @@
   Self.measureLink();
 }
 
+void sidecar::stop(std::function<void()> OnStopped) {
+  Impl->beginStop(std::move(OnStopped));
+}
+
 void sidecar::run() {
   auto &Self = *Impl;
   Self.Signals = std::make_unique<signal_events>(
-      Self.Loop, [&Self] { Self.beginStop(); }, [&Self] { Self.reload(); });
+      Self.Loop, [&Self] { Self.beginStop([&Self] { Self.Loop.stop(); }); },
+      [&Self] { Self.reload(); });
   start();
   Self.Loop.run();
 }
--- a/src/sidecar/sidecar_state.h
+++ b/src/sidecar/sidecar_state.h
@@ -57,6 +57,7 @@
   std::unique_ptr<http_endpoint> MetricsEndpoint;
   std::unique_ptr<signal_events> Signals;
   steady_time StopRequestedAt{};
+  std::function<void()> OnStopped; // Ends the process.
   steady_time TickDue{};
   int TickCount = 0;
   timespec SettingsModifiedAt{};
@@ -99,7 +100,7 @@
   void measureLink();
   void reloadIfChanged();
   void reload();
-  void beginStop();
+  void beginStop(std::function<void()> Finish);
   void checkStop();
   auto stateView() const -> state_view;
 };
--- a/test/sidecar_sim.cpp
+++ b/test/sidecar_sim.cpp
@@ -11,7 +11,6 @@
 
 /** Time after which the kernel closes a connection whose peer is cut off. */
 static constexpr auto KernelTimeout = micros(3'000'000);
-static constexpr auto CallTimeout = micros(1'000'000);
 static constexpr auto UnchangedRoutes = 20;
 static constexpr auto OperatorTopic = "keyed.op";
 
@@ -96,8 +95,6 @@
   }
 }
 
-/** Time that a target runs a call. */
-static constexpr auto TargetRunTime = micros(20'000);
 static constexpr auto HeartbeatInterval = micros(1'000'000);
 static constexpr auto TargetSlots = 9;
 
@@ -111,9 +108,10 @@
   auto Opened = event::listener::open(
       Loop, Address, [this](std::shared_ptr<event::stream> Stream) {
         auto Connection = http::server_connection::create(
-            std::move(Stream), http::server_limits(),
-            [this](const connection &Caller, const http::request &Request) {
-              handle(Caller, Request);
+            std::move(Stream), http::server_options(),
+            [this](const connection &Caller, http::exchange_number Exchange,
+                   const http::request &Request) {
+              handle(Caller, Exchange, Request);
             });
         Connection->OnClosed = [this, Weak = std::weak_ptr(Connection)] {
           Connections.erase(Weak.lock());
@@ -126,10 +124,11 @@
 }
 
 void target_stand_in::handle(const connection &Caller,
+                             http::exchange_number Exchange,
                              const http::request &Request) {
   if (Request.Path == "/health") {
-    return Caller->respond({200, "", {{"Instance-Id", targetName(Node)}}, ""},
-                           false);
+    return Caller->respond(
+        Exchange, {200, "", {{"Instance-Id", targetName(Node)}}, ""}, false);
   }
   auto Id = std::string();
   for (const auto &[Name, Value] : Request.Headers) {
@@ -144,12 +143,14 @@
   Response.Headers.insert(Response.Headers.end(), Headers.begin(),
                           Headers.end());
   auto IsNotice = !Headers.empty();
-  Loop.addTimer(Loop.now() + TargetRunTime,
-                [this, Caller, Response, Origin, IsNotice] {
+  ++Running;
+  Loop.addTimer(Loop.now() + RunTime,
+                [this, Caller, Exchange, Response, Origin, IsNotice] {
+                  --Running;
                   if (IsNotice) {
                     ToldAt.emplace(Origin, Loop.now());
                   }
-                  Caller->respond(Response, false);
+                  Caller->respond(Exchange, Response, false);
                 });
 }
 
@@ -254,6 +255,10 @@
   return false;
 }
 
+void mesh_sim::stopNode(int Node, std::function<void()> OnStopped) {
+  Nodes[static_cast<std::size_t>(Node)].Process->stop(std::move(OnStopped));
+}
+
 void mesh_sim::run(micros Time) { Loop.runUntil(Loop.now() + Time); }
 
 auto mesh_sim::publishConfig() -> int {
@@ -266,14 +271,14 @@
                          {"connectionLimit", 9},
                          {"warmup", "3s"},
                          {"coldPerS", 0.0}}}});
-  auto AddRoute = [&Resources](const std::string &Name) {
+  auto AddRoute = [this, &Resources](const std::string &Name) {
     Resources.push_back({{"resourceType", "routes"},
                          {"metadata", {{"name", Name}}},
                          {"specification",
                           {{"host", "sim"},
                            {"pathPrefix", "/" + Name + "/"},
                            {"kind", "idempotent"},
-                           {"timeout", "500ms"},
+                           {"timeout", RouteTimeout},
                            {"targetLatency", "200ms"},
                            {"priority", 1},
                            {"attempts", 2},
@@ -330,7 +335,7 @@
     }
   };
   // The timer keeps the connection until the call is over.
-  Loop.addTimer(Loop.now() + CallTimeout, [Connection, Finish] {
+  Loop.addTimer(Loop.now() + CallerPatience, [Connection, Finish] {
     Connection->close();
     Finish(0);
   });
--- a/test/sidecar_sim.h
+++ b/test/sidecar_sim.h
@@ -70,6 +70,10 @@
   void start(const event::endpoint &Address, const event::endpoint &Heartbeats);
   /** Headers that are added to each answer. */
   proxy::header_list Headers;
+  /** Time that it runs a call. */
+  micros RunTime{20'000};
+  /** Number of calls that it runs now. */
+  int Running = 0;
   /** All calls that arrived. */
   std::vector<target_arrival> Arrivals;
   /** Time at which the caller of each node got the first answer with Headers.
@@ -78,7 +82,8 @@
 
 private:
   using connection = std::shared_ptr<http::server_connection>;
-  void handle(const connection &Caller, const http::request &Request);
+  void handle(const connection &Caller, http::exchange_number Exchange,
+              const http::request &Request);
   void sendHeartbeat(const event::endpoint &Heartbeats);
 
   event::loop &Loop;
@@ -109,6 +114,13 @@
     return *Nodes[static_cast<std::size_t>(Node)].Target;
   }
 
+  /** Time limit of all routes of the next configurations. */
+  std::string RouteTimeout = "500ms";
+  /** Time for which callers wait for an answer. */
+  micros CallerPatience{1'000'000};
+  /** Stops a node gracefully; OnStopped is called when its process would end.
+   */
+  void stopNode(int Node, std::function<void()> OnStopped);
   /** Publishes the next configuration; version N adds the route /vN/.
    * @return its version. */
   auto publishConfig() -> int;
