Feature: [Sidecar] A fleet that starts makes two calls to the store a host

Change: on a first start (as the settings say) a host appends first and lists once: of two hosts the later one finds the other. Only hosts that are readers as far as they know list the operator topic. Polls wait 60 % of the time that changes have, less 0.2 s: 1 s as before where that is 2 s, 1.6 s where it is 3 s. Counters of messages and bytes to other nodes by kind and zone. Ruled out: greeting by readers that follow the topic saves one call more, and puts the host table of all on the readers' links.

--- a/include/sycamorelb/sidecar/settings_type.h
+++ b/include/sycamorelb/sidecar/settings_type.h
@@ -13,6 +13,7 @@
 /** Limits guaranteed by the deployment. */
 struct mesh_bounds {
   millis StopGrace{6000};      ///< Time from SIGTERM to SIGKILL.
+  millis ConfigApply{2000};    ///< Time for a change to be in force.
   double RetryRatio = 0.2;     ///< Retries per call, over all nodes.
   double RetrySlack = 50;      ///< Retries on top of the ratio, over all nodes.
   millis RetryWindow{10000};   ///< Window in which both are counted.
@@ -39,6 +40,7 @@
   double LinkMbps = 1000;         ///< Bandwidth of the host's link in Mbit/s.
   double CpuShare = 1;            ///< CPU of the host, in cores.
   mesh_bounds Bounds;             ///< Limits guaranteed by the deployment.
+  bool FirstStart = false;        ///< All hosts start for the first time.
   http::pipeline_limits Pipeline; ///< Limits on pipelined requests.
   /** Responses of pipelined requests on hold, over all connections. */
   std::size_t MaxHeldBytes = http::pipeline_budget().MaxHeldBytes;
--- a/src/sidecar/gossip.cpp
+++ b/src/sidecar/gossip.cpp
@@ -21,10 +21,10 @@
 static constexpr auto ExchangeInterval = micros(1'000'000);
 /** One in this many exchanges goes to a node of another zone. */
 static constexpr auto CrossZoneExchangePeriod = std::uint32_t{5};
-/** Time since a reader was known to be up to date after which a node reads the
- * store itself. More than the interval between two answers of the store to a
- * reader, and short enough that the node meets the time limit for changes. */
-static constexpr auto MaxReaderAge = StoreReadInterval + micros(250'000);
+/** Time beyond the interval between two answers of the store to a reader after
+ * which another node reads the store itself; short enough that it meets the
+ * time limit for changes. */
+static constexpr auto MaxReadDelay = micros(250'000);
 /** Number of nodes in other zones that are notified of an operator change. */
 static constexpr auto CrossZoneNotices = std::size_t{2};
 /** Number of relays in each other zone that receive an update and forward it
@@ -131,7 +131,8 @@
   auto &State = Impl->State;
   return mesh::isReader(State.Hosts, State.Own)
              ? State.Loop.now()
-             : State.RecordSource.ReaderConfirmedAt + MaxReaderAge;
+             : State.RecordSource.ReaderConfirmedAt + MaxReadDelay +
+                   storeReadInterval(State.Settings.Bounds.ConfigApply);
 }
 
 void gossip::implementation::sendToOwnZone(const gossip_message &Message) {
@@ -209,14 +210,7 @@
 }
 
 auto gossip::canUseZoneReader() const -> bool {
-  auto &State = Impl->State;
-  auto ZonePeers = Impl->listPeers(true);
-  return !State.Own.ReaderCapable &&
-         std::any_of(ZonePeers.begin(), ZonePeers.end(),
-                     [&State](const auto &Node) {
-                       const auto *Host = State.Hosts.find(Node);
-                       return Host->ReaderCapable && !Host->StoreLost;
-                     });
+  return !mesh::isReader(Impl->State.Hosts, Impl->State.Own);
 }
 
 void gossip::answerPendingRequests() {
--- a/src/sidecar/gossip.h
+++ b/src/sidecar/gossip.h
@@ -51,8 +51,8 @@
   /** Answers the requests for operator records that arrived before this node
    * had a configuration. */
   void answerPendingRequests();
-  /** @return whether this node lacks the resources to read the store for others
-   * while another host of its zone has them and can reach the store. */
+  /** @return whether this node is not one of the readers of its zone, as far as
+   * it knows. */
   auto canUseZoneReader() const -> bool;
   /** @return the time from which this node must read the store itself: at once
    * if it is one of the readers of its zone, otherwise when none of them is
--- a/src/sidecar/node_counters.cpp
+++ b/src/sidecar/node_counters.cpp
@@ -72,6 +72,21 @@
   return Family;
 }
 
+static auto makeTrafficFamily(const char *Name, const char *Help,
+                              const node_counters &Counters,
+                              std::uint64_t message_counts::*Value)
+    -> prometheus::MetricFamily {
+  auto Family = makeFamily(Name, Help, prometheus::MetricType::Counter);
+  for (const auto &[Key, Counts] : Counters.PeerTraffic) {
+    auto Metric = prometheus::ClientMetric();
+    Metric.label.push_back({"kind", std::string(Key.first)});
+    Metric.label.push_back({"zone", Key.second ? "same" : "other"});
+    Metric.counter.value = static_cast<double>(Counts.*Value);
+    Family.metric.push_back(std::move(Metric));
+  }
+  return Family;
+}
+
 auto renderMetrics(const node_counters &Counters, const node_gauges &Gauges)
     -> std::string {
   auto Single = [](std::uint64_t Value) {
@@ -94,6 +109,12 @@
       makeCounterFamily("sycamorelb_links_lost_total",
                         "Connections to other nodes that were lost.", "",
                         Single(Counters.LinksLost)),
+      makeTrafficFamily("sycamorelb_peer_messages_total",
+                        "Messages sent to other nodes.", Counters,
+                        &message_counts::Messages),
+      makeTrafficFamily("sycamorelb_peer_bytes_total",
+                        "Bytes of the messages sent to other nodes.", Counters,
+                        &message_counts::Bytes),
       makeCounterFamily("sycamorelb_target_connections_total",
                         "Connections opened to the target.", "",
                         Single(Counters.TargetConnections)),
--- a/src/sidecar/node_counters.h
+++ b/src/sidecar/node_counters.h
@@ -8,6 +8,8 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
+#include <utility>
 
 namespace sycamorelb::sidecar {
 
@@ -24,6 +26,12 @@
 /** Records one latency. */
 void recordLatency(latency_histogram &Histogram, micros Latency);
 
+/** Messages sent to other nodes. */
+struct message_counts {
+  std::uint64_t Messages = 0; ///< Number.
+  std::uint64_t Bytes = 0;    ///< Size.
+};
+
 /** Counters of a node. */
 struct node_counters {
   std::map<std::string, std::uint64_t> Calls;      ///< By final outcome.
@@ -31,9 +39,11 @@
   std::map<std::string, std::uint64_t> StoreCalls; ///< By call and outcome.
   std::map<std::string, std::uint64_t> BadInput;   ///< By source.
   std::uint64_t Retries = 0;                       ///< Retries of failed calls.
-  std::uint64_t Bounces = 0;           ///< Attempts that were not run.
-  std::uint64_t LinksLost = 0;         ///< Peer connections lost.
-  std::uint64_t TargetConnections = 0; ///< Opened to the target.
+  std::uint64_t Bounces = 0;   ///< Attempts that were not run.
+  std::uint64_t LinksLost = 0; ///< Peer connections lost.
+  /** By kind, and whether the other node is in the same zone. */
+  std::map<std::pair<std::string_view, bool>, message_counts> PeerTraffic;
+  std::uint64_t TargetConnections = 0;           ///< Opened to the target.
   std::map<route_id, latency_histogram> Latency; ///< By route.
 };
 
--- a/src/sidecar/peer_links.cpp
+++ b/src/sidecar/peer_links.cpp
@@ -22,9 +22,37 @@
 static constexpr auto InitialReconnectDelay = micros(200'000);
 static constexpr auto MaxReconnectDelay = micros(3'000'000);
 
-void sendOnSession(const peer_session &Session, const mesh_message &Message,
-                   steady_time Now) {
-  Session.Stream->send(encodeMeshMessage(Message, Now));
+/** @return the kind of a message, for the traffic counters. */
+static auto kindOf(const mesh_message &Message) -> std::string_view {
+  if (const auto *Gossip = std::get_if<gossip_message>(&Message)) {
+    if (!Gossip->Records.empty()) {
+      return "configuration";
+    }
+    if (!Gossip->Hosts.empty() || !Gossip->Summary.empty()) {
+      return "hosts";
+    }
+    return Gossip->Evidence.empty() ? "gossip" : "evidence";
+  }
+  if (std::holds_alternative<forward_message>(Message)) {
+    return "call";
+  }
+  return std::holds_alternative<reply_message>(Message) ? "reply" : "control";
+}
+
+/** Encodes a message for a host and counts its bytes. */
+static auto encodeFor(node_state &State, const zone_id &Zone,
+                      const mesh_message &Message) -> std::string {
+  auto Bytes = encodeMeshMessage(Message, State.Loop.now());
+  auto &Traffic =
+      State.Counters.PeerTraffic[{kindOf(Message), Zone == State.Own.Zone}];
+  ++Traffic.Messages;
+  Traffic.Bytes += Bytes.size();
+  return Bytes;
+}
+
+void sendOnSession(node_state &State, const peer_session &Session,
+                   const mesh_message &Message) {
+  Session.Stream->send(encodeFor(State, Session.Peer.Zone, Message));
 }
 
 auto transitDelay(peer_session &Session, steady_time SentAt, steady_time Now)
@@ -62,6 +90,7 @@
 /** A connection that this node opens, and its retry state. */
 struct outbound_link {
   std::shared_ptr<event::stream> Stream; ///< Null while not connected.
+  zone_id Zone;                          ///< Zone of the host.
   steady_time LastReceivedAt{};          ///< When data last arrived.
   steady_time AwaitingSince{};           ///< Since when replies are awaited.
   steady_time PingedAt{};                ///< Unanswered ping; zero for none.
@@ -148,7 +177,7 @@
           }
         }
         if (std::holds_alternative<ping_message>(Message)) {
-          sendOnSession(*Session, pong_message(), State.Loop.now());
+          sendOnSession(State, *Session, pong_message());
         } else if (!Session->Peer.Node.Value.empty()) {
           Events.OnSessionMessage(Session, std::move(Message));
         }
@@ -205,7 +234,8 @@
   Link.Stream->OnClosed = [this, Node, Established](event::close_reason) {
     endLink(Node, *Established, "closed");
   };
-  Link.Stream->send(encodeMeshMessage(opened_message{State.Own}, Now));
+  Link.Zone = Host->Zone;
+  Link.Stream->send(encodeFor(State, Link.Zone, opened_message{State.Own}));
   return true;
 }
 
@@ -253,7 +283,7 @@
   if (!Link.Stream && !Impl->openLink(Node, Link)) {
     return false;
   }
-  Link.Stream->send(encodeMeshMessage(Message, Impl->State.Loop.now()));
+  Link.Stream->send(encodeFor(Impl->State, Link.Zone, Message));
   return true;
 }
 
@@ -298,7 +328,7 @@
     } else if (Now - std::max(Link.LastReceivedAt, Link.AwaitingSince) >
                SilenceBeforePing) {
       Link.PingedAt = Now;
-      Link.Stream->send(encodeMeshMessage(ping_message(), Now));
+      Link.Stream->send(encodeFor(State, Link.Zone, ping_message()));
     }
   }
   for (const auto &Node : Silent) {
--- a/src/sidecar/peer_links.h
+++ b/src/sidecar/peer_links.h
@@ -26,8 +26,8 @@
     -> micros;
 
 /** Sends a message on a session; it is dropped if the connection has closed. */
-void sendOnSession(const peer_session &Session,
-                   const inner::mesh_message &Message, steady_time Now);
+void sendOnSession(node_state &State, const peer_session &Session,
+                   const inner::mesh_message &Message);
 
 /** Callbacks for events on connections to and from other nodes. */
 struct peer_events {
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -89,7 +89,7 @@
   return [this, Weak = std::weak_ptr<peer_session>(Session)](
              const reply_message &Reply) {
     if (auto Origin = Weak.lock()) {
-      sendOnSession(*Origin, Reply, Loop.now());
+      sendOnSession(State, *Origin, Reply);
     }
   };
 }
@@ -109,7 +109,7 @@
     Admission.resume(Key, Resume->Age, replyHandlerFor(Session), Session.get());
   } else if (auto *Update = std::get_if<gossip_message>(&Message)) {
     Gossip.handleMessage(*Update, [this, Session](const mesh_message &Answer) {
-      sendOnSession(*Session, Answer, Loop.now());
+      sendOnSession(State, *Session, Answer);
     });
   } else if (auto *Opened = std::get_if<opened_message>(&Message)) {
     Gossip.mergeHost(Opened->Sender);
@@ -234,12 +234,15 @@
   }
   auto Key = "host/" + State.Own.Node.Value;
   // Hosts that list the topic after this append find this host; hosts that
-  // listed it earlier are found by the second listing.
+  // listed it earlier are found by the listing that follows.
   auto Self = gossip_message();
   Self.Sender = State.Own;
   Store.append(platform::store_topic::Mesh, Key,
                encodeMeshMessage(Self, Loop.now()), std::nullopt,
                [this](const result<platform::append_ack> &) {
+                 if (!State.MeshTopicListed) {
+                   return Store.start();
+                 }
                  Store.list(platform::store_topic::Mesh,
                             [this](result<platform::store_page> Page) {
                               if (!isOk(Page)) {
@@ -461,7 +464,15 @@
       {{"service", Self.State.Settings.Service.Value},
        {"zone", Self.State.Settings.Zone.Value},
        {"incarnation", static_cast<std::int64_t>(Self.State.Own.Incarnation)}});
-  Self.Store.start();
+  if (Self.State.Settings.FirstStart) {
+    // No record of an earlier process can exist. One listing after the append
+    // finds all hosts, or is found by them.
+    Self.AnnouncementPending = true;
+    Self.Loop.addTimer(Self.Loop.now() + AnnouncementDelay,
+                       [&Self] { Self.announceHost(); });
+  } else {
+    Self.Store.start();
+  }
   Self.Gossip.start();
   Self.reloadIfChanged();
   Self.runPeriodicChecks();
--- a/src/sidecar/store_feed.cpp
+++ b/src/sidecar/store_feed.cpp
@@ -12,6 +12,13 @@
 
 using platform::store_topic;
 
+/** Bounds of the wait of a poll. */
+static constexpr auto MinPollWait = millis(500);
+static constexpr auto MaxPollWait = millis(5000);
+/** Share of the time for a change to be in force that a poll waits, and what is
+ * taken off for the delay between polls. */
+static constexpr auto PollWaitPercent = 60;
+static constexpr auto PollWaitReserve = millis(200);
 /** Idle time up to which a connection to the store is used: one that has gone
  * silent meanwhile would only show by a timeout. More than StorePollDelay. */
 static constexpr auto MaxStoreIdle = micros(1'000'000);
@@ -19,7 +26,7 @@
 static constexpr auto ConnectTimeout = millis(800);
 /** Timeout of calls other than long polls; a healthy store answers in 4 ms. */
 static constexpr auto CallTimeout = millis(2500);
-/** Time beyond StorePollWait after which a poll times out. After an answer to
+/** Time beyond its wait after which a poll times out. After an answer to
  * the previous poll it is short, since most likely only the connection no
  * longer works; a slow store needs more. */
 static constexpr auto PollMargin = millis(1200);
@@ -80,6 +87,11 @@
                      std::function<void()> Action);
 };
 
+auto storePollWait(millis ConfigApply) -> millis {
+  return std::clamp(ConfigApply * PollWaitPercent / 100 - PollWaitReserve,
+                    MinPollWait, MaxPollWait);
+}
+
 store_feed::store_feed(node_state &State, store_events Events)
     : Impl(std::make_unique<implementation>(
           implementation{State, std::move(Events), {}, {}, {}})) {}
@@ -318,8 +330,9 @@
   }
   auto From = State.Operator.end();
   auto Margin = ConsecutiveFailures == 0 ? ReconnectMargin : PollMargin;
-  sendRequest(platform::readRequest(store_topic::Operator, From, StorePollWait),
-              StorePollWait + Margin, "poll", PollConnection,
+  auto Wait = storePollWait(State.Settings.Bounds.ConfigApply);
+  sendRequest(platform::readRequest(store_topic::Operator, From, Wait),
+              Wait + Margin, "poll", PollConnection,
               [this, From, Now, Generation](result<http::response> Response) {
                 if (Generation == CurrentGeneration && !Closed) {
                   handlePoll(std::move(Response), From, Now, Generation);
@@ -358,9 +371,11 @@
   auto &Records = valueOf(Page).Records;
   State.Operator.advanceEnd(
       Records.empty() ? From : log_offset{Records.back().Offset.Value + 1});
-  // The store answered at most StorePollWait after the request; the answer may
-  // have been delayed on the way.
-  auto AnsweredAt = std::min(State.Loop.now(), SentAt + StorePollWait);
+  // The store answered at most the wait of the poll after the request; the
+  // answer may have been delayed on the way.
+  auto AnsweredAt =
+      std::min(State.Loop.now(),
+               SentAt + storePollWait(State.Settings.Bounds.ConfigApply));
   auto IsComplete = State.Operator.end() >= valueOf(Page).End;
   recordAnswer("poll", Keys,
                IsComplete ? std::optional(AnsweredAt) : std::nullopt);
--- a/src/sidecar/store_feed.h
+++ b/src/sidecar/store_feed.h
@@ -9,13 +9,21 @@
 
 namespace sycamorelb::sidecar {
 
-/** Longest time that the store holds a poll for operator records. It bounds how
- * long a node may miss that its connection to the store no longer works. */
-inline constexpr auto StorePollWait = millis(1000);
 /** Delay between polls, so that one call returns several changes. */
 inline constexpr auto StorePollDelay = micros(400'000);
-/** Longest time between two answers of a working store to a reader. */
-inline constexpr auto StoreReadInterval = StorePollWait + StorePollDelay;
+
+/** @return the longest time that the store holds a poll for operator records.
+ * It bounds how long a node may miss that its connection to the store no longer
+ * works, so it leaves time for a poll on another connection before a change has
+ * to be in force.
+ * @param ConfigApply time for a change to be in force. */
+auto storePollWait(millis ConfigApply) -> millis;
+
+/** @return the longest time between two answers of a working store to a reader.
+ */
+inline auto storeReadInterval(millis ConfigApply) -> micros {
+  return storePollWait(ConfigApply) + StorePollDelay;
+}
 
 /** Callbacks from the store client to the rest of the node. */
 struct store_events {
--- a/test/sidecar_sim.cpp
+++ b/test/sidecar_sim.cpp
@@ -12,6 +12,8 @@
 /** Time after which the kernel closes a connection whose peer is cut off. */
 static constexpr auto KernelTimeout = micros(3'000'000);
 static constexpr auto UnchangedRoutes = 20;
+/** Number of nodes whose addresses differ in the last byte. */
+static constexpr auto MaxNodesOfAddress = 200;
 static constexpr auto OperatorTopic = "keyed.op";
 
 auto seedRange(std::uint64_t Count) -> std::pair<std::uint64_t, std::uint64_t> {
@@ -188,8 +190,8 @@
   }
 }
 
-mesh_sim::mesh_sim(int Zones, int NodesPerZone)
-    : ZoneCount(Zones), Store(Loop) {
+mesh_sim::mesh_sim(int Zones, int NodesPerZone, bool FirstStart)
+    : ZoneCount(Zones), FirstStart(FirstStart), Store(Loop) {
   // The nodes log to the standard output; SIM_LOG names a file to keep that.
   const auto *LogFile = std::getenv("SIM_LOG"); // NOLINT: one thread.
   auto Log = ::open(LogFile == nullptr ? "/dev/null" : LogFile,
@@ -203,6 +205,7 @@
     auto &Node = Nodes.emplace_back();
     Node.Name = Settings.Node.Value;
     Node.Caller = Settings.CallerAddress;
+    Node.Metrics = Settings.MetricsAddress;
     Node.TargetAddress = Settings.TargetAddress;
     Node.HeartbeatAddress = Settings.HeartbeatAddress;
     Node.Target = std::make_unique<target_stand_in>(Loop, Index);
@@ -227,12 +230,14 @@
   auto Process = static_cast<unsigned>(::getpid());
   auto Address = "127." + std::to_string(1 + Process / 250 % 250) + "." +
                  std::to_string(Process % 250) + "." +
-                 std::to_string(Index + 1);
+                 std::to_string(Index % MaxNodesOfAddress + 1);
   auto Settings = sidecar::node_settings();
   Settings.Node = {"node-" + std::to_string(Index + 1)};
   Settings.Zone = {"zone-" + std::to_string(zoneOf(Index) + 1)};
   Settings.Service = {"svc"};
-  auto Port = std::uint16_t{7000};
+  Settings.FirstStart = FirstStart;
+  auto Port =
+      static_cast<std::uint16_t>(7000 + 10 * (Index / MaxNodesOfAddress));
   for (auto *Endpoint :
        {&Settings.CallerAddress, &Settings.ReadinessAddress,
         &Settings.HeartbeatAddress, &Settings.PeerAddress,
@@ -345,6 +350,27 @@
   });
 }
 
+auto mesh_sim::state(int Node) -> nlohmann::json {
+  auto Options = http::client_options();
+  Options.MaxBodyBytes = std::size_t{1} << 20U;
+  auto Connection = http::client_connection::open(
+      Loop, Nodes[static_cast<std::size_t>(Node)].Metrics, Options);
+  auto Request = http::request();
+  Request.Method = "GET";
+  Request.Target = "/state";
+  Request.Path = Request.Target;
+  Request.Headers = {{"Host", "node"}};
+  auto Body = std::optional<std::string>();
+  Connection->exchange(Request, [&Body](const http::exchange_result &Result) {
+    const auto *Response = std::get_if<http::response>(&Result);
+    Body = Response == nullptr ? "" : Response->Body;
+  });
+  while (!Body) {
+    run(micros(1000));
+  }
+  return nlohmann::json::parse(*Body, nullptr, false);
+}
+
 auto mesh_sim::call(int Node, int Version) -> int {
   auto Status = std::make_shared<int>(-1);
   startCall(Node, Version, [Status](int Got) { *Status = Got; });
--- a/test/sidecar_sim.h
+++ b/test/sidecar_sim.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <nlohmann/json.hpp>
 #include <set>
 #include <string>
 #include <utility>
@@ -97,7 +98,8 @@
  * on an unknown route with 404. */
 class mesh_sim {
 public:
-  mesh_sim(int Zones, int NodesPerZone);
+  /** @param FirstStart whether all nodes start for the first time. */
+  mesh_sim(int Zones, int NodesPerZone, bool FirstStart = false);
   ~mesh_sim();
   mesh_sim(const mesh_sim &) = delete;
   auto operator=(const mesh_sim &) -> mesh_sim & = delete;
@@ -126,6 +128,8 @@
   auto publishConfig() -> int;
   /** Cuts the connections between two nodes, or lets them through again. */
   void setCut(int Left, int Right, bool Cut);
+  /** @return the state dump of a node. */
+  auto state(int Node) -> nlohmann::json;
   /** Sends a call on the route that a version added.
    * @return the status, or 0 if no response arrived within a second. */
   auto call(int Node, int Version) -> int;
@@ -137,6 +141,7 @@
   struct node {
     std::string Name;
     event::endpoint Caller;
+    event::endpoint Metrics;
     std::unique_ptr<sidecar::sidecar> Process;
     std::unique_ptr<peer_proxy> Proxy;
     std::unique_ptr<target_stand_in> Target;
@@ -148,6 +153,7 @@
 
   event::loop Loop;
   int ZoneCount;
+  bool FirstStart;
   store_stand_in Store;
   std::vector<node> Nodes;
   std::set<std::pair<int, int>> Cuts;
--- a/test/store_sim.cpp
+++ b/test/store_sim.cpp
@@ -153,6 +153,7 @@
 void store_stand_in::handle(int Node, const connection &Connection,
                             http::exchange_number Exchange,
                             const http::request &Request) {
+  ++Calls[Request.Path];
   auto Access = Clients[Node].Access;
   // A connection on which a response was lost returns nothing further.
   if (Access == store_access::Silent) {
--- a/test/store_sim.h
+++ b/test/store_sim.h
@@ -36,6 +36,8 @@
               const std::string &Value);
   /** @return the nodes that wait for new operator records. */
   auto pollingNodes() const -> std::set<int>;
+  /** Number of calls of all nodes, by path. */
+  std::map<std::string, int> Calls;
 
 private:
   using connection = std::shared_ptr<http::server_connection>;
