Codechange: [Gossip] A starting node asks the readers of its zone

They have the records first, and their answer tells how current they are, so that the node needn't poll the store itself. At a later start it asks two others as well, as readers may be down. A reader also announces itself after a listing. Tests: sidecar_start, sidecar_config.

--- a/src/sidecar/gossip.cpp
+++ b/src/sidecar/gossip.cpp
@@ -31,7 +31,8 @@
  * within their zone. Relays limit traffic between zones, which is expensive;
  * more than one is used because a relay may be down or partitioned. */
 static constexpr auto RelaysPerZone = std::size_t{3};
-/** Number of nodes that syncWithPeers() asks for their full state. */
+/** Number of nodes other than readers that syncWithPeers() asks for their full
+ * state. */
 static constexpr auto InitialSyncPeers = std::size_t{2};
 /** Delay before syncWithPeers() contacts relays in other zones, and the range
  * of the random delay added to it. */
@@ -55,6 +56,11 @@
 
   auto buildMessage() const -> gossip_message;
   auto listPeers(bool SameZone) const -> std::vector<node_id>;
+  /** @return the nodes to ask for their full state: the readers of the zone,
+   * who also tell how current they are, and a few others if readers may be
+   * down. */
+  auto chooseSyncPeers(const std::vector<node_id> &ZonePeers)
+      -> std::vector<node_id>;
   void exchange();
   void sendToOwnZone(const gossip_message &Message);
   void sendToOtherZones(gossip_message Message);
@@ -182,21 +188,33 @@
   Impl->sendToOwnZone(Message);
 }
 
+auto gossip::implementation::chooseSyncPeers(
+    const std::vector<node_id> &ZonePeers) -> std::vector<node_id> {
+  auto Others = ZonePeers.empty() ? listPeers(false) : ZonePeers;
+  mesh::sampleNodes(Others, InitialSyncPeers, State.Random);
+  auto Readers = std::vector<node_id>();
+  for (const auto &Node : ZonePeers) {
+    if (mesh::isReader(State.Hosts, *State.Hosts.find(Node))) {
+      Readers.push_back(Node);
+    }
+  }
+  // At a later start the readers may be down.
+  if (Readers.empty() || !State.Settings.FirstStart) {
+    Readers.insert(Readers.end(), Others.begin(), Others.end());
+  }
+  std::sort(Readers.begin(), Readers.end());
+  Readers.erase(std::unique(Readers.begin(), Readers.end()), Readers.end());
+  return Readers;
+}
+
 void gossip::syncWithPeers() {
   auto &State = Impl->State;
   auto Message = Impl->buildMessage();
   auto ZonePeers = Impl->listPeers(true);
-  auto SyncPeers = std::vector<node_id>();
   for (const auto &Node : ZonePeers) {
     Impl->Links.send(Node, Message);
-    if (State.Hosts.find(Node)->ReaderCapable) {
-      SyncPeers.push_back(Node);
-    }
   }
-  SyncPeers = !SyncPeers.empty()
-                  ? SyncPeers
-                  : (!ZonePeers.empty() ? ZonePeers : Impl->listPeers(false));
-  mesh::sampleNodes(SyncPeers, InitialSyncPeers, State.Random);
+  auto SyncPeers = Impl->chooseSyncPeers(ZonePeers);
   Message.WantHosts = true;
   Message.WantRecords = true;
   for (const auto &Node : SyncPeers) {
--- a/src/sidecar/gossip.h
+++ b/src/sidecar/gossip.h
@@ -44,8 +44,8 @@
    * store reader, and notifies some nodes of other zones.
    * @param From end of the operator topic before the change. */
   void broadcastOperatorChanges(log_offset From);
-  /** Sends this node's state to its own zone, requests the full state from some
-   * nodes there (preferring those able to read the store for others), and
+  /** Sends this node's state to its own zone, requests the full state from the
+   * readers and some other nodes there, and
    * contacts relays in each other zone after a random delay. */
   void syncWithPeers();
   /** Answers the requests for operator records that arrived before this node
--- a/src/sidecar/store_feed.cpp
+++ b/src/sidecar/store_feed.cpp
@@ -278,6 +278,7 @@
                                                       Value.End);
               recordAnswer("list", Keys, SentAt);
               Events.OnOperatorRecords(Keys, From);
+              Events.OnOperatorConfirmed();
               poll(Generation);
             });
 }
