Feature: [Inner] Messages to other zones are compressed

Change: messages to hosts of other zones are deflated one by one against a text of typical messages, if the host reads that text (its record says so). Bodies above 4 KB are left alone, and the first message of a connection. Within a zone nothing changes. Frames are checked, sizes bounded. Ruled out: one stream for each connection (25 KB of state each, some 240 connections a host). Tests: inner_frame 4 of 4, sidecar, mesh and inner suites.

--- a/include/sycamorelb/mesh/host_table.h
+++ b/include/sycamorelb/mesh/host_table.h
@@ -60,6 +60,8 @@
   bool Leaving = false;          ///< The node is stopping.
   /** The node has the CPU and bandwidth to read the store for its zone. */
   bool ReaderCapable = false;
+  /** Dictionary of the compressed messages that the node reads; 0 for none. */
+  std::uint32_t Compression = 0;
   target_record Target; ///< The target beside it.
   auto operator==(const host_record &) const -> bool = default;
 };
--- a/src/inner/gossip_codec.cpp
+++ b/src/inner/gossip_codec.cpp
@@ -22,6 +22,7 @@
   Out.setStoreLost(Host.StoreLost);
   Out.setLeaving(Host.Leaving);
   Out.setCapable(Host.ReaderCapable);
+  Out.setCompression(Host.Compression);
   Out.setTargetId(Host.Target.Id.Value);
   Out.setBornAt(Host.Target.StartedAtMs);
   Out.setService(Host.Target.Service.Value);
@@ -51,6 +52,7 @@
   Host.StoreLost = In.getStoreLost();
   Host.Leaving = In.getLeaving();
   Host.ReaderCapable = In.getCapable();
+  Host.Compression = In.getCompression();
   Host.Target.Id.Value = textOf(In.getTargetId());
   Host.Target.StartedAtMs = In.getBornAt();
   Host.Target.Service.Value = textOf(In.getService());
--- a/src/inner/mesh.capnp
+++ b/src/inner/mesh.capnp
@@ -85,6 +85,7 @@
   slots @11 :UInt32;
   state @12 :UInt16;
   capable @13 :Bool;        # Has the CPU and bandwidth to read the store for others.
+  compression @14 :UInt32;  # Dictionary of the compressed messages that it reads; 0 for none.
 }
 
 struct OperatorRecord {
--- a/src/sidecar/node_state.cpp
+++ b/src/sidecar/node_state.cpp
@@ -1,6 +1,8 @@
 /** @file node_state.cpp Applies operator records to the state of a node. */
 #include "sidecar/node_state.h"
 
+#include "sidecar/message_sample.h"
+
 #include <optional>
 
 namespace sycamorelb::sidecar {
@@ -13,7 +15,7 @@
 node_state::node_state(event::loop &Loop, node_settings Settings,
                        std::uint64_t Seed)
     : Loop(Loop), Settings(std::move(Settings)), Random(Seed),
-      Log(Loop, this->Settings.Node) {
+      Log(Loop, this->Settings.Node), Compressor(sampleMessages()) {
   StartedAt = Loop.now();
   Own.Node = this->Settings.Node;
   Own.Peer = this->Settings.AdvertisedPeerAddress.Port == 0
@@ -21,6 +23,7 @@
                  : this->Settings.AdvertisedPeerAddress;
   Own.Zone = this->Settings.Zone;
   Own.Target.Service = this->Settings.Service;
+  Own.Compression = Compressor.dictionaryId();
   Own.ReaderCapable = this->Settings.LinkMbps >= MinReaderLinkMbps &&
                       this->Settings.CpuShare >= MinReaderCpuShare;
 }
--- a/src/sidecar/node_state.h
+++ b/src/sidecar/node_state.h
@@ -7,6 +7,7 @@
 #include "sidecar/node_counters.h"
 #include "sycamorelb/core/random_func.h"
 #include "sycamorelb/event/loop.h"
+#include "sycamorelb/inner/frame_compression.h"
 #include "sycamorelb/mesh/host_table.h"
 #include "sycamorelb/mesh/operator_table.h"
 #include "sycamorelb/mesh/route_table.h"
@@ -41,6 +42,7 @@
   decision_log Log;       ///< Decision log.
   node_counters Counters; ///< Counters exported as metrics.
 
+  inner::frame_compressor Compressor; ///< For messages to other zones.
   mesh::host_record Own;         ///< Record of this host; published to Hosts.
   mesh::host_table Hosts;        ///< Known hosts.
   mesh::operator_table Operator; ///< Records written by operators.
--- a/src/sidecar/peer_links.cpp
+++ b/src/sidecar/peer_links.cpp
@@ -22,6 +22,9 @@
 static constexpr auto InitialReconnectDelay = micros(200'000);
 static constexpr auto MaxReconnectDelay = micros(3'000'000);
 
+/** Largest body of a call or reply, in bytes, that is compressed. */
+static constexpr auto MaxCompressedBody = std::size_t{4096};
+
 /** @return the kind of a message, for the traffic counters. */
 static auto kindOf(const mesh_message &Message) -> std::string_view {
   if (const auto *Gossip = std::get_if<gossip_message>(&Message)) {
@@ -39,10 +42,29 @@
   return std::holds_alternative<reply_message>(Message) ? "reply" : "control";
 }
 
-/** Encodes a message for a host and counts its bytes. */
+/** @return whether compression is worth its processor time: bytes within a zone
+ * are cheap, and large bodies of callers are mostly compressed already. */
+static auto isWorthCompressing(const mesh_message &Message) -> bool {
+  if (const auto *Forward = std::get_if<forward_message>(&Message)) {
+    return Forward->Request.Body.size() <= MaxCompressedBody;
+  }
+  if (const auto *Reply = std::get_if<reply_message>(&Message)) {
+    return Reply->Response.Body.size() <= MaxCompressedBody;
+  }
+  // The first message of a connection stays readable for any build.
+  return !std::holds_alternative<opened_message>(Message);
+}
+
+/** Encodes a message for a host and counts its bytes.
+ * @param Compression dictionary of the messages that the host reads. */
 static auto encodeFor(node_state &State, const zone_id &Zone,
-                      const mesh_message &Message) -> std::string {
+                      std::uint32_t Compression, const mesh_message &Message)
+    -> std::string {
   auto Bytes = encodeMeshMessage(Message, State.Loop.now());
+  if (Zone != State.Own.Zone && Compression == State.Own.Compression &&
+      Compression != 0 && isWorthCompressing(Message)) {
+    Bytes = State.Compressor.compress(Bytes);
+  }
   auto &Traffic =
       State.Counters.PeerTraffic[{kindOf(Message), Zone == State.Own.Zone}];
   ++Traffic.Messages;
@@ -52,7 +74,8 @@
 
 void sendOnSession(node_state &State, const peer_session &Session,
                    const mesh_message &Message) {
-  Session.Stream->send(encodeFor(State, Session.Peer.Zone, Message));
+  Session.Stream->send(
+      encodeFor(State, Session.Peer.Zone, Session.Peer.Compression, Message));
 }
 
 auto transitDelay(peer_session &Session, steady_time SentAt, steady_time Now)
@@ -64,14 +87,37 @@
   return Offset - *Session.MinClockOffset;
 }
 
+/** Decodes the message at the front of a stream's input, compressed or not. */
+static auto decodeNext(node_state &State, std::string_view Input)
+    -> result<std::optional<decoded_mesh_message>> {
+  if (!isCompressedFrame(Input)) {
+    return decodeMeshMessage(Input, State.Loop.now());
+  }
+  auto Frame = State.Compressor.expand(Input);
+  if (!isOk(Frame)) {
+    return errorOf(Frame);
+  }
+  if (!valueOf(Frame)) {
+    return std::optional<decoded_mesh_message>();
+  }
+  auto Decoded = decodeMeshMessage(valueOf(Frame)->Message, State.Loop.now());
+  if (isOk(Decoded) && !valueOf(Decoded)) {
+    return error{error_code::Corrupt, "decode_frame", "", "truncated message"};
+  }
+  if (isOk(Decoded)) {
+    valueOf(Decoded)->EncodedBytes = valueOf(Frame)->EncodedBytes;
+  }
+  return Decoded;
+}
+
 /** Decodes all complete messages at the front of a stream, until Handle returns
  * false.
  * @return false if the bytes can't be decoded. */
 template <class Handler>
-static auto readMessages(event::stream &Stream, steady_time Now,
+static auto readMessages(node_state &State, event::stream &Stream,
                          const Handler &Handle) -> bool {
   for (;;) {
-    auto Decoded = decodeMeshMessage(Stream.input(), Now);
+    auto Decoded = decodeNext(State, Stream.input());
     if (!isOk(Decoded)) {
       return false;
     }
@@ -91,6 +137,7 @@
 struct outbound_link {
   std::shared_ptr<event::stream> Stream; ///< Null while not connected.
   zone_id Zone;                          ///< Zone of the host.
+  std::uint32_t Compression = 0;         ///< Of messages that it reads.
   steady_time LastReceivedAt{};          ///< When data last arrived.
   steady_time AwaitingSince{};           ///< Since when replies are awaited.
   steady_time PingedAt{};                ///< Unanswered ping; zero for none.
@@ -160,8 +207,8 @@
 
 void peer_links::implementation::receiveOnSession(
     const std::shared_ptr<peer_session> &Session) {
-  auto Valid = readMessages(
-      *Session->Stream, State.Loop.now(), [&](decoded_mesh_message Decoded) {
+  auto Valid =
+      readMessages(State, *Session->Stream, [&](decoded_mesh_message Decoded) {
         auto &Message = Decoded.Message;
         if (auto *Opened = std::get_if<opened_message>(&Message)) {
           beginSession(*Session, Opened->Sender);
@@ -235,7 +282,8 @@
     endLink(Node, *Established, "closed");
   };
   Link.Zone = Host->Zone;
-  Link.Stream->send(encodeFor(State, Link.Zone, opened_message{State.Own}));
+  Link.Compression = Host->Compression;
+  Link.Stream->send(encodeFor(State, Link.Zone, 0, opened_message{State.Own}));
   return true;
 }
 
@@ -244,11 +292,10 @@
   auto Stream = Link.Stream;
   Link.LastReceivedAt = State.Loop.now();
   Link.PingedAt = steady_time();
-  auto Valid = readMessages(
-      *Stream, State.Loop.now(), [&](decoded_mesh_message Decoded) {
-        Events.OnLinkMessage(Node, std::move(Decoded.Message));
-        return Links[Node].Stream == Stream;
-      });
+  auto Valid = readMessages(State, *Stream, [&](decoded_mesh_message Decoded) {
+    Events.OnLinkMessage(Node, std::move(Decoded.Message));
+    return Links[Node].Stream == Stream;
+  });
   if (!Valid) {
     ++State.Counters.BadInput["peer"];
     Stream->close();
@@ -283,7 +330,8 @@
   if (!Link.Stream && !Impl->openLink(Node, Link)) {
     return false;
   }
-  Link.Stream->send(encodeFor(Impl->State, Link.Zone, Message));
+  Link.Stream->send(
+      encodeFor(Impl->State, Link.Zone, Link.Compression, Message));
   return true;
 }
 
@@ -328,7 +376,8 @@
     } else if (Now - std::max(Link.LastReceivedAt, Link.AwaitingSince) >
                SilenceBeforePing) {
       Link.PingedAt = Now;
-      Link.Stream->send(encodeFor(State, Link.Zone, ping_message()));
+      Link.Stream->send(
+          encodeFor(State, Link.Zone, Link.Compression, ping_message()));
     }
   }
   for (const auto &Node : Silent) {
