Fix: [Sidecar] A planned stop cut answers that were not written to the end

Cause: a stop waited for calls, not for their bytes: an answer whose caller reads slowly, or whose link is narrow, was cut when its connection was closed as idle 2.5 s after the signal, 1 s after a last answer, or with the process. Change: a connection with unwritten output is not idle; the process ends only when all is written, or its grace does; a last answer has 5 s to be written. Test: sidecar_stop/answers_are_written_to_the_end; without the change: 'the process ends with an answer half written'.

--- a/include/sycamorelb/event/loop.h
+++ b/include/sycamorelb/event/loop.h
@@ -41,6 +41,10 @@
   auto receivedBytes() const -> std::uint64_t;
   /** @return the bytes sent over the network link since the start. */
   auto sentBytes() const -> std::uint64_t;
+  /** Counts the streams that close once their output is written. */
+  void countLingering(int Change);
+  /** @return the number of such streams now. */
+  auto lingeringStreams() const -> int;
 
   /** Calls Run once, at time At or slightly later. */
   auto addTimer(steady_time At, callback Run) -> timer_id;
--- a/include/sycamorelb/http/server_connection.h
+++ b/include/sycamorelb/http/server_connection.h
@@ -59,6 +59,8 @@
   void respond(exchange_number Number, response Response, bool Close);
   /** @return whether a request is in progress. */
   auto isBusy() const -> bool;
+  /** @return whether a part of a response waits to be written. */
+  auto hasUnsentOutput() const -> bool;
   /** @return whether a request has been received in part. */
   auto isReading() const -> bool;
   /** @return the time of the last change between reading a request, busy and
--- a/src/event/loop.cpp
+++ b/src/event/loop.cpp
@@ -43,6 +43,7 @@
   steady_time Now = bootTime();
   std::uint64_t Received = 0;
   std::uint64_t Sent = 0;
+  int Lingering = 0;
   std::map<std::pair<steady_time, std::uint64_t>, callback> Timers;
   std::unordered_map<std::uint64_t, steady_time> TimerTimes;
   std::unordered_map<int, std::shared_ptr<watched>> Watched;
@@ -122,6 +123,10 @@
 
 auto loop::receivedBytes() const -> std::uint64_t { return Impl->Received; }
 
+void loop::countLingering(int Change) { Impl->Lingering += Change; }
+
+auto loop::lingeringStreams() const -> int { return Impl->Lingering; }
+
 auto loop::sentBytes() const -> std::uint64_t { return Impl->Sent; }
 
 auto loop::addTimer(steady_time At, callback Run) -> timer_id {
--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -13,6 +13,7 @@
 #include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
+#include <utility>
 
 namespace sycamorelb::event {
 
@@ -31,7 +32,7 @@
 /** Time after which a connection with unacknowledged bytes is lost. */
 static constexpr auto UnacknowledgedTimeoutMs = 2500;
 /** Time to write the remaining output of a closing connection. */
-static constexpr auto LingerTimeout = millis(1000);
+static constexpr auto LingerTimeout = millis(5000);
 
 auto parseEndpoint(std::string_view Text) -> result<endpoint> {
   auto Colon = Text.rfind(':');
@@ -111,6 +112,9 @@
 
   void closeDescriptor() {
     Loop.cancelTimer(Timer);
+    if (std::exchange(ClosingAfterOutput, false)) {
+      Loop.countLingering(-1);
+    }
     if (Descriptor >= 0) {
       Loop.unwatch(Descriptor);
       ::close(Descriptor);
@@ -338,6 +342,7 @@
     return Impl->closeDescriptor();
   }
   Impl->ClosingAfterOutput = true;
+  Impl->Loop.countLingering(1);
   // The timer keeps the stream alive until its output is written.
   auto Self = shared_from_this();
   Impl->Timer = Impl->Loop.addTimer(Impl->Loop.now() + LingerTimeout,
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -208,6 +208,10 @@
   return !Impl->Pipeline.Exchanges.empty();
 }
 
+auto server_connection::hasUnsentOutput() const -> bool {
+  return Impl->Stream->pendingOutput() > 0;
+}
+
 auto server_connection::isReading() const -> bool {
   return Impl->Stage != implementation::read_stage::None ||
          !Impl->Stream->input().empty();
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -177,7 +177,8 @@
     auto Age = Now - Connection->stateChangedAt();
     auto Limit =
         Connection->isReading() ? Limits.HeadTimeout * 2 : Limits.IdleTimeout;
-    if (!Connection->isBusy() && Age > Limit) {
+    if (!Connection->isBusy() && !Connection->hasUnsentOutput() &&
+        Age > Limit) {
       Expired.push_back(Connection);
     }
   }
@@ -192,7 +193,8 @@
 void entry::closeIdleConnections() {
   auto Idle = std::vector<std::shared_ptr<http::server_connection>>();
   for (const auto &[Connection, Serials] : Impl->Connections) {
-    if (!Connection->isBusy() && !Connection->isReading()) {
+    if (!Connection->isBusy() && !Connection->isReading() &&
+        !Connection->hasUnsentOutput()) {
       Idle.push_back(Connection);
     }
   }
@@ -216,6 +218,12 @@
   return *Impl->Pipelining;
 }
 
+auto entry::hasUnsentOutput() const -> bool {
+  return std::any_of(
+      Impl->Connections.begin(), Impl->Connections.end(),
+      [](const auto &Entry) { return Entry.first->hasUnsentOutput(); });
+}
+
 auto entry::openCalls() const -> std::size_t { return Impl->Calls.size(); }
 
 } // namespace sycamorelb::sidecar
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -35,6 +35,8 @@
   void endCalls();
   /** @return the number of calls in progress. */
   auto openCalls() const -> std::size_t;
+  /** @return whether a part of an answer to a caller waits to be written. */
+  auto hasUnsentOutput() const -> bool;
   /** @return counts of the pipelined requests of callers. */
   auto pipelining() const -> const http::pipeline_budget &;
 
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -417,7 +417,9 @@
   if (Elapsed >= IdleCloseDelay) {
     Entry.closeIdleConnections();
   }
-  auto AllCallsEnded = Entry.openCalls() == 0 && Admission.pendingCalls() == 0;
+  auto AllCallsEnded = Entry.openCalls() == 0 &&
+                       Admission.pendingCalls() == 0 &&
+                       !Entry.hasUnsentOutput() && Loop.lingeringStreams() == 0;
   auto IsOver = Loop.now() >= State.StopEndsAt;
   if ((Elapsed >= CallerAcceptPeriod && AllCallsEnded) || IsOver) {
     State.Log.write(
--- a/test/sidecar_sim.cpp
+++ b/test/sidecar_sim.cpp
@@ -140,8 +140,11 @@
   auto Origin = std::stoi(Id);
   auto SentAt = steady_time(micros(std::stoll(Id.substr(Id.find('-') + 1))));
   Arrivals.push_back({SentAt, Loop.now(), Origin});
-  auto Response = http::response{
-      200, "", {{"Request-Id", Id}, {"Response-Signature", "s"}}, "ok"};
+  auto Response =
+      http::response{200,
+                     "",
+                     {{"Request-Id", Id}, {"Response-Signature", "s"}},
+                     std::string(AnswerBytes, 'x')};
   Response.Headers.insert(Response.Headers.end(), Headers.begin(),
                           Headers.end());
   auto IsNotice = !Headers.empty();
--- a/test/sidecar_sim.h
+++ b/test/sidecar_sim.h
@@ -73,6 +73,8 @@
   proxy::header_list Headers;
   /** Time that it runs a call. */
   micros RunTime{20'000};
+  /** Size of its answers. */
+  std::size_t AnswerBytes = 2;
   /** Number of calls that it runs now. */
   int Running = 0;
   /** All calls that arrived. */
@@ -133,6 +135,11 @@
   /** Sends a call on the route that a version added.
    * @return the status, or 0 if no response arrived within a second. */
   auto call(int Node, int Version) -> int;
+  /** @return the address for callers of a node. */
+  auto callerAddress(int Node) -> event::endpoint {
+    return Nodes[static_cast<std::size_t>(Node)].Caller;
+  }
+  auto loop() -> event::loop & { return Loop; }
   /** Sends a call on the route that a version added; OnStatus gets the status.
    */
   void startCall(int Node, int Version, std::function<void(int)> OnStatus);
--- a/test/sidecar_stop_test.cpp
+++ b/test/sidecar_stop_test.cpp
@@ -56,3 +56,45 @@
   cr_assert_geq(Statuses[503], 5, "late calls are not refused");
   cr_assert_eq(Statuses.size(), 2U, "calls end in another way");
 }
+
+// Guards against an answer that is cut in the middle because its caller reads
+// slowly and the process ends before all bytes are written.
+Test(sidecar_stop, answers_are_written_to_the_end) {
+  auto Mesh = mesh_sim(1, 2);
+  Mesh.RouteTimeout = "4s";
+  Mesh.startTargets();
+  auto Version = Mesh.publishConfig();
+  Mesh.run(StartTime);
+  // More than the kernel holds for a connection.
+  auto AnswerBytes = std::size_t{24} << 20U;
+  Mesh.target(0).AnswerBytes = AnswerBytes;
+  Mesh.target(1).AnswerBytes = AnswerBytes;
+  auto Caller =
+      event::stream::connect(Mesh.loop(), Mesh.callerAddress(0), millis(1000));
+  auto Got = std::size_t{0};
+  auto Closed = false;
+  Caller->OnData = [&] {
+    Got += Caller->input().size();
+    Caller->consume(Caller->input().size());
+    Caller->pauseReading(true);
+  };
+  Caller->OnClosed = [&](event::close_reason) { Closed = true; };
+  Caller->send("GET /v" + std::to_string(Version) +
+               "/x HTTP/1.1\r\nHost: sim\r\nRequest-Id: 0-1\r\n\r\n");
+  Mesh.run(micros(500'000));
+  cr_assert_gt(Got, 0U);
+  cr_assert_lt(Got, AnswerBytes);
+  auto Stopped = false;
+  Mesh.stopNode(0, [&] { Stopped = true; });
+  Mesh.run(micros(4'000'000));
+  cr_assert_not(Stopped, "the process ends with an answer half written");
+  cr_assert_not(Closed, "the connection is closed with an answer half written");
+  Caller->pauseReading(false);
+  Caller->OnData = [&] {
+    Got += Caller->input().size();
+    Caller->consume(Caller->input().size());
+  };
+  Mesh.run(micros(1'500'000));
+  cr_assert(Stopped);
+  cr_assert_gt(Got, AnswerBytes);
+}
