Fix: [Event] Idle connections kept the memory of their largest message

Cause: an empty buffer kept up to 64 KB of input and all of its output; a host of the large site has hundreds of connections, each of which has carried a host table or a configuration. Change: an empty buffer above 4 KB is freed. Also, a host that joins later lists the mesh topic once, not twice, if others of its zone have told of themselves: they spread its record. Tests: sidecar and http suites.

--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -21,6 +21,9 @@
 static constexpr auto ReadChunkBytes = std::size_t{64} * 1024;
 /** Consumed bytes above which they are erased from the input buffer. */
 static constexpr auto CompactThresholdBytes = std::size_t{16} * 1024;
+/** Memory that an empty buffer keeps: most connections are idle mostly, and a
+ * host has hundreds. */
+static constexpr auto MaxIdleBufferBytes = std::size_t{4} * 1024;
 /** Maximum number of connections that wait to be accepted. */
 static constexpr auto ListenBacklog = 512;
 /** Maximum number of connections accepted for one event. */
@@ -110,6 +113,14 @@
     }
   }
 
+  /** Empties a buffer, and frees its memory if it is large. */
+  static void release(std::string &Buffer) {
+    Buffer.clear();
+    if (Buffer.capacity() > MaxIdleBufferBytes) {
+      Buffer.shrink_to_fit();
+    }
+  }
+
   void closeDescriptor() {
     Loop.cancelTimer(Timer);
     if (std::exchange(ClosingAfterOutput, false)) {
@@ -135,8 +146,8 @@
         Loop.countTraffic(0, static_cast<std::size_t>(Sent));
       }
     }
-    OutputBuffer.clear();
     OutputOffset = 0;
+    release(OutputBuffer);
     return true;
   }
 
@@ -280,11 +291,8 @@
 void stream::consume(std::size_t Count) {
   Impl->InputOffset += Count;
   if (Impl->InputOffset >= Impl->InputBuffer.size()) {
-    Impl->InputBuffer.clear();
     Impl->InputOffset = 0;
-    if (Impl->InputBuffer.capacity() > ReadChunkBytes) {
-      Impl->InputBuffer.shrink_to_fit();
-    }
+    implementation::release(Impl->InputBuffer);
   } else if (Impl->InputOffset > CompactThresholdBytes) {
     Impl->InputBuffer.erase(0, Impl->InputOffset);
     Impl->InputOffset = 0;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -243,6 +243,10 @@
                  if (!State.MeshTopicListed) {
                    return Store.start();
                  }
+                 if (hearsFromPeers()) {
+                   // They spread the record of this host.
+                   return;
+                 }
                  Store.list(platform::store_topic::Mesh,
                             [this](result<platform::store_page> Page) {
                               if (!isOk(Page)) {
@@ -256,6 +260,17 @@
                });
 }
 
+auto sidecar::implementation::hearsFromPeers() const -> bool {
+  return std::any_of(State.Hosts.records().begin(), State.Hosts.records().end(),
+                     [this](const auto &Entry) {
+                       const auto &Host = Entry.second;
+                       // Records from the store have revision 0.
+                       return Host.Node != State.Own.Node &&
+                              Host.Zone == State.Own.Zone && !Host.Leaving &&
+                              Host.Revision > 0;
+                     });
+}
+
 auto sidecar::implementation::answerReadiness(const http::request &Request)
     -> http::response {
   if (!platform::isReadinessRequest(Request)) {
--- a/src/sidecar/sidecar_state.h
+++ b/src/sidecar/sidecar_state.h
@@ -85,8 +85,10 @@
    * configuration, so that calls need not wait for its next heartbeat. */
   void probePreviousTarget();
   /** Appends the record of this host to the mesh topic, once, then lists the
-   * topic again. */
+   * topic if no other host of the zone is known yet. */
   void announceHost();
+  /** @return whether another host of the zone has told of itself. */
+  auto hearsFromPeers() const -> bool;
   void handleLeave(const mesh::target_id &Id, std::string_view Body);
   void publishTarget();
   void publishTargetLost();
