--- a/test/sidecar_delay_test.cpp
+++ b/test/sidecar_delay_test.cpp
@@ -24,9 +24,9 @@
   }
 }
 
-// Guards against a node that runs a call whose deadline passed while the message
-// was held up: neither the clock of the sender nor the time left in the message
-// tells how long that took.
+// Guards against a node that runs a call whose deadline passed while the
+// message was held up: neither the clock of the sender nor the time left in the
+// message tells how long that took.
 Test(sidecar_delay, call_that_arrives_after_its_deadline_does_not_run) {
   auto Mesh = mesh_sim(1, 2);
   Mesh.startTargets();
