--- a/soak/soak.py
+++ b/soak/soak.py
@@ -88,7 +88,7 @@
                 stdout=log, stderr=log, stdin=subprocess.DEVNULL)
 
     def settings(self):
-        bounds = {name: f"{value}s" if name in ("drain", "gracePeriod", "budgetWindow") else value
+        bounds = {name: f"{value}s" if name in ("drain", "gracePeriod", "budgetWindow", "configApply") else value
                   for name, value in BOUNDS.items()}
         return {"nodeName": self.name, "zone": self.zone, "service": self.service, "ipAddress": self.ip,
                 "listenAddresses": {name: f"{self.ip}:{PORTS[name]}"
