Fix: [Soak] A soak in which no call ran passed

Cause: all checks look at calls that ran or were answered, and recovery only at calls sent in the last seconds. Change: no run at all breaks RECOVER.

--- a/soak/checks.py
+++ b/soak/checks.py
@@ -234,7 +234,8 @@
         served = sum(1 for request_id in final if self.answers.get(request_id, (0,))[0] == 200)
         if self.falsification == "recovery":
             served = 0
-        if final and served < 0.9 * len(final):
+        # Without a run at all, no other check can find anything.
+        if not self.executions or (final and served < 0.9 * len(final)):
             self.report_violation("RECOVER", served=served, of=len(final))
         self.counts["served at the end, per cent"] = 100 * served // max(1, len(final))
 
