--- a/review/lab.py
+++ b/review/lab.py
@@ -256,6 +256,8 @@
         if not self.alive or self.id != server_id:
             return False
         failed = self.lab.random.random() < self.failing_share
+        if failed:
+            self.lab.bad_runs.append(self.lab.now())
         writer.write(encode("HTTP/1.1 500 Internal Server Error" if failed else "HTTP/1.1 200 OK",
                             base | {"Response-Signature": f"{self.id}.{request_id}",
                                     "Server-Load": f"{self.running},0,{SLOTS}"}, answer_body(request_id)))
@@ -335,6 +337,7 @@
         self.runs = []  # (time, server id, version, service, request id, machine of the client)
         self.sent = {}  # Request id: (time, route, machine).
         self.answers = {}  # Request id: (time, status or None).
+        self.bad_runs = []  # Times of failures that servers answered.
         self.next_id = 0
 
     @staticmethod
