Fix: [Sidecar] Name processes by a number that never changes

Cause: the incarnation of a process named it in the keys of calls, and rises while the process runs if its predecessor's clock was ahead. Calls were filed under the old number and asked for under the new one, so the node beside the target promised that a call that it was running would never run.

A raised incarnation wasn't logged; incarnation.raised and admission.resume are new.

Change: a process draws a random number at its start. Keys of calls and cancellations and reports of evidence use it; the incarnation only orders records. Both ends of a connection tell it, so a question for a lost call names the process that got the call, which was guessed from its uptime before.

--- a/include/sycamorelb/core/id_type.h
+++ b/include/sycamorelb/core/id_type.h
@@ -37,6 +37,10 @@
 using move_id = strong_id<struct move_tag, std::string>;
 using request_id = strong_id<struct request_tag, std::string>;
 
+/** One process of a node: a random number drawn at its start, which no other
+ * process has and which never changes. 0 if unknown. */
+using process_id = strong_id<struct process_tag, std::uint64_t>;
+
 /** Position of a record in a stream of the log service. */
 using log_offset = strong_id<struct log_offset_tag, std::uint64_t>;
 /** Incarnation number of a node process: its start time in ms since the Unix
--- a/include/sycamorelb/inner/mesh_message_type.h
+++ b/include/sycamorelb/inner/mesh_message_type.h
@@ -71,8 +71,9 @@
  * lost. A node that did not receive the call answers NotRun and never runs
  * it. */
 struct resume_message {
-  call_number Call; ///< Number of the call.
-  micros Age{0};    ///< Time since the call was sent.
+  call_number Call;   ///< Number of the call.
+  micros Age{0};      ///< Time since the call was sent.
+  process_id Process; ///< Process that the call was sent to, if known.
 };
 
 /** Call statistics of one node for one version of a service in a rollout. */
@@ -111,7 +112,8 @@
   std::vector<rollout_evidence_report> Evidence; ///< For rollout decisions.
 };
 
-/** First message of a connection; identifies the node that opened it. */
+/** First message of a connection in each direction; identifies the process at
+ * that end. */
 struct opened_message {
   mesh::host_record Sender; ///< Host record of the sender.
 };
--- a/include/sycamorelb/mesh/host_table.h
+++ b/include/sycamorelb/mesh/host_table.h
@@ -51,13 +51,17 @@
 
 /** Description of a node, written only by the node itself. */
 struct host_record {
-  node_id Node;                  ///< Name of the host.
-  event::endpoint Peer;          ///< Address for connections from other nodes.
-  zone_id Zone;                  ///< Its availability zone.
-  std::uint64_t Incarnation = 0; ///< Increases with each start of the node.
-  std::uint64_t Revision = 0;    ///< Increases with each change of the record.
-  bool StoreLost = false;        ///< The node can't read the platform's store.
-  bool Leaving = false;          ///< The node is stopping.
+  node_id Node;         ///< Name of the host.
+  event::endpoint Peer; ///< Address for connections from other nodes.
+  zone_id Zone;         ///< Its availability zone.
+  /** Orders the records of a host. Increases with each start of the node, and
+   * while it runs if a previous process had a greater one; Process tells
+   * processes apart. */
+  std::uint64_t Incarnation = 0;
+  process_id Process;         ///< Process that wrote the record.
+  std::uint64_t Revision = 0; ///< Increases with each change of the record.
+  bool StoreLost = false;     ///< The node can't read the platform's store.
+  bool Leaving = false;       ///< The node is stopping.
   /** The node has the CPU and bandwidth to read the store for its zone. */
   bool ReaderCapable = false;
   /** Dictionary of the compressed messages that the node reads; 0 for none. */
--- a/include/sycamorelb/rollout/evidence_type.h
+++ b/include/sycamorelb/rollout/evidence_type.h
@@ -13,14 +13,19 @@
 /** What a node's statistics count from: the start of its process, or of the
  * target beside it. A later start has a greater value. */
 struct evidence_start {
-  std::uint64_t Incarnation = 0; ///< Start of the process.
+  std::uint64_t Incarnation = 0; ///< Orders the processes of a node.
   std::uint64_t TargetStart = 0; ///< Number of the target since then.
+  process_id Process{};          ///< The process.
   auto operator==(const evidence_start &) const -> bool = default;
 };
 
-/** @return whether Left is the earlier start. */
+/** @return whether Left is the earlier start. The incarnation of a process may
+ * increase while it runs, which is not another start. */
 inline auto isEarlier(const evidence_start &Left, const evidence_start &Right)
     -> bool {
+  if (Left.Process == Right.Process && Left.Process != process_id()) {
+    return Left.TargetStart < Right.TargetStart;
+  }
   return std::tie(Left.Incarnation, Left.TargetStart) <
          std::tie(Right.Incarnation, Right.TargetStart);
 }
--- a/src/inner/gossip_codec.cpp
+++ b/src/inner/gossip_codec.cpp
@@ -13,11 +13,19 @@
 /** Largest number of slots, as in heartbeats. */
 static constexpr auto MaxSlots = std::uint32_t{100'000};
 
+/** @return the process in a message; nodes of older versions tell none, and
+ * identify it by its incarnation. */
+static auto processOf(std::uint64_t Process, std::uint64_t Incarnation)
+    -> std::uint64_t {
+  return Process == 0 ? Incarnation : Process;
+}
+
 void writeHost(mesh_wire::Host::Builder Out, const mesh::host_record &Host) {
   Out.setNode(Host.Node.Value);
   Out.setPeer(event::formatEndpoint(Host.Peer));
   Out.setZone(Host.Zone.Value);
   Out.setIncarnation(Host.Incarnation);
+  Out.setProcess(Host.Process.Value);
   Out.setRevision(Host.Revision);
   Out.setStoreLost(Host.StoreLost);
   Out.setLeaving(Host.Leaving);
@@ -48,6 +56,7 @@
   Host.Peer = valueOf(Peer);
   Host.Zone.Value = textOf(In.getZone());
   Host.Incarnation = In.getIncarnation();
+  Host.Process.Value = processOf(In.getProcess(), In.getIncarnation());
   Host.Revision = In.getRevision();
   Host.StoreLost = In.getStoreLost();
   Host.Leaving = In.getLeaving();
@@ -71,6 +80,7 @@
   Out.setVersion(Report.Version.Value);
   Out.setIncarnation(Report.Start.Incarnation);
   Out.setTargetStart(Report.Start.TargetStart);
+  Out.setProcess(Report.Start.Process.Value);
   auto Tallies = Out.initTallies(static_cast<unsigned>(Report.Evidence.size()));
   auto Index = 0U;
   for (const auto &[Route, Tally] : Report.Evidence) {
@@ -90,7 +100,9 @@
   Report.Service.Value = textOf(In.getService());
   Report.OrderOffset.Value = In.getOrderOffset();
   Report.Version.Value = textOf(In.getVersion());
-  Report.Start = {In.getIncarnation(), In.getTargetStart()};
+  Report.Start = {In.getIncarnation(),
+                  In.getTargetStart(),
+                  {processOf(In.getProcess(), In.getIncarnation())}};
   for (auto Item : In.getTallies()) {
     Report.Evidence[route_id{textOf(Item.getRoute())}] = {
         Item.getCalls(), Item.getFailures(), Item.getTimed(),
--- a/src/inner/mesh.capnp
+++ b/src/inner/mesh.capnp
@@ -68,6 +68,7 @@
 struct Resume {
   call @0 :UInt64;
   ageMicros @1 :Int64;      # Time since the call was sent.
+  process @2 :UInt64;       # Process that the call was sent to; 0 if unknown.
 }
 
 struct Host {
@@ -86,6 +87,7 @@
   state @12 :UInt16;
   capable @13 :Bool;        # Has the CPU and bandwidth to read the store for others.
   compression @14 :UInt32;  # Dictionary of the compressed messages that it reads; 0 for none.
+  process @15 :UInt64;      # Random number of the process that wrote the record.
 }
 
 struct OperatorRecord {
@@ -127,6 +129,7 @@
   tallies @4 :List(Tally);
   incarnation @5 :UInt64;   # Of the process that counted.
   targetStart @6 :UInt64;   # Number of the target among those of that process.
+  process @7 :UInt64;       # Random number of the process that counted.
 }
 
 struct Gossip {
@@ -155,7 +158,7 @@
     gossip @3 :Gossip;
     ping @4 :Void;
     pong @5 :Void;
-    opened @6 :Host;        # First message of a connection; identifies the sender.
+    opened @6 :Host;        # First message of a connection in each direction; identifies the sender.
     resume @8 :Resume;      # Requests the outcome of a call after its connection was lost.
   }
 }
--- a/src/inner/mesh_codec.cpp
+++ b/src/inner/mesh_codec.cpp
@@ -183,6 +183,7 @@
     auto Resume = Out.initResume();
     Resume.setCall(Message.Call.Value);
     Resume.setAgeMicros(Message.Age.count());
+    Resume.setProcess(Message.Process.Value);
   }
   void operator()(const gossip_message &Message) {
     writeGossip(Out.initGossip(), Message, Now);
@@ -205,7 +206,8 @@
     return cancel_message{{In.getCancel()}};
   case mesh_wire::Message::RESUME:
     return resume_message{{In.getResume().getCall()},
-                          timeOf(In.getResume().getAgeMicros())};
+                          timeOf(In.getResume().getAgeMicros()),
+                          {In.getResume().getProcess()}};
   case mesh_wire::Message::GOSSIP:
     if (auto Gossip = readGossip(In.getGossip(), Now)) {
       return std::move(*Gossip);
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -22,8 +22,9 @@
  * data is closed sooner. */
 static constexpr auto EndedKeyRetention = micros(60'000'000);
 
-/** Time by which the process must be older than a call to know its outcome;
- * covers the transit time of the call. */
+/** Time by which the process must be older than a call to know its outcome, if
+ * it isn't known which process the call was sent to; covers the transit time of
+ * the call. */
 static constexpr auto UptimeMargin = micros(1'000'000);
 /** Time that an entry node has to resume its calls after its connection was
  * lost, before they are cancelled. */
@@ -251,8 +252,8 @@
   Impl->runQueue();
 }
 
-void admission::resume(const call_key &Key, micros Age, reply_handler Reply,
-                       source_connection Source) {
+void admission::resume(const call_key &Key, const resume_message &Resume,
+                       reply_handler Reply, source_connection Source) {
   Impl->dropOldOutcomes();
   if (auto Known = Impl->findCall(Key)) {
     return Impl->replaceReply(*Known, std::move(Reply), Source);
@@ -261,8 +262,12 @@
   Outcome.Call = Key.Call;
   Outcome.Load = Impl->load();
   Outcome.Reason = "did not arrive";
-  auto Uptime = Impl->State.Loop.now() - Impl->State.StartedAt;
-  if (Uptime < Age + UptimeMargin) {
+  auto &State = Impl->State;
+  auto Uptime = State.Loop.now() - State.StartedAt;
+  auto IsForOther = Resume.Process == process_id()
+                        ? Uptime < Resume.Age + UptimeMargin
+                        : Resume.Process != State.Own.Process;
+  if (IsForOther) {
     Outcome.Outcome = reply_outcome::Unknown;
     Outcome.Reason = "node restarted since";
   } else if (Impl->EndedKeys.contains(Key)) {
@@ -271,6 +276,15 @@
   } else {
     Impl->rememberEndedKey(Key);
   }
+  State.Log.write(
+      log_class::Decision, "admission.resume",
+      {{"call", static_cast<std::int64_t>(Key.Call.Value)},
+       {"origin", Key.Node.Value},
+       {"process", static_cast<std::int64_t>(Key.Process.Value)},
+       {"reason", Outcome.Reason},
+       {"age_us", Resume.Age.count()},
+       {"uptime_us", Uptime.count()},
+       {"sent_to", static_cast<std::int64_t>(Resume.Process.Value)}});
   Reply(Outcome);
 }
 
--- a/src/sidecar/admission.h
+++ b/src/sidecar/admission.h
@@ -11,9 +11,9 @@
 
 /** Identifies one attempt of a call across all nodes. */
 struct call_key {
-  node_id Node;                  ///< Node that accepted the call.
-  std::uint64_t Incarnation = 0; ///< Incarnation of that node's process.
-  inner::call_number Call;       ///< Number given by that process.
+  node_id Node;            ///< Node that accepted the call.
+  process_id Process;      ///< Process of that node.
+  inner::call_number Call; ///< Number given by that process.
   // clang-tidy reports the compiler-generated comparison code.
   // NOLINTNEXTLINE(modernize-use-nullptr,readability-identifier-naming)
   auto operator<=>(const call_key &) const = default;
@@ -53,11 +53,11 @@
               reply_handler Reply, source_connection Source = nullptr);
   /** Reports the outcome of a call whose connection was lost. A call that has
    * not arrived is reported as not run, and is not run if it arrives later. If
-   * this process started after the call was sent, the outcome is unknown, as
-   * the previous process may have run it.
-   * @param Age time since the call was sent. */
-  void resume(const call_key &Key, micros Age, reply_handler Reply,
-              source_connection Source = nullptr);
+   * the call was sent to another process of this node, the outcome is unknown,
+   * as that process may have run it; if the caller's node doesn't know the
+   * process, so it is if this one may have started after the call was sent. */
+  void resume(const call_key &Key, const inner::resume_message &Resume,
+              reply_handler Reply, source_connection Source = nullptr);
   /** Cancels a call whose caller no longer waits: a queued call is dropped, a
    * running idempotent call is aborted, any other running call finishes. */
   void cancel(const call_key &Key);
--- a/src/sidecar/call_dispatch.cpp
+++ b/src/sidecar/call_dispatch.cpp
@@ -99,11 +99,12 @@
   Call->Attempt = {NextNumber++};
   Call->Host = Node;
   Call->SentAt = State.Loop.now();
+  Call->SentTo = std::nullopt;
   Attempts.emplace(Call->Attempt.Value, Call);
   auto Forward = makeForward(*Call, Host);
   recordCallSent(Balancer, Node, Call->Request.Body.size());
   if (Node == State.Own.Node) {
-    auto Key = call_key{Node, State.Own.Incarnation, Call->Attempt};
+    auto Key = call_key{Node, State.Own.Process, Call->Attempt};
     auto Weak = std::weak_ptr<open_call>(Call);
     Admission.submit(Key, std::move(Forward),
                      [this, Weak, Node](const reply_message &Reply) {
@@ -278,7 +279,7 @@
   auto Attempt = Call->Attempt;
   releaseHost(*Call);
   if (Node == State.Own.Node) {
-    Admission.cancel({Node, State.Own.Incarnation, Attempt});
+    Admission.cancel({Node, State.Own.Process, Attempt});
   } else {
     Links.send(Node, cancel_message{Attempt});
   }
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -140,7 +140,8 @@
   }
 }
 
-void entry::handleLinkLost(const node_id &Node, bool Established) {
+void entry::handleLinkLost(const node_id &Node, bool Established,
+                           process_id Process) {
   auto &State = Impl->State;
   auto Affected = std::vector<call_ref>();
   for (const auto &[Serial, Call] : Impl->Calls) {
@@ -152,10 +153,11 @@
     recordUnreachableHost(Impl->Balancer, Node, State.Loop.now());
   }
   for (const auto &Call : Affected) {
+    Call->SentTo = Call->SentTo.value_or(Process);
+    auto Age = State.Loop.now() - Call->SentAt;
     if (Established && Call->Resumes < MaxResumes &&
-        Impl->Links.send(
-            Node,
-            resume_message{Call->Attempt, State.Loop.now() - Call->SentAt})) {
+        Impl->Links.send(Node,
+                         resume_message{Call->Attempt, Age, *Call->SentTo})) {
       ++Call->Resumes;
       continue;
     }
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -27,8 +27,10 @@
   void handleReply(const node_id &Node, const inner::reply_message &Reply);
   /** Handles the loss of the connection to another node, or a failed attempt to
    * connect.
-   * @param Established whether the connection had been established. */
-  void handleLinkLost(const node_id &Node, bool Established);
+   * @param Established whether the connection had been established.
+   * @param Process process that it led to, if known. */
+  void handleLinkLost(const node_id &Node, bool Established,
+                      process_id Process);
   /** Closes idle connections of callers, as part of a shutdown. */
   void closeIdleConnections();
   /** Ends all calls in progress, as the last step of a shutdown. */
--- a/src/sidecar/entry_state.h
+++ b/src/sidecar/entry_state.h
@@ -33,6 +33,9 @@
   steady_time ObjectiveAt{}; // Latest time that meets the latency objective.
   steady_time DeadlineAt{};  // Time at which the caller gets a timeout.
   steady_time SentAt{};      // When it was sent to Host.
+  /** Process of Host that it was sent to, 0 if unknown; set once the connection
+   * that carried it is lost. */
+  std::optional<process_id> SentTo;
   event::timer_id Timer{0};
   std::set<node_id> TriedHosts; // Hosts that are not tried again.
   node_id Host;                 // Host of the attempt in progress, if any.
--- a/src/sidecar/gossip.cpp
+++ b/src/sidecar/gossip.cpp
@@ -256,6 +256,10 @@
     if (mesh::isNewer(Record, State.Own)) {
       // A record of a previous process whose clock was ahead; move past its
       // incarnation.
+      State.Log.write(
+          log_class::State, "incarnation.raised",
+          {{"from", static_cast<std::int64_t>(State.Own.Incarnation)},
+           {"to", static_cast<std::int64_t>(Record.Incarnation + 1)}});
       State.Own.Incarnation = Record.Incarnation + 1;
       publishOwnRecord(State);
       Impl->Events.OnPreviousIncarnation(Record);
--- a/src/sidecar/message_sample.cpp
+++ b/src/sidecar/message_sample.cpp
@@ -14,6 +14,7 @@
   Host.Peer = {"10.1.0.8", 7620};
   Host.Zone = {"zone-a"};
   Host.Incarnation = 1'700'000'000'000;
+  Host.Process = {1};
   Host.Revision = 3;
   Host.Target.Id = {"i-0123456789"};
   Host.Target.StartedAtMs = 1'700'000'000'000;
--- a/src/sidecar/node_state.cpp
+++ b/src/sidecar/node_state.cpp
@@ -4,6 +4,7 @@
 #include "sidecar/message_sample.h"
 
 #include <optional>
+#include <random>
 
 namespace sycamorelb::sidecar {
 
@@ -12,12 +13,20 @@
 static constexpr auto MinReaderLinkMbps = 100.0;
 static constexpr auto MinReaderCpuShare = 0.2;
 
+/** @return a random number; unlike the time of day, it can't be the same as
+ * that of a previous process. */
+static auto drawProcessId() -> process_id {
+  auto Device = std::random_device();
+  return {std::uint64_t{Device()} << 32U | Device()};
+}
+
 node_state::node_state(event::loop &Loop, node_settings Settings,
                        std::uint64_t Seed)
     : Loop(Loop), Settings(std::move(Settings)), Random(Seed),
       Log(Loop, this->Settings.Node), Compressor(sampleMessages()) {
   StartedAt = Loop.now();
   Own.Node = this->Settings.Node;
+  Own.Process = drawProcessId();
   Own.Peer = this->Settings.AdvertisedPeerAddress.Port == 0
                  ? this->Settings.PeerAddress
                  : this->Settings.AdvertisedPeerAddress;
--- a/src/sidecar/peer_links.cpp
+++ b/src/sidecar/peer_links.cpp
@@ -137,6 +137,7 @@
 struct outbound_link {
   std::shared_ptr<event::stream> Stream; ///< Null while not connected.
   zone_id Zone;                          ///< Zone of the host.
+  process_id Process;                    ///< At the other end, once it told.
   std::uint32_t Compression = 0;         ///< Of messages that it reads.
   steady_time LastReceivedAt{};          ///< When data last arrived.
   steady_time AwaitingSince{};           ///< Since when replies are awaited.
@@ -212,6 +213,8 @@
         auto &Message = Decoded.Message;
         if (auto *Opened = std::get_if<opened_message>(&Message)) {
           beginSession(*Session, Opened->Sender);
+          // Tells the peer which process gets its calls.
+          sendOnSession(State, *Session, opened_message{State.Own});
         }
         auto Delay = transitDelay(*Session, Decoded.SentAt, State.Loop.now());
         if (auto *Forward = std::get_if<forward_message>(&Message)) {
@@ -246,7 +249,7 @@
   // offset.
   for (const auto &Other : Sessions) {
     if (Other->Peer.Node == Peer.Node && Other->MinClockOffset &&
-        Other->Peer.Incarnation == Peer.Incarnation) {
+        Other->Peer.Process == Peer.Process) {
       Session.MinClockOffset = Other->MinClockOffset;
     }
   }
@@ -269,6 +272,7 @@
     return false;
   }
   Link.Stream = event::stream::connect(State.Loop, Host->Peer, ConnectTimeout);
+  Link.Process = process_id();
   Link.LastReceivedAt = Now;
   Link.PingedAt = steady_time();
   auto Established = std::make_shared<bool>(false);
@@ -293,6 +297,9 @@
   Link.LastReceivedAt = State.Loop.now();
   Link.PingedAt = steady_time();
   auto Valid = readMessages(State, *Stream, [&](decoded_mesh_message Decoded) {
+    if (const auto *Opened = std::get_if<opened_message>(&Decoded.Message)) {
+      Links[Node].Process = Opened->Sender.Process;
+    }
     Events.OnLinkMessage(Node, std::move(Decoded.Message));
     return Links[Node].Stream == Stream;
   });
@@ -321,7 +328,7 @@
                    {"reason", Established ? Reason : "connect failed"},
                    {"failures", std::int64_t{Link.ConsecutiveFailures}},
                    {"awaited", std::int64_t{Link.AwaitedReplies}}});
-  Events.OnLinkLost(Node, Established);
+  Events.OnLinkLost(Node, Established, Link.Process);
 }
 
 auto peer_links::send(const node_id &Node, const mesh_message &Message)
--- a/src/sidecar/peer_links.h
+++ b/src/sidecar/peer_links.h
@@ -34,8 +34,10 @@
   /** A message arrived on a connection that this node opened. */
   std::function<void(const node_id &, inner::mesh_message)> OnLinkMessage;
   /** A connection that this node opened was lost.
-   * @param Established whether it had been established before. */
-  std::function<void(const node_id &, bool Established)> OnLinkLost;
+   * @param Established whether it had been established before.
+   * @param Process process that it led to, if that has told. */
+  std::function<void(const node_id &, bool Established, process_id Process)>
+      OnLinkLost;
   /** A message arrived on a connection that another node opened. */
   std::function<void(const std::shared_ptr<peer_session> &,
                      inner::mesh_message)>
--- a/src/sidecar/rollout_control.cpp
+++ b/src/sidecar/rollout_control.cpp
@@ -153,13 +153,13 @@
   if (Rollout.Order.Service != State.Settings.Service) {
     return;
   }
-  auto Report =
-      rollout_evidence_report{State.Own.Node,
-                              Rollout.Order.Service,
-                              Rollout.OrderOffset,
-                              State.Own.Target.Version,
-                              {State.Own.Incarnation, Admission.targetStarts()},
-                              Admission.evidence()};
+  auto Report = rollout_evidence_report{
+      State.Own.Node,
+      Rollout.Order.Service,
+      Rollout.OrderOffset,
+      State.Own.Target.Version,
+      {State.Own.Incarnation, Admission.targetStarts(), State.Own.Process},
+      Admission.evidence()};
   for (const auto &Decider : Deciders) {
     if (Decider == State.Own.Node) {
       recordReport(progressOf(Rollout), Report);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -48,10 +48,13 @@
       Gossip.handleMessage(*Update, [this, Node](const mesh_message &Answer) {
         Links.send(Node, Answer);
       });
+    } else if (auto *Opened = std::get_if<opened_message>(&Message)) {
+      Gossip.mergeHost(Opened->Sender);
     }
   };
-  Events.OnLinkLost = [this](const node_id &Node, bool Established) {
-    Entry.handleLinkLost(Node, Established);
+  Events.OnLinkLost = [this](const node_id &Node, bool Established,
+                             process_id Process) {
+    Entry.handleLinkLost(Node, Established, Process);
   };
   Events.OnSessionMessage = [this](const std::shared_ptr<peer_session> &Session,
                                    mesh_message Message) {
@@ -75,7 +78,7 @@
 
 void sidecar::implementation::handleSessionMessage(
     const std::shared_ptr<peer_session> &Session, mesh_message Message) {
-  auto Key = call_key{Session->Peer.Node, Session->Peer.Incarnation, {}};
+  auto Key = call_key{Session->Peer.Node, Session->Peer.Process, {}};
   if (auto *Forward = std::get_if<forward_message>(&Message)) {
     Key.Call = Forward->Call;
     Admission.submit(Key, std::move(*Forward), replyHandlerFor(Session),
@@ -85,7 +88,7 @@
     Admission.cancel(Key);
   } else if (auto *Resume = std::get_if<resume_message>(&Message)) {
     Key.Call = Resume->Call;
-    Admission.resume(Key, Resume->Age, replyHandlerFor(Session), Session.get());
+    Admission.resume(Key, *Resume, replyHandlerFor(Session), Session.get());
   } else if (auto *Update = std::get_if<gossip_message>(&Message)) {
     Gossip.handleMessage(*Update, [this, Session](const mesh_message &Answer) {
       sendOnSession(State, *Session, Answer);
@@ -416,7 +419,8 @@
       log_class::State, "process.started",
       {{"service", Self.State.Settings.Service.Value},
        {"zone", Self.State.Settings.Zone.Value},
-       {"incarnation", static_cast<std::int64_t>(Self.State.Own.Incarnation)}});
+       {"incarnation", static_cast<std::int64_t>(Self.State.Own.Incarnation)},
+       {"process", static_cast<std::int64_t>(Self.State.Own.Process.Value)}});
   if (Self.State.Settings.FirstStart) {
     // No record of an earlier process can exist. One listing after the append
     // finds all hosts, or is found by them.
--- a/src/sidecar/state_view.cpp
+++ b/src/sidecar/state_view.cpp
@@ -9,6 +9,7 @@
   return {{"peer", event::formatEndpoint(Host.Peer)},
           {"zone", Host.Zone.Value},
           {"incarnation", Host.Incarnation},
+          {"process", Host.Process.Value},
           {"revision", Host.Revision},
           {"store_lost", Host.StoreLost},
           {"leaving", Host.Leaving},
--- a/test/inner_mesh_test.cpp
+++ b/test/inner_mesh_test.cpp
@@ -51,6 +51,27 @@
             ReceivedReply->Load.StartGap == micros(7));
 }
 
+// Guards against processes that get lost in the encoding, and against nodes of
+// older versions, which tell none, that are all taken for the same process.
+Test(inner_mesh, processes_round_trip) {
+  auto Opened = opened_message();
+  Opened.Sender.Node = {"n"};
+  Opened.Sender.Peer = {"127.0.0.1", 9};
+  Opened.Sender.Incarnation = 3;
+  auto SentBy = [&Opened] {
+    auto Decoded = decodeMeshMessage(encodeMeshMessage(Opened, Now), Now);
+    return std::get<opened_message>(valueOf(Decoded)->Message).Sender.Process;
+  };
+  cr_assert(SentBy() == process_id{3});
+  Opened.Sender.Process = {~std::uint64_t{0}};
+  cr_assert(SentBy() == Opened.Sender.Process);
+  auto Resume = resume_message{{7}, micros(5), {9}};
+  auto Decoded = decodeMeshMessage(encodeMeshMessage(Resume, Now), Now);
+  auto *Received = std::get_if<resume_message>(&valueOf(Decoded)->Message);
+  cr_assert(Received != nullptr && Received->Call.Value == 7 &&
+            Received->Age == micros(5) && Received->Process.Value == 9);
+}
+
 // Guards against a delta base at offset 0 that decodes as no base, and against
 // elapsed times that are not converted to the clock of the receiver.
 Test(inner_mesh, gossip_round_trip_keeps_bases_and_elapsed_times) {
--- a/test/rollout_test.cpp
+++ b/test/rollout_test.cpp
@@ -81,6 +81,19 @@
   cr_assert_eq(Sums.Old.at({"a"}).Calls, 100U);
 }
 
+// Guards against calls that count twice: a process reported them under its old
+// and its new incarnation.
+Test(rollout, evidence_of_a_process_counts_once_if_its_incarnation_rises) {
+  auto Ledger = evidence_ledger();
+  auto Evidence = version_evidence{{{"a"}, {8, 0, 0, 0}}};
+  recordEvidence(Ledger, {"n"}, {{1, 1, {77}}, {"v2"}, Evidence});
+  recordEvidence(Ledger, {"n"}, {{6, 1, {77}}, {"v2"}, Evidence});
+  cr_assert_eq(sumEvidence(Ledger, {"v2"}).New[{"a"}].Calls, 8U);
+  // The next process is another start.
+  recordEvidence(Ledger, {"n"}, {{7, 1, {78}}, {"v2"}, Evidence});
+  cr_assert_eq(sumEvidence(Ledger, {"v2"}).New[{"a"}].Calls, 16U);
+}
+
 // Guards against sums that depend on when processes end: the sum is that of the
 // last report of each start.
 Test(rollout, evidence_counts_each_start_once) {
--- a/test/sidecar_admission_test.cpp
+++ b/test/sidecar_admission_test.cpp
@@ -57,15 +57,17 @@
     });
     return Outcome;
   }
-  auto resume(const call_key &Key, micros Age) -> std::optional<reply_outcome> {
+  auto resume(const call_key &Key, micros Age, process_id SentTo = {})
+      -> std::optional<reply_outcome> {
     auto Outcome = std::optional<reply_outcome>();
     Admission.resume(
-        Key, Age, [&Outcome](const auto &Reply) { Outcome = Reply.Outcome; });
+        Key, {Key.Call, Age, SentTo},
+        [&Outcome](const auto &Reply) { Outcome = Reply.Outcome; });
     return Outcome;
   }
 };
 
-static const auto Key = call_key{{"node-2"}, 1, {7}};
+static const auto Key = call_key{{"node-2"}, {1}, {7}};
 
 // Guards against running a call after it was reported as not run: a copy that
 // was delayed on the lost connection arrives later.
@@ -83,6 +85,24 @@
   cr_assert(Node.resume(Key, micros(400'000)) == reply_outcome::Unknown);
 }
 
+// Guards against a wrong "not run" for a call that a previous process may have
+// run: the question was held up on a bad connection, so that the process is
+// older now than the call was when it was asked.
+Test(sidecar_admission, call_of_another_process_is_reported_as_unknown) {
+  auto Node = admission_fixture();
+  cr_assert(Node.resume(Key, micros(400'000), {4711}) ==
+            reply_outcome::Unknown);
+}
+
+// Guards against lost calls after a restart: a node that has just started knows
+// which calls were sent to itself.
+Test(sidecar_admission, new_process_knows_the_calls_sent_to_it) {
+  auto Node = admission_fixture();
+  Node.State.StartedAt = Node.Loop.now() - micros(1'200'000);
+  cr_assert(Node.resume(Key, micros(400'000), Node.State.Own.Process) ==
+            reply_outcome::NotRun);
+}
+
 // Guards against different outcomes reported for the same call.
 Test(sidecar_admission, outcome_is_kept_for_repeated_requests) {
   auto Node = admission_fixture();
@@ -105,7 +125,8 @@
   Node.Admission.submit(
       Key, Forward, [&Replies](const auto &) { Replies += "old"; }, &Old);
   Node.Admission.resume(
-      Key, micros(0), [&Replies](const auto &) { Replies += "new"; }, &New);
+      Key, {Key.Call, micros(0), {}},
+      [&Replies](const auto &) { Replies += "new"; }, &New);
   Node.Admission.handleConnectionLost(&Old);
   Node.Loop.addTimer(Node.Loop.now() + micros(1'000'000),
                      [&Node] { Node.Loop.stop(); });
@@ -139,7 +160,7 @@
   for (auto Limit : {5.0, 2.0, 20.0}) {
     Forward.Notice = {{"i-1"}, 1, Limit, false};
     Forward.Call.Value += 1;
-    Node.Admission.submit({{"node-2"}, 1, Forward.Call}, Forward,
+    Node.Admission.submit({{"node-2"}, {1}, Forward.Call}, Forward,
                           [](const auto &) {});
   }
   cr_assert(Node.Admission.load().StartGap == micros(500'000));
--- a/test/sidecar_sim.cpp
+++ b/test/sidecar_sim.cpp
@@ -97,6 +97,12 @@
   }
 }
 
+void peer_proxy::closeAll() {
+  for (const auto &Session : std::set(Sessions)) {
+    end(Session);
+  }
+}
+
 static constexpr auto HeartbeatInterval = micros(1'000'000);
 static constexpr auto TargetSlots = 9;
 
@@ -139,7 +145,7 @@
   // See startCall().
   auto Origin = std::stoi(Id);
   auto SentAt = steady_time(micros(std::stoll(Id.substr(Id.find('-') + 1))));
-  Arrivals.push_back({SentAt, Loop.now(), Origin});
+  Arrivals.push_back({SentAt, Loop.now(), Origin, Id});
   auto Response =
       http::response{200,
                      "",
@@ -188,11 +194,16 @@
 }
 
 void mesh_sim::startTargets() {
-  for (auto &Node : Nodes) {
-    Node.Target->start(Node.TargetAddress, Node.HeartbeatAddress);
+  for (auto Node = 0; Node < nodeCount(); ++Node) {
+    startTarget(Node);
   }
 }
 
+void mesh_sim::startTarget(int Node) {
+  auto &Started = Nodes[static_cast<std::size_t>(Node)];
+  Started.Target->start(Started.TargetAddress, Started.HeartbeatAddress);
+}
+
 mesh_sim::mesh_sim(int Zones, int NodesPerZone, bool FirstStart)
     : ZoneCount(Zones), FirstStart(FirstStart), Store(Loop) {
   // The nodes log to the standard output; SIM_LOG names a file to keep that.
@@ -285,7 +296,7 @@
                          {"specification",
                           {{"host", "sim"},
                            {"pathPrefix", "/" + Name + "/"},
-                           {"kind", "idempotent"},
+                           {"kind", RouteKind},
                            {"timeout", RouteTimeout},
                            {"targetLatency", "200ms"},
                            {"priority", 1},
@@ -321,6 +332,24 @@
   });
 }
 
+void mesh_sim::resetConnections(int Node) {
+  Nodes[static_cast<std::size_t>(Node)].Proxy->closeAll();
+}
+
+void mesh_sim::tellPreviousRecord(int Node, std::uint64_t Incarnation) {
+  auto Settings = settings(Node);
+  auto Opened = inner::opened_message();
+  Opened.Sender.Node = Settings.Node;
+  Opened.Sender.Peer = Settings.AdvertisedPeerAddress;
+  Opened.Sender.Zone = Settings.Zone;
+  Opened.Sender.Incarnation = Incarnation;
+  auto Stream =
+      event::stream::connect(Loop, Settings.PeerAddress, millis(1000));
+  Stream->send(inner::encodeMeshMessage(Opened, Loop.now()));
+  run(micros(10'000));
+  Stream->close();
+}
+
 void mesh_sim::startCall(int Node, int Version,
                          std::function<void(int)> OnStatus) {
   auto Options = http::client_options();
--- a/test/sidecar_sim.h
+++ b/test/sidecar_sim.h
@@ -38,6 +38,8 @@
   /** Closes the connections of cut-off nodes, as the kernel does after some
    * time. */
   void closeCut();
+  /** Closes all connections. */
+  void closeAll();
 
 private:
   struct session {
@@ -60,6 +62,7 @@
   steady_time SentAt; ///< When the caller sent it.
   steady_time At;     ///< When it arrived.
   int Origin;         ///< Node to which the caller sent it.
+  std::string Id;     ///< Request id of the caller.
 };
 
 /** Stand-in of the target beside a node. */
@@ -116,12 +119,16 @@
   auto store() -> store_stand_in & { return Store; }
   /** Starts a target beside each node. */
   void startTargets();
+  /** Starts the target beside one node. */
+  void startTarget(int Node);
   auto target(int Node) -> target_stand_in & {
     return *Nodes[static_cast<std::size_t>(Node)].Target;
   }
 
   /** Time limit of all routes of the next configurations. */
   std::string RouteTimeout = "500ms";
+  /** Kind of all routes of the next configurations. */
+  std::string RouteKind = "idempotent";
   /** Time for which callers wait for an answer. */
   micros CallerPatience{1'000'000};
   /** Stops a node gracefully; OnStopped is called when its process would end.
@@ -132,6 +139,11 @@
   auto publishConfig() -> int;
   /** Cuts the connections between two nodes, or lets them through again. */
   void setCut(int Left, int Right, bool Cut);
+  /** Closes all connections that other nodes opened to a node. */
+  void resetConnections(int Node);
+  /** Sends a node a record of a previous process of its own, whose clock was
+   * ahead. */
+  void tellPreviousRecord(int Node, std::uint64_t Incarnation);
   /** @return the state dump of a node. */
   auto state(int Node) -> nlohmann::json;
   /** Sends a call on the route that a version added.
