Fix: [Admission] Limit a cold target also without a configuration

Cause: without a configuration, or without the service in it, the limit of a cold target read as 0, which means "no limit". The calls of a previous process in the last second were filled in for that limit as well, so as a single call.

Change: the limit comes with each forwarded call; a node without a configuration for the service takes the strictest one that it was told, or one call a second. It asks the sender of a call for the configuration and hosts at once, instead of waiting for the store or for nodes that are down. A filled window is full for any limit, and only until a second after the start of the process. The second heartbeat of a target counts as that of a target which a previous process may have served. A change without the records before it is no configuration.

--- a/include/sycamorelb/dispatch/cold_rate.h
+++ b/include/sycamorelb/dispatch/cold_rate.h
@@ -16,6 +16,7 @@
  * node sends calls to it. */
 struct call_rate_window {
   std::deque<steady_time> Sent; ///< Send times of the calls, oldest first.
+  steady_time FullUntil{};      ///< No calls are allowed before.
 };
 
 /** @return the calls per second to send to a cold target with a configured
@@ -27,10 +28,9 @@
 /** Records a call to the target, whether it is cold or not. */
 void recordSentCall(call_rate_window &Window, steady_time Now);
 
-/** Fills the window with calls at Now, because a restarted node doesn't know
- * what its previous process sent. */
-void fillWindow(call_rate_window &Window, double CallsPerSecond,
-                steady_time Now);
+/** Fills the window with calls at the given time, whatever the limit, because a
+ * node doesn't know what was sent until then. */
+void fillWindow(call_rate_window &Window, steady_time At);
 
 /** @return the time from which a target that reported to stay cold for ColdFor
  * counts as warm. A margin covers its rounding and the difference between its
--- a/include/sycamorelb/inner/mesh_message_type.h
+++ b/include/sycamorelb/inner/mesh_message_type.h
@@ -40,6 +40,9 @@
   /** What the sender knows from answers of the chosen target; tells a node that
    * has restarted meanwhile. */
   mesh::target_notice Notice;
+  /** Calls per second of a cold target of Service in the configuration of the
+   * sender, 0 for no limit; for a node that has no configuration yet. */
+  std::optional<double> ColdCallsPerSecond;
 };
 
 /** Result of a forwarded call. */
--- a/src/dispatch/cold_rate.cpp
+++ b/src/dispatch/cold_rate.cpp
@@ -43,18 +43,18 @@
   }
 }
 
-void fillWindow(call_rate_window &Window, double CallsPerSecond,
-                steady_time Now) {
-  Window.Sent.assign(callsPerWindow(CallsPerSecond), Now);
+void fillWindow(call_rate_window &Window, steady_time At) {
+  Window.FullUntil = std::max(Window.FullUntil, At + WindowLength);
 }
 
 auto nextColdCallTime(const call_rate_window &Window, double CallsPerSecond,
                       steady_time Now) -> steady_time {
   auto Limit = callsPerWindow(CallsPerSecond);
   if (Window.Sent.size() < Limit) {
-    return Now;
+    return std::max(Now, Window.FullUntil);
   }
-  return Window.Sent[Window.Sent.size() - Limit] + WindowLength;
+  return std::max(Window.Sent[Window.Sent.size() - Limit] + WindowLength,
+                  Window.FullUntil);
 }
 
 auto coldWindow() -> micros { return WindowLength; }
@@ -63,11 +63,11 @@
                    steady_time Now) -> std::vector<micros> {
   auto Limit = callsPerWindow(CallsPerSecond);
   auto Recent = std::min(Window.Sent.size(), Limit);
-  auto Waits = std::vector<micros>(Limit - Recent, micros(0));
+  auto Full = std::max(micros(0), Window.FullUntil - Now);
+  auto Waits = std::vector<micros>(Limit - Recent, Full);
   for (auto Index = Window.Sent.size() - Recent; Index < Window.Sent.size();
        ++Index) {
-    Waits.push_back(
-        std::max(micros(0), Window.Sent[Index] + WindowLength - Now));
+    Waits.push_back(std::max(Full, Window.Sent[Index] + WindowLength - Now));
   }
   return Waits;
 }
--- a/src/inner/mesh.capnp
+++ b/src/inner/mesh.capnp
@@ -49,6 +49,7 @@
   callerService @13 :Text;
   version @14 :Text;        # Expected version of the target.
   notice @15 :TargetNotice; # What the sender knows from answers of the target.
+  coldCallsPerSecond @16 :Float64 = -1; # Configured limit of a cold target, 0 for none; -1 if not told.
 }
 
 struct Reply {
--- a/src/inner/mesh_codec.cpp
+++ b/src/inner/mesh_codec.cpp
@@ -74,6 +74,9 @@
   if (!Message.Notice.Target.Value.empty()) {
     writeNotice(Out.initNotice(), Message.Notice);
   }
+  if (Message.ColdCallsPerSecond) {
+    Out.setColdCallsPerSecond(*Message.ColdCallsPerSecond);
+  }
 }
 
 auto readForward(mesh_wire::Forward::Reader In) -> forward_message {
@@ -97,6 +100,9 @@
   Message.TimeToLatestStart = timeOf(In.getStartMicros());
   Message.TimeLeft = timeOf(In.getLeftMicros());
   Message.Notice = readNotice(In.getNotice());
+  if (In.getColdCallsPerSecond() >= 0) {
+    Message.ColdCallsPerSecond = In.getColdCallsPerSecond();
+  }
   return Message;
 }
 
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -30,6 +30,9 @@
  * lost, before they are cancelled. */
 static constexpr auto ReconnectGrace = micros(400'000);
 
+/** Calls per second to a cold target whose limit isn't known. */
+static constexpr auto UnknownColdRate = 1.0;
+
 admission::admission(node_state &State, admission_events Events)
     : Impl(std::make_unique<implementation>(State, std::move(Events))) {}
 
@@ -39,10 +42,28 @@
   const auto *Rule =
       State.Routes ? State.Routes->findService(Target.Service) : nullptr;
   const auto &Bounds = State.Settings.Bounds;
-  return Rule == nullptr
-             ? 0
-             : dispatch::coldRateLimit(Rule->ColdCallsPerSecond,
-                                       Bounds.ColdRateFactor, Bounds.ColdSlack);
+  auto Configured = Rule == nullptr ? ToldColdCallsPerSecond
+                                    : std::optional(Rule->ColdCallsPerSecond);
+  return Configured ? dispatch::coldRateLimit(
+                          *Configured, Bounds.ColdRateFactor, Bounds.ColdSlack)
+                    : UnknownColdRate;
+}
+
+void admission::implementation::adoptColdRate(const forward_message &Forward) {
+  auto &Known = ToldColdCallsPerSecond;
+  auto Told = Forward.ColdCallsPerSecond;
+  if (!Told || Forward.Service != State.Settings.Service) {
+    return;
+  }
+  // Nodes may have different configurations; the strictest limit counts.
+  auto IsStricter = Known && *Told > 0 && (*Known <= 0 || *Told < *Known);
+  if (!Known || IsStricter) {
+    Known = Told;
+    State.Log.write(log_class::State, "target.cold_limit_told",
+                    {{"calls_per_ks",
+                      static_cast<std::int64_t>(std::min(*Told * 1e3, 1e15))},
+                     {"configured", std::int64_t{State.Routes ? 1 : 0}}});
+  }
 }
 
 auto admission::implementation::capacity() const -> dispatch::target_capacity {
@@ -237,6 +258,7 @@
   Impl->Serials.emplace(Key, Call->Serial);
   Impl->Calls.emplace(Call->Serial, Call);
   Impl->adoptLimit(Call->Forward, Call->Id);
+  Impl->adoptColdRate(Call->Forward);
   if (const auto *Reason = Impl->refusalReason(Call->Forward)) {
     return Impl->refuseCall(*Call, Reason);
   }
@@ -396,9 +418,11 @@
     Self.Evidence.clear();
   }
   Self.Target = Target;
-  if (!Self.IsColdTimeKnown && (ServedBefore || (ColdFor && !IsNew))) {
-    // The calls that a previous process sent in the last second are unknown.
-    dispatch::fillWindow(Self.Rate, Self.coldRate(), Now);
+  if (!Self.IsColdTimeKnown && ServedBefore) {
+    // The calls that the previous process sent before it ended are unknown.
+    dispatch::fillWindow(Self.Rate, Self.State.StartedAt);
+  } else if (!Self.IsColdTimeKnown && ColdFor && !IsNew) {
+    dispatch::fillWindow(Self.Rate, Now);
   }
   if (ColdFor) {
     Self.IsColdTimeKnown = true;
--- a/src/sidecar/admission_state.h
+++ b/src/sidecar/admission_state.h
@@ -12,6 +12,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 #include <utility>
@@ -58,6 +59,9 @@
   dispatch::call_rate_window Rate;
   steady_time ColdUntil{};
   bool IsColdTimeKnown = false;
+  /** Configured limit of a cold target of this service, as other nodes told it.
+   */
+  std::optional<double> ToldColdCallsPerSecond;
   std::map<call_key, std::uint64_t> Serials; // Serial numbers in Calls.
   std::unordered_map<std::uint64_t, std::shared_ptr<admitted_call>> Calls;
   std::deque<std::pair<steady_time, std::uint64_t>> KeptOutcomes;
@@ -77,6 +81,7 @@
   auto isCold() const -> bool {
     return !IsColdTimeKnown || ColdUntil > State.Loop.now();
   }
+  /** @return the calls per second to a cold target; 0 for no limit. */
   auto coldRate() const -> double;
   /** @return the earliest time at which the next call may start. */
   auto nextCallTime() const -> steady_time;
@@ -106,6 +111,9 @@
    * a call of this process. */
   void adoptLimit(const inner::forward_message &Forward,
                   const request_id &Cause);
+  /** Takes over the limit of a cold target in the sender's configuration, which
+   * counts as long as this node's configuration doesn't have the service. */
+  void adoptColdRate(const inner::forward_message &Forward);
   /** Keeps and logs what the target says of itself in an answer to a call. */
   void recordNotice(const admitted_call &Call,
                     const platform::response_header &Header);
--- a/src/sidecar/call_dispatch.cpp
+++ b/src/sidecar/call_dispatch.cpp
@@ -83,6 +83,9 @@
       isAbout(Notice->second, Host.Target)) {
     Forward.Notice = Notice->second;
   }
+  if (const auto *Service = Call.Routes->findService(Call.Service)) {
+    Forward.ColdCallsPerSecond = Service->ColdCallsPerSecond;
+  }
   auto Slack = static_cast<double>((Forward.TimeLeft - RunTime).count());
   Forward.TimeToLatestStart = std::max(
       MinTimeToStart,
--- a/src/sidecar/gossip.cpp
+++ b/src/sidecar/gossip.cpp
@@ -53,6 +53,7 @@
   gossip_events Events;
   std::set<node_id> PendingRecordRequests; // Nodes that requested records
                                            // before there was a configuration.
+  steady_time ConfigurationRequestedAt{};
 
   auto buildMessage() const -> gossip_message;
   auto listPeers(bool SameZone) const -> std::vector<node_id>;
@@ -71,7 +72,7 @@
 
 gossip::gossip(node_state &State, peer_links &Links, gossip_events Events)
     : Impl(std::make_unique<implementation>(
-          implementation{State, Links, std::move(Events), {}})) {}
+          implementation{State, Links, std::move(Events), {}, {}})) {}
 
 gossip::~gossip() = default;
 
@@ -231,6 +232,21 @@
   return !mesh::isReader(Impl->State.Hosts, Impl->State.Own);
 }
 
+void gossip::requestConfiguration(const node_id &Node) {
+  auto &State = Impl->State;
+  auto &RequestedAt = Impl->ConfigurationRequestedAt;
+  auto Now = State.Loop.now();
+  if (State.Routes || (RequestedAt != steady_time() &&
+                       Now - RequestedAt < RecordRequestDelay)) {
+    return;
+  }
+  RequestedAt = Now;
+  auto Message = Impl->buildMessage();
+  Message.WantHosts = true;
+  Message.WantRecords = true;
+  Impl->Links.send(Node, Message);
+}
+
 void gossip::answerPendingRequests() {
   auto PendingRecordRequests = std::exchange(Impl->PendingRecordRequests, {});
   if (PendingRecordRequests.empty()) {
@@ -302,6 +318,13 @@
 }
 
 void gossip::implementation::mergeRecords(const gossip_message &Message) {
+  if (State.Operator.records().empty() &&
+      Message.RecordsFrom > State.Operator.end()) {
+    // A configuration without the orders and evacuations that came before it
+    // would allow calls that they forbid. All records are requested, as
+    // OperatorEnd is greater than the end here.
+    return;
+  }
   auto Keys = std::vector<std::string>();
   auto Complete =
       Message.RecordsFrom <= State.Operator.end() && !Message.Records.empty();
--- a/src/sidecar/gossip.h
+++ b/src/sidecar/gossip.h
@@ -48,6 +48,9 @@
    * readers and some other nodes there, and
    * contacts relays in each other zone after a random delay. */
   void syncWithPeers();
+  /** Asks a node that has a configuration for its operator records and hosts,
+   * if this node has no configuration and hasn't asked for a while. */
+  void requestConfiguration(const node_id &Node);
   /** Answers the requests for operator records that arrived before this node
    * had a configuration. */
   void answerPendingRequests();
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -81,6 +81,8 @@
   auto Key = call_key{Session->Peer.Node, Session->Peer.Process, {}};
   if (auto *Forward = std::get_if<forward_message>(&Message)) {
     Key.Call = Forward->Call;
+    // A node that sends calls has a configuration.
+    Gossip.requestConfiguration(Key.Node);
     Admission.submit(Key, std::move(*Forward), replyHandlerFor(Session),
                      Session.get());
   } else if (auto *Cancel = std::get_if<cancel_message>(&Message)) {
--- a/src/sidecar/target_control.cpp
+++ b/src/sidecar/target_control.cpp
@@ -100,10 +100,8 @@
       {{"target", Heartbeat.Target.Id.Value},
        {"sequence", static_cast<std::int64_t>(Heartbeat.Sequence)}});
   probeTarget([this, Heartbeat](const http::response &Response) {
-    auto Current = Watch.Unverified &&
-                   Watch.Unverified->Sequence == Heartbeat.Sequence &&
-                   Watch.Known.State == mesh::target_state::Absent;
-    if (Current && platform::isHealthy(Response, Heartbeat.Target.Id) &&
+    if (awaitsVerification(Watch, Heartbeat) &&
+        platform::isHealthy(Response, Heartbeat.Target.Id) &&
         acceptHeartbeat(Watch, Heartbeat)) {
       publishTarget();
       Admission.setTarget(State.Own.Target, Heartbeat.ColdFor, true);
--- a/src/sidecar/target_watch.cpp
+++ b/src/sidecar/target_watch.cpp
@@ -10,7 +10,7 @@
 auto mayHaveServed(const target_watch &Watch, const target_heartbeat &Heartbeat)
     -> bool {
   return Watch.Known.State == mesh::target_state::Absent &&
-         Heartbeat.Sequence > MaxStartSequence;
+         Heartbeat.Sequence > 1;
 }
 
 auto resumeTarget(target_watch &Watch, const mesh::target_record &Previous)
@@ -26,7 +26,8 @@
 
 auto needsVerification(const target_watch &Watch,
                        const target_heartbeat &Heartbeat) -> bool {
-  if (!mayHaveServed(Watch, Heartbeat) ||
+  if (Watch.Known.State != mesh::target_state::Absent ||
+      Heartbeat.Sequence <= MaxStartSequence ||
       Heartbeat.Target.State != mesh::target_state::Ready) {
     return false;
   }
@@ -36,6 +37,15 @@
          Previous->Sequence >= Heartbeat.Sequence;
 }
 
+auto awaitsVerification(const target_watch &Watch,
+                        const target_heartbeat &Heartbeat) -> bool {
+  const auto &Awaited = Watch.Unverified;
+  return Awaited && Awaited->Sequence == Heartbeat.Sequence &&
+         Awaited->Target.Id == Heartbeat.Target.Id &&
+         Awaited->Target.StartedAtMs == Heartbeat.Target.StartedAtMs &&
+         Watch.Known.State == mesh::target_state::Absent;
+}
+
 auto acceptHeartbeat(target_watch &Watch, const target_heartbeat &Heartbeat)
     -> bool {
   const auto &Reported = Heartbeat.Target;
--- a/src/sidecar/target_watch.h
+++ b/src/sidecar/target_watch.h
@@ -27,8 +27,13 @@
 auto needsVerification(const target_watch &Watch,
                        const target_heartbeat &Heartbeat) -> bool;
 
+/** @return whether this heartbeat still awaits verification. */
+auto awaitsVerification(const target_watch &Watch,
+                        const target_heartbeat &Heartbeat) -> bool;
+
 /** @return whether a previous process of this node may have sent calls to the
- * target: this process knows no target yet, and the target isn't new. */
+ * target: this process knows no target yet, and this isn't the target's first
+ * heartbeat. */
 auto mayHaveServed(const target_watch &Watch, const target_heartbeat &Heartbeat)
     -> bool;
 
--- a/test/dispatch_cold_test.cpp
+++ b/test/dispatch_cold_test.cpp
@@ -51,10 +51,24 @@
 // to those of its previous process.
 Test(dispatch_cold, restarted_node_waits_for_a_whole_window) {
   auto Window = call_rate_window();
-  fillWindow(Window, 12, at(0));
+  fillWindow(Window, at(0));
   cr_assert(nextColdCallTime(Window, 12, at(0)) >= at(1'000'000));
 }
 
+// Guards against a window that is full for the limit that was known when it was
+// filled, but not for a greater one that is learned later.
+Test(dispatch_cold, filled_window_is_full_for_any_limit) {
+  auto Window = call_rate_window();
+  fillWindow(Window, at(0));
+  for (auto Limit : {1.0, 12.0, 500.0}) {
+    cr_assert(nextColdCallTime(Window, Limit, at(500'000)) >= at(1'000'000));
+    for (auto Wait : coldCallWaits(Window, Limit, at(500'000))) {
+      cr_assert(Wait >= micros(500'000));
+    }
+  }
+  cr_assert(nextColdCallTime(Window, 12, at(1'060'000)) <= at(1'060'000));
+}
+
 // Guards against sending the load of a warm target shortly before the target
 // is warm, which exceeded its cold limit (39 calls where 38 were allowed).
 Test(dispatch_cold, target_counts_as_cold_beyond_the_reported_time) {
--- a/test/sidecar_sim.cpp
+++ b/test/sidecar_sim.cpp
@@ -182,7 +182,7 @@
                                 {"status",
                                  {{"state", "ready"},
                                   {"sequence", ++Sequence},
-                                  {"coldRemaining", "0ms"}}}}
+                                  {"coldRemaining", ColdFor}}}}
                      .dump();
   auto Options = http::client_options();
   Options.MaxBodyBytes = 4096;
@@ -289,7 +289,7 @@
                         {{"healthCheckPath", "/health"},
                          {"connectionLimit", 9},
                          {"warmup", "3s"},
-                         {"coldPerS", 0.0}}}});
+                         {"coldPerS", ColdCallsPerSecond}}}});
   auto AddRoute = [this, &Resources](const std::string &Name) {
     Resources.push_back({{"resourceType", "routes"},
                          {"metadata", {{"name", Name}}},
--- a/test/sidecar_sim.h
+++ b/test/sidecar_sim.h
@@ -78,6 +78,8 @@
   micros RunTime{20'000};
   /** Version of its software. */
   std::string Version = "v1";
+  /** Time for which it stays cold, in its heartbeats. */
+  std::string ColdFor = "0ms";
   /** Size of its answers. */
   std::size_t AnswerBytes = 2;
   /** Number of calls that it runs now. */
@@ -119,6 +121,10 @@
   auto store() -> store_stand_in & { return Store; }
   /** Starts a target beside each node. */
   void startTargets();
+  /** @return the address for other nodes of a node, without faults. */
+  auto peerAddress(int Node) -> event::endpoint {
+    return settings(Node).PeerAddress;
+  }
   /** Starts the target beside one node. */
   void startTarget(int Node);
   auto target(int Node) -> target_stand_in & {
@@ -127,6 +133,8 @@
 
   /** Time limit of all routes of the next configurations. */
   std::string RouteTimeout = "500ms";
+  /** Limit of cold targets in the next configurations, in calls per second. */
+  double ColdCallsPerSecond = 0;
   /** Kind of all routes of the next configurations. */
   std::string RouteKind = "idempotent";
   /** Time for which callers wait for an answer. */
@@ -137,6 +145,10 @@
   /** Publishes the next configuration; version N adds the route /vN/.
    * @return its version. */
   auto publishConfig() -> int;
+  /** @return the document of the last configuration. */
+  auto configDocument() -> std::string {
+    return Store.valuesOf("keyed.op", "config").back();
+  }
   /** Cuts the connections between two nodes, or lets them through again. */
   void setCut(int Left, int Right, bool Cut);
   /** Closes all connections that other nodes opened to a node. */
--- a/test/sidecar_watch_test.cpp
+++ b/test/sidecar_watch_test.cpp
@@ -63,6 +63,19 @@
   cr_assert_not(resumeTarget(Left, Previous));
 }
 
+// Guards against a cold target that gets the calls of a second from each of two
+// processes: its node was killed and started again between its first two
+// heartbeats, and the second one counted as that of a new target.
+Test(sidecar_watch, second_heartbeat_tells_of_a_target_that_may_have_served) {
+  auto Watch = target_watch();
+  auto Second = heartbeat("a", 5, 2, target_state::Ready);
+  cr_assert(mayHaveServed(Watch, Second));
+  cr_assert_not(needsVerification(Watch, Second));
+  cr_assert(acceptHeartbeat(Watch, Second));
+  cr_assert_not(
+      mayHaveServed(Watch, heartbeat("a", 5, 3, target_state::Ready)));
+}
+
 // Guards against a delayed heartbeat after a restart: the process that had
 // acknowledged a leave was killed, and the next one accepted an older heartbeat
 // of the target. Seen in scenario onapp-guate, hunt-a9ac-23.
@@ -80,6 +93,17 @@
       needsVerification(Watch, heartbeat("a", 5, 18, target_state::Draining)));
 }
 
+// Guards against taking the heartbeat of an earlier start, with its cold time,
+// for the one that a health check was sent for: both have the same sequence.
+Test(sidecar_watch, health_check_verifies_the_heartbeat_of_one_start) {
+  auto Watch = target_watch();
+  auto Earlier = heartbeat("a", 5, 9, target_state::Ready);
+  auto Later = heartbeat("a", 7, 9, target_state::Ready);
+  Watch.Unverified = Later;
+  cr_assert(awaitsVerification(Watch, Later));
+  cr_assert_not(awaitsVerification(Watch, Earlier));
+}
+
 // Guards against a heartbeat that undoes a leave without a start time, at a
 // node that has just started. Seen in dhaar-sewa-grown, mix --seed
 // 356164736999.
