Fix: [Event] Look at received bytes while more arrive

Report of other operators: an upstream sends bytes that are no answer, without end; its caller keeps them all and runs out of memory.

A peer that writes faster than it is read wasn't limited by anything, and held up all other connections of the node.

Change: at most 128 KiB are read for one event. The limits see them then; the event is reported again for the rest.

--- a/include/sycamorelb/event/stream.h
+++ b/include/sycamorelb/event/stream.h
@@ -37,7 +37,8 @@
  */
 class stream : public std::enable_shared_from_this<stream> {
 public:
-  /** Called after received bytes were added to input(). */
+  /** Called after received bytes were added to input(), a limited number at a
+   * time. */
   std::function<void()> OnData;
   /** Called at most once, when the peer closed the connection or it failed.
    * Not called after close(). */
--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -19,6 +19,9 @@
 
 /** Maximum number of bytes read by one system call. */
 static constexpr auto ReadChunkBytes = std::size_t{64} * 1024;
+/** Maximum number of bytes read for one event. A peer that writes faster than
+ * this process reads must not keep it from looking at what it has read. */
+static constexpr auto MaxReadBytesPerEvent = 2 * ReadChunkBytes;
 /** Consumed bytes above which they are erased from the input buffer. */
 static constexpr auto CompactThresholdBytes = std::size_t{16} * 1024;
 /** Memory that an empty buffer keeps: most connections are idle mostly, and a
@@ -151,13 +154,15 @@
     return true;
   }
 
-  /** Reads all available bytes. @return the reason if the connection ended. */
+  /** Reads the available bytes, or MaxReadBytesPerEvent of them; the event is
+   * reported again for the rest. @return the reason if the connection ended. */
   auto receiveAvailable() -> std::optional<close_reason> {
     static thread_local auto Buffer = std::array<char, ReadChunkBytes>();
-    for (;;) {
+    for (auto Total = std::size_t{0}; Total < MaxReadBytesPerEvent;) {
       auto Got = ::recv(Descriptor, Buffer.data(), Buffer.size(), 0);
       if (Got > 0) {
         InputBuffer.append(Buffer.data(), static_cast<std::size_t>(Got));
+        Total += static_cast<std::size_t>(Got);
         if (CountsAsLinkTraffic) {
           Loop.countTraffic(static_cast<std::size_t>(Got), 0);
         }
@@ -171,6 +176,7 @@
                                : std::optional(close_reason::Reset);
       }
     }
+    return std::nullopt;
   }
 };
 
--- /dev/null
+++ b/test/event_stream_test.cpp
@@ -0,0 +1,48 @@
+/** @file event_stream_test.cpp Tests of buffered connections. */
+#include "sycamorelb/event/stream.h"
+
+#include <algorithm>
+#include <array>
+#include <criterion/criterion.h>
+#include <string>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace sycamorelb;
+
+// Regression test (report of other operators): a connection read as long as its
+// peer wrote, so that a peer that writes without end, faster than it is read,
+// filled the memory before anything looked at the bytes.
+Test(event_stream, bytes_are_handed_over_while_more_are_available) {
+  constexpr auto MaxBytesAtOnce = std::size_t{128} * 1024;
+  auto Loop = event::loop();
+  auto Ends = std::array<int, 2>();
+  cr_assert_eq(
+      ::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, Ends.data()), 0);
+  auto Block = std::string(std::size_t{64} * 1024, 'x');
+  auto Written = std::size_t{0};
+  while (auto Sent =
+             ::send(Ends[1], Block.data(), Block.size(), MSG_NOSIGNAL)) {
+    if (Sent < 0) {
+      break;
+    }
+    Written += static_cast<std::size_t>(Sent);
+  }
+  cr_assert_gt(Written, MaxBytesAtOnce, "the kernel holds %zu bytes", Written);
+  auto Stream = event::stream::adopt(Loop, Ends[0]);
+  auto Read = std::size_t{0};
+  auto Most = std::size_t{0};
+  Stream->OnData = [&] {
+    Most = std::max(Most, Stream->input().size() - Read);
+    Read = Stream->input().size();
+    if (Read == Written) {
+      Loop.stop();
+    }
+  };
+  Loop.addTimer(Loop.now() + micros(5'000'000), [&] { Loop.stop(); });
+  Loop.run();
+  cr_assert_eq(Read, Written);
+  cr_assert_leq(Most, MaxBytesAtOnce, "%zu bytes at once", Most);
+  Stream->OnData = nullptr;
+  ::close(Ends[1]);
+}
--- a/test/http_connection_test.cpp
+++ b/test/http_connection_test.cpp
@@ -4,10 +4,15 @@
 
 #include "proxy/message_head.h"
 
+#include <algorithm>
+#include <arpa/inet.h>
 #include <criterion/criterion.h>
 #include <functional>
 #include <optional>
 #include <set>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
 #include <vector>
 
 using namespace sycamorelb;
@@ -175,6 +180,77 @@
   }
 }
 
+/** Server that writes without end, as fast as it can, in a thread of its own.
+ */
+struct flood_server {
+  /** Limit of what it writes, should the client keep all of it. */
+  static constexpr auto MaxBytes = std::size_t{256} << 20U;
+
+  event::endpoint Address{};
+  int Descriptor = -1;
+  std::thread Writer;
+
+  explicit flood_server(const std::string &Start) {
+    Descriptor = ::socket(AF_INET, SOCK_STREAM, 0);
+    auto Bound = sockaddr_in();
+    Bound.sin_family = AF_INET;
+    Bound.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    auto Size = socklen_t{sizeof(Bound)};
+    auto *Raw = reinterpret_cast<sockaddr *>(&Bound);
+    cr_assert(::bind(Descriptor, Raw, Size) == 0 &&
+              ::listen(Descriptor, 1) == 0 &&
+              ::getsockname(Descriptor, Raw, &Size) == 0);
+    Address = {"127.0.0.1", ntohs(Bound.sin_port)};
+    Writer = std::thread([this, Start] {
+      auto Caller = ::accept(Descriptor, nullptr, nullptr);
+      auto Block = std::string(std::size_t{1} << 20U, 'x');
+      auto Sent = ::send(Caller, Start.data(), Start.size(), MSG_NOSIGNAL);
+      for (auto Total = std::size_t{0}; Sent >= 0 && Total < MaxBytes;) {
+        Sent = ::send(Caller, Block.data(), Block.size(), MSG_NOSIGNAL);
+        Total += static_cast<std::size_t>(std::max<ssize_t>(0, Sent));
+      }
+      ::close(Caller);
+    });
+  }
+  ~flood_server() {
+    Writer.join();
+    ::close(Descriptor);
+  }
+  flood_server(const flood_server &) = delete;
+  auto operator=(const flood_server &) -> flood_server & = delete;
+};
+
+// Guards against a reader that looks at bytes that are no answer only when no
+// more are available, and keeps them all until then.
+Test(http_connection, endless_bytes_are_looked_at_while_more_arrive) {
+  for (const auto *Start :
+       {"",
+        "HTTP/1.1 200 OK\r\nX: ", "HTTP/1.1 200 OK\r\nRequest-Id: mine\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"}) {
+    auto Loop = event::loop();
+    auto Server = flood_server(Start);
+    auto Options = client_options();
+    Options.MaxBodyBytes = 1000;
+    auto Client = client_connection::open(Loop, Server.Address, Options);
+    auto Result = std::optional<exchange_result>();
+    auto Request = http::request();
+    Request.Method = "GET";
+    Request.Target = "/";
+    Client->exchange(Request, [&](exchange_result Got) {
+      Result = std::move(Got);
+      Loop.stop();
+    });
+    // The kernel connects; the server fills its buffers meanwhile.
+    std::this_thread::sleep_for(millis(100));
+    Loop.addTimer(Loop.now() + TestTimeout, [&] { Loop.stop(); });
+    Loop.run();
+    cr_assert(Result && std::holds_alternative<exchange_failure>(*Result));
+    cr_assert_leq(Loop.receivedBytes(), std::uint64_t{1} << 20U,
+                  "%llu bytes were read after \"%s\"",
+                  static_cast<unsigned long long>(Loop.receivedBytes()), Start);
+  }
+}
+
 // Guards against running out of memory when a server writes long bodies on many
 // connections at once, and against a budget that isn't returned.
 Test(http_connection, responses_share_a_budget) {
