Fix: [Admission] Limit kept outcomes by their size

Found while looking for memory without a bound (report of bytes without end): outcomes of other nodes' calls are kept for 2.5 s, up to 512 of them, with bodies of up to 32 MB each. A target that answers many calls with large bodies could exhaust the memory.

Change: outcomes beyond 16 MiB are dropped, the oldest first, as those beyond 512 are. A node that asks for one of them hears "unknown".

Test: sidecar_admission/kept_outcomes_are_limited_by_their_size, 40 answers of 1 MiB; on the code before all were kept.

--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -17,6 +17,10 @@
 /** Maximum number of outcomes kept. */
 static constexpr auto MaxKeptOutcomes = std::size_t{512};
 
+/** Maximum size of their bodies, in bytes: a target that answers many calls
+ * with large bodies must not exhaust the memory of the host. */
+static constexpr auto MaxKeptOutcomeBytes = std::size_t{16} * 1024 * 1024;
+
 /** Time for which the key of an ended call is kept, so that a delayed copy of
  * it does not run. No copy arrives later, as a connection with unacknowledged
  * data is closed sooner. */
@@ -148,10 +152,12 @@
 void admission::implementation::dropOldOutcomes() {
   while (!KeptOutcomes.empty() &&
          (KeptOutcomes.size() > MaxKeptOutcomes ||
+          KeptOutcomeBytes > MaxKeptOutcomeBytes ||
           KeptOutcomes.front().first + OutcomeRetention < State.Loop.now())) {
     auto Found = Calls.find(KeptOutcomes.front().second);
     if (Found != Calls.end()) {
       auto Key = Found->second->Key;
+      KeptOutcomeBytes -= Found->second->Outcome.Response.Body.size();
       Serials.erase(Key);
       Calls.erase(Found);
       rememberEndedKey(Key);
@@ -203,6 +209,7 @@
   auto IsLocal = Call.Key.Node == State.Own.Node;
   if (!IsLocal) {
     Call.Outcome = Outcome;
+    KeptOutcomeBytes += Outcome.Response.Body.size();
   }
   if (Reply) {
     Reply(Outcome);
--- a/src/sidecar/admission_state.h
+++ b/src/sidecar/admission_state.h
@@ -65,7 +65,8 @@
   std::map<call_key, std::uint64_t> Serials; // Serial numbers in Calls.
   std::unordered_map<std::uint64_t, std::shared_ptr<admitted_call>> Calls;
   std::deque<std::pair<steady_time, std::uint64_t>> KeptOutcomes;
-  std::set<call_key> EndedKeys; // Calls that must not run any more.
+  std::size_t KeptOutcomeBytes = 0; // Size of their bodies.
+  std::set<call_key> EndedKeys;     // Calls that must not run any more.
   std::deque<std::pair<steady_time, call_key>> EndedKeyTimes;
   std::uint64_t NextSerial = 1;
   std::uint32_t Running = 0;
--- a/test/sidecar_admission_test.cpp
+++ b/test/sidecar_admission_test.cpp
@@ -3,6 +3,7 @@
 #include "sidecar/admission.h"
 
 #include <criterion/criterion.h>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <unistd.h>
@@ -177,18 +178,70 @@
   cr_assert(Node.Admission.load().StartGap == micros(0));
 }
 
+/** @return an address of its own for a target, as other runs of the tests may
+ * use the same ports. */
+static auto targetAddress() -> event::endpoint {
+  auto Process = static_cast<unsigned>(::getpid());
+  return {"127.1." + std::to_string(Process % 250) + "." +
+              std::to_string(Process / 250 % 250),
+          28'390};
+}
+
+// Guards against running out of memory: a target answers many calls of other
+// nodes with large bodies, which are kept for nodes that lose the connection.
+Test(sidecar_admission, kept_outcomes_are_limited_by_their_size) {
+  auto Node = admission_fixture();
+  Node.start();
+  Node.State.Settings.TargetAddress = targetAddress();
+  auto Body = std::string(std::size_t{1} << 20U, 'x');
+  auto Streams = std::vector<std::shared_ptr<event::stream>>();
+  auto Target = event::listener::open(
+      Node.Loop, Node.State.Settings.TargetAddress,
+      [&](const std::shared_ptr<event::stream> &Stream) {
+        auto *Raw = Stream.get();
+        Stream->OnData = [Raw, &Body] {
+          Raw->consume(Raw->input().size());
+          Raw->send("HTTP/1.1 500 Failed\r\nRequest-Id: r-1\r\n"
+                    "Content-Length: " +
+                    std::to_string(Body.size()) + "\r\n\r\n" + Body);
+        };
+        Streams.push_back(Stream);
+      });
+  cr_assert(isOk(Target));
+  constexpr auto Calls = std::uint64_t{40};
+  std::function<void(std::uint64_t)> Run = [&](std::uint64_t Number) {
+    auto Forward = admission_fixture::forward(micros(5'000'000));
+    Forward.TimeToLatestStart = micros(4'000'000);
+    Forward.Call = {Number};
+    Forward.Request.Method = "POST";
+    Forward.Request.Target = "/a/";
+    Forward.Request.Headers = {{"Request-Id", "r-1"}};
+    Node.Admission.submit(
+        {{"node-2"}, {1}, {Number}}, Forward, [&, Number](const auto &Reply) {
+          cr_assert(Reply.Outcome == reply_outcome::Answered);
+          Node.Loop.defer([&, Number] {
+            Number < Calls ? Run(Number + 1) : Node.Loop.stop();
+          });
+        });
+  };
+  Run(1);
+  Node.Loop.addTimer(Node.Loop.now() + micros(5'000'000),
+                     [&Node] { Node.Loop.stop(); });
+  Node.Loop.run();
+  // The outcome of the first call is gone, that of the last one is kept.
+  cr_assert(Node.resume({{"node-2"}, {1}, {1}}, micros(100'000)) ==
+            reply_outcome::Unknown);
+  cr_assert(Node.resume({{"node-2"}, {1}, {Calls}}, micros(100'000)) ==
+            reply_outcome::Answered);
+}
+
 // Guards against a wrong "not run": a target wrote an earlier refusal once
 // more, and the refusal was taken for the answer to a call that the target
 // runs.
 Test(sidecar_admission, refusal_without_request_id_is_not_an_answer) {
   auto Node = admission_fixture();
   Node.start();
-  // An address of its own, as other runs of the tests may use the same ports.
-  auto Process = static_cast<unsigned>(::getpid());
-  Node.State.Settings.TargetAddress = {"127.1." +
-                                           std::to_string(Process % 250) + "." +
-                                           std::to_string(Process / 250 % 250),
-                                       28'390};
+  Node.State.Settings.TargetAddress = targetAddress();
   auto Streams = std::vector<std::shared_ptr<event::stream>>();
   auto Target = event::listener::open(
       Node.Loop, Node.State.Settings.TargetAddress,
