Fix: [Rollout] Apply a decision to its own order only

Cause: the calls to the store knew the service and the stage, and applied them to the newest order of the service when they were answered.

Change: they know the order; an answer for an order that isn't the newest any more is logged (rollout.superseded) and changes nothing.

Ruled out by the order of log lines in the simulation: a decision of its own on the newer order, and a stage from a peer.

Test: sidecar_rollout/decision_on_one_order_is_not_applied_to_the_next; failed before, "order during /log-newest". The stand-in of the store can delay a call for it.

--- a/src/sidecar/rollout_control.cpp
+++ b/src/sidecar/rollout_control.cpp
@@ -62,10 +62,14 @@
    * from local evidence or the store. */
   void advance(rollout::rollout_state &Rollout, rollout_stage Stage,
                const char *Cause, bool Broadcast = true);
+  /** @return the rollout of an order, or null if a newer order for the service
+   * has come meanwhile: calls to the store take time. */
+  auto findOrder(const service_id &Service, log_offset OrderOffset)
+      -> rollout::rollout_state *;
   void proposeFinalStage(const rollout::rollout_state &Rollout,
                          rollout_stage Stage);
-  void appendFinalStage(const service_id &Service, rollout_stage Stage,
-                        log_offset End);
+  void appendFinalStage(const rollout::rollout_state &Rollout,
+                        rollout_stage Stage, log_offset End);
   void writeStatus(const rollout::rollout_state &Rollout);
   auto isSettled(const rollout::rollout_state &Rollout) -> bool;
 };
@@ -256,14 +260,32 @@
   scheduleTick();
 }
 
+auto rollout_control::implementation::findOrder(const service_id &Service,
+                                                log_offset OrderOffset)
+    -> rollout::rollout_state * {
+  auto Found = State.Rollouts.find(Service);
+  if (Found != State.Rollouts.end() &&
+      Found->second.OrderOffset == OrderOffset) {
+    return &Found->second;
+  }
+  State.Log.write(log_class::State, "rollout.superseded",
+                  {{"service", Service.Value},
+                   {"offset", static_cast<std::int64_t>(OrderOffset.Value)}});
+  return nullptr;
+}
+
 void rollout_control::implementation::proposeFinalStage(
     const rollout::rollout_state &Rollout, rollout_stage Stage) {
-  auto &Progress = progressOf(Rollout);
   auto Service = Rollout.Order.Service;
-  Progress.WriteInProgress = true;
-  Store.list(store_topic::Mesh, [this, Service,
+  auto Offset = Rollout.OrderOffset;
+  progressOf(Rollout).WriteInProgress = true;
+  Store.list(store_topic::Mesh, [this, Service, Offset,
                                  Stage](result<platform::store_page> Page) {
-    auto &Current = State.Rollouts[Service];
+    auto *Found = findOrder(Service, Offset);
+    if (Found == nullptr) {
+      return;
+    }
+    auto &Current = *Found;
     if (!isOk(Page)) {
       progressOf(Current).WriteInProgress = false;
       return;
@@ -280,49 +302,65 @@
         }
       }
     }
-    appendFinalStage(Service, Stage, valueOf(Page).End);
+    appendFinalStage(Current, Stage, valueOf(Page).End);
   });
 }
 
 void rollout_control::implementation::appendFinalStage(
-    const service_id &Service, rollout_stage Stage, log_offset End) {
+    const rollout::rollout_state &Rollout, rollout_stage Stage,
+    log_offset End) {
+  auto Service = Rollout.Order.Service;
+  auto Offset = Rollout.OrderOffset;
   auto Decision = gossip_message();
   Decision.Sender = State.Own;
-  Decision.Rollouts.push_back(State.Rollouts[Service]);
+  Decision.Rollouts.push_back(Rollout);
   Decision.Rollouts[0].Stage = Stage;
   auto Value = encodeMeshMessage(Decision, State.Loop.now());
   // An append that timed out may still have been accepted; the next listing
   // shows it.
-  Store.append(store_topic::Mesh, "rollout/" + Service.Value, Value, End,
-               [this, Service, Stage](result<platform::append_ack> Ack) {
-                 auto &Current = State.Rollouts[Service];
-                 progressOf(Current).WriteInProgress = false;
-                 if (isOk(Ack) && valueOf(Ack).Appended) {
-                   advance(Current, Stage, "decided by this node");
-                   writeStatus(Current);
-                 }
-               });
+  Store.append(
+      store_topic::Mesh, "rollout/" + Service.Value, Value, End,
+      [this, Service, Offset, Stage](result<platform::append_ack> Ack) {
+        auto *Current = findOrder(Service, Offset);
+        if (Current == nullptr) {
+          return;
+        }
+        progressOf(*Current).WriteInProgress = false;
+        if (isOk(Ack) && valueOf(Ack).Appended) {
+          advance(*Current, Stage, "decided by this node");
+          writeStatus(*Current);
+        }
+      });
 }
 
 void rollout_control::implementation::writeStatus(
     const rollout::rollout_state &Rollout) {
   auto Service = Rollout.Order.Service;
+  auto Offset = Rollout.OrderOffset;
   auto Stage = Rollout.Stage;
   progressOf(Rollout).WriteInProgress = true;
-  auto Finish = [this, Service, Stage](bool Reported) {
-    auto &Progress = progressOf(State.Rollouts[Service]);
+  auto Finish = [this, Service, Offset, Stage](bool Reported) {
+    auto *Current = findOrder(Service, Offset);
+    if (Current == nullptr) {
+      return;
+    }
+    auto &Progress = progressOf(*Current);
     Progress.WriteInProgress = false;
     Progress.RunningReported = Progress.RunningReported || Reported;
     Progress.FinalReported =
         Progress.FinalReported || (Reported && rollout::isFinal(Stage));
   };
-  Store.list(store_topic::Status, [this, Service, Stage,
+  Store.list(store_topic::Status, [this, Service, Offset,
                                    Finish](result<platform::store_page> Page) {
+    auto *Current = findOrder(Service, Offset);
+    if (Current == nullptr) {
+      return;
+    }
     auto Missing = !isOk(Page) && errorOf(Page).Code == error_code::NotFound;
     if (!isOk(Page) && !Missing) {
       return Finish(false);
     }
-    auto Status = platform::encodeRolloutStatus(State.Rollouts[Service]);
+    auto Status = platform::encodeRolloutStatus(*Current);
     auto Key = platform::rolloutStatusKey(Service);
     auto End = log_offset{0};
     if (!Missing) {
--- a/test/sidecar_rollout_test.cpp
+++ b/test/sidecar_rollout_test.cpp
@@ -15,6 +15,13 @@
 /** Interval of the calls to each node. */
 static constexpr auto CallGap = micros(20'000);
 
+/** Stage of a completed rollout in the state dump. */
+static constexpr auto CompletedStage =
+    static_cast<int>(rollout::rollout_stage::Completed);
+
+/** Time that a slow store takes for a call. */
+static constexpr auto StoreDelay = micros(900'000);
+
 static constexpr auto MeshTopic = "keyed.sycamorelb";
 static constexpr auto StatusTopic = "keyed.status";
 static constexpr auto OperatorTopic = "keyed.op";
@@ -84,6 +91,39 @@
   cr_assert_leq(10 * New, New + Old, "%zu of %zu calls", New, New + Old);
 }
 
+// Regression test (review/2): an order came while the decision on the one
+// before it was on its way to the store; the decision was recorded for the
+// newer order, whose version then got all calls.
+Test(sidecar_rollout, decision_on_one_order_is_not_applied_to_the_next) {
+  for (const auto *Path : {"/log-newest", "/log-append"}) {
+    auto Run = rollout_run(micros(20'000));
+    auto &Store = Run.Mesh.store();
+    auto IsOrdered = false;
+    Store.OnCall = [&](const std::string &Called, const std::string &Topic) {
+      auto IsDecision = Called == Path && Topic == MeshTopic &&
+                        Run.Mesh.now() > Run.Ordered + micros(8'000'000);
+      if (IsDecision && !IsOrdered) {
+        IsOrdered = true;
+        Store.append(
+            OperatorTopic, "rollout/svc",
+            R"({"service":"svc","targetVersion":"v3","duration":"14s"})");
+        return StoreDelay;
+      }
+      return micros(0);
+    };
+    Run.play(RolloutTime + micros(4'000'000));
+    cr_assert(IsOrdered, "no decision on the first order");
+    for (const auto &Text : Store.valuesOf(StatusTopic, "rollout/svc")) {
+      auto Status = nlohmann::json::parse(Text);
+      cr_assert_not(Status["targetVersion"] == "v3" &&
+                        Status["state"] == "completed",
+                    "order during %s", Path);
+    }
+    cr_assert_neq(Run.Mesh.state(0)["rollouts"]["svc"]["stage"], CompletedStage,
+                  "order during %s", Path);
+  }
+}
+
 // Guards against two deciders that both act around a hand-over: the first one's
 // writes are done, but it gets no answer and can't reach the others.
 Test(sidecar_rollout, deciders_agree_when_answers_are_lost) {
--- a/test/store_sim.cpp
+++ b/test/store_sim.cpp
@@ -37,7 +37,7 @@
             [this, Node](const connection &Caller,
                          http::exchange_number Exchange,
                          const http::request &Request) {
-              handle(Node, Caller, Exchange, Request);
+              receive(Node, Caller, Exchange, Request);
             });
         auto &Client = Clients[Node];
         Connection->OnClosed = [&Client, Weak = std::weak_ptr(Connection)] {
@@ -165,6 +165,20 @@
   }
 }
 
+void store_stand_in::receive(int Node, const connection &Connection,
+                             http::exchange_number Exchange,
+                             const http::request &Request) {
+  auto Delay = OnCall ? OnCall(Request.Path, queryParameter(Request, "topic"))
+                      : micros(0);
+  if (Delay <= micros(0)) {
+    return handle(Node, Connection, Exchange, Request);
+  }
+  Loop.addTimer(Loop.now() + Delay,
+                [this, Node, Connection, Exchange, Request] {
+                  handle(Node, Connection, Exchange, Request);
+                });
+}
+
 void store_stand_in::handle(int Node, const connection &Connection,
                             http::exchange_number Exchange,
                             const http::request &Request) {
--- a/test/store_sim.h
+++ b/test/store_sim.h
@@ -40,6 +40,9 @@
   /** @return the values of all records of a key, in their order. */
   auto valuesOf(const std::string &Topic, const std::string &Key) const
       -> std::vector<std::string>;
+  /** Called with path and topic of each call when it arrives.
+   * @return the time after which it is handled. */
+  std::function<micros(const std::string &, const std::string &)> OnCall;
   /** Number of calls of all nodes, by path. */
   std::map<std::string, int> Calls;
 
@@ -60,6 +63,8 @@
     event::timer_id Timer;
   };
 
+  void receive(int Node, const connection &Connection,
+               http::exchange_number Exchange, const http::request &Request);
   void handle(int Node, const connection &Connection,
               http::exchange_number Exchange, const http::request &Request);
   auto renderRead(const std::string &Topic, std::size_t From) const
