--- a/test/http_connection_test.cpp
+++ b/test/http_connection_test.cpp
@@ -65,7 +65,24 @@
   }
 };
 
-/** Sends one request and waits for its result. */
+/** Sends a request on a connection and waits for its result. */
+static auto waitForResult(event::loop &Loop, client_connection &Client)
+    -> exchange_result {
+  auto Request = http::request();
+  Request.Method = "GET";
+  Request.Target = "/";
+  auto Result = std::optional<exchange_result>();
+  Client.exchange(Request, [&](exchange_result Got) {
+    Result = std::move(Got);
+    Loop.stop();
+  });
+  Loop.addTimer(Loop.now() + TestTimeout, [&] { Loop.stop(); });
+  Loop.run();
+  cr_assert(Result.has_value(), "no result in time");
+  return std::move(*Result);
+}
+
+/** Sends one request to a server with this answer and waits for the result. */
 static auto exchangeOnce(const std::string &Answer, bool CloseAfter,
                          bool &Reusable) -> exchange_result {
   auto Loop = event::loop();
@@ -78,19 +95,9 @@
     auto Id = proxy::findHeader(Headers, "Request-Id");
     return !Id || *Id == "mine";
   });
-  auto Request = http::request();
-  Request.Method = "GET";
-  Request.Target = "/";
-  auto Result = std::optional<exchange_result>();
-  Client->exchange(Request, [&](exchange_result Got) {
-    Result = std::move(Got);
-    Loop.stop();
-  });
-  Loop.addTimer(Loop.now() + TestTimeout, [&] { Loop.stop(); });
-  Loop.run();
+  auto Result = waitForResult(Loop, *Client);
   Reusable = Client->isReusable();
-  cr_assert(Result.has_value(), "no result in time");
-  return std::move(*Result);
+  return Result;
 }
 
 static auto bodyOf(const exchange_result &Result) -> std::string {
@@ -232,19 +239,10 @@
     auto Options = client_options();
     Options.MaxBodyBytes = 1000;
     auto Client = client_connection::open(Loop, Server.Address, Options);
-    auto Result = std::optional<exchange_result>();
-    auto Request = http::request();
-    Request.Method = "GET";
-    Request.Target = "/";
-    Client->exchange(Request, [&](exchange_result Got) {
-      Result = std::move(Got);
-      Loop.stop();
-    });
     // The kernel connects; the server fills its buffers meanwhile.
     std::this_thread::sleep_for(millis(100));
-    Loop.addTimer(Loop.now() + TestTimeout, [&] { Loop.stop(); });
-    Loop.run();
-    cr_assert(Result && std::holds_alternative<exchange_failure>(*Result));
+    auto Result = waitForResult(Loop, *Client);
+    cr_assert(std::holds_alternative<exchange_failure>(Result));
     cr_assert_leq(Loop.receivedBytes(), std::uint64_t{1} << 20U,
                   "%llu bytes were read after \"%s\"",
                   static_cast<unsigned long long>(Loop.receivedBytes()), Start);
@@ -301,18 +299,8 @@
 Test(http_connection, refused_connection_is_known_as_such) {
   auto Loop = event::loop();
   auto Client = client_connection::open(Loop, {"127.0.0.1", 1}, {});
-  auto Result = std::optional<exchange_result>();
-  auto Request = http::request();
-  Request.Method = "GET";
-  Request.Target = "/";
-  Client->exchange(Request, [&](exchange_result Got) {
-    Result = std::move(Got);
-    Loop.stop();
-  });
-  Loop.addTimer(Loop.now() + TestTimeout, [&] { Loop.stop(); });
-  Loop.run();
-  cr_assert(Result.has_value());
-  cr_assert_not(std::get<exchange_failure>(*Result).Connected);
+  auto Result = waitForResult(Loop, *Client);
+  cr_assert_not(std::get<exchange_failure>(Result).Connected);
 }
 
 // Guards against passing requests with ambiguous framing to the handler, and
--- a/test/sidecar_cold_test.cpp
+++ b/test/sidecar_cold_test.cpp
@@ -4,12 +4,15 @@
 
 #include <algorithm>
 #include <criterion/criterion.h>
+#include <functional>
+#include <optional>
 
 using namespace sycamorelb;
 using namespace sycamorelb::sim;
 
-/** Calls that arrive at once. */
+/** Number of calls that are sent to the target, and the time between two. */
 static constexpr auto Calls = 60;
+static constexpr auto CallGap = micros(20'000);
 /** Most calls in a second that the deployment allows to a target with
  * ColdCallsPerSecond, and its configured limit. */
 static constexpr auto AllowedCalls = 23;
@@ -92,6 +95,16 @@
     return Call;
   }
 
+  /** Sends calls whose sender tells ToldLimit(number of the call). */
+  void play(const std::function<std::optional<double>(int)> &ToldLimit) {
+    for (auto Call = 0; Call < Calls; ++Call) {
+      auto Forward = makeCall();
+      Forward.ColdCallsPerSecond = ToldLimit(Call);
+      send(Forward);
+      Mesh.run(CallGap);
+    }
+  }
+
   /** @return the most calls that arrived within a second. */
   auto busiestSecond() -> int {
     const auto &Arrivals = Mesh.target(0).Arrivals;
@@ -114,10 +127,7 @@
 // node had no configuration yet and took that for "no limit".
 Test(sidecar_cold, target_of_unknown_limit_is_not_overrun) {
   auto Run = cold_run();
-  for (auto Call = 0; Call < Calls; ++Call) {
-    Run.send(Run.makeCall());
-    Run.Mesh.run(micros(20'000));
-  }
+  Run.play([](int) { return std::nullopt; });
   cr_assert_leq(Run.busiestSecond(), AllowedCalls, "%d calls in a second",
                 Run.busiestSecond());
 }
@@ -126,12 +136,7 @@
 // senders of the calls have one and tell the limit.
 Test(sidecar_cold, target_gets_the_calls_that_the_told_limit_allows) {
   auto Run = cold_run();
-  for (auto Call = 0; Call < Calls; ++Call) {
-    auto Forward = Run.makeCall();
-    Forward.ColdCallsPerSecond = ColdCallsPerSecond;
-    Run.send(Forward);
-    Run.Mesh.run(micros(20'000));
-  }
+  Run.play([](int) { return ColdCallsPerSecond; });
   cr_assert_leq(Run.busiestSecond(), AllowedCalls, "%d calls in a second",
                 Run.busiestSecond());
   cr_assert_geq(Run.busiestSecond(), static_cast<int>(ColdCallsPerSecond));
@@ -141,13 +146,9 @@
 // a node with an older configuration tells.
 Test(sidecar_cold, strictest_told_limit_counts) {
   auto Run = cold_run();
-  for (auto Call = 0; Call < Calls; ++Call) {
-    auto Forward = Run.makeCall();
-    Forward.ColdCallsPerSecond =
-        Call == 0 ? ColdCallsPerSecond : (Call % 2 == 0 ? 0.0 : 500.0);
-    Run.send(Forward);
-    Run.Mesh.run(micros(20'000));
-  }
+  Run.play([](int Call) {
+    return Call == 0 ? ColdCallsPerSecond : (Call % 2 == 0 ? 0.0 : 500.0);
+  });
   cr_assert_leq(Run.busiestSecond(), AllowedCalls, "%d calls in a second",
                 Run.busiestSecond());
 }
--- a/test/sidecar_sim.cpp
+++ b/test/sidecar_sim.cpp
@@ -145,7 +145,7 @@
   // See startCall().
   auto Origin = std::stoi(Id);
   auto SentAt = steady_time(micros(std::stoll(Id.substr(Id.find('-') + 1))));
-  Arrivals.push_back({SentAt, Loop.now(), Origin, Id});
+  Arrivals.push_back({SentAt, Loop.now(), Origin});
   auto Response =
       http::response{200,
                      "",
@@ -289,7 +289,7 @@
                         {{"healthCheckPath", "/health"},
                          {"connectionLimit", 9},
                          {"warmup", "3s"},
-                         {"coldPerS", ColdCallsPerSecond}}}});
+                         {"coldPerS", 0.0}}}});
   auto AddRoute = [this, &Resources](const std::string &Name) {
     Resources.push_back({{"resourceType", "routes"},
                          {"metadata", {{"name", Name}}},
--- a/test/sidecar_sim.h
+++ b/test/sidecar_sim.h
@@ -62,7 +62,6 @@
   steady_time SentAt; ///< When the caller sent it.
   steady_time At;     ///< When it arrived.
   int Origin;         ///< Node to which the caller sent it.
-  std::string Id;     ///< Request id of the caller.
 };
 
 /** Stand-in of the target beside a node. */
@@ -133,8 +132,6 @@
 
   /** Time limit of all routes of the next configurations. */
   std::string RouteTimeout = "500ms";
-  /** Limit of cold targets in the next configurations, in calls per second. */
-  double ColdCallsPerSecond = 0;
   /** Kind of all routes of the next configurations. */
   std::string RouteKind = "idempotent";
   /** Time for which callers wait for an answer. */
