Codechange: [Admission] Log what a node knows of a cold target

Added: - target.cold_time: each cold time that the node takes over, with its source; - target.cold_assumed: why the target counts as cold without a report; - target.cold_calls: calls started at a cold target within a second, the limit and its source, the age of the loop's time and the time to the last byte written; - heartbeat.outdated names the cold time and what is known instead.

A connection reports when a request is written to the end, and the loop tells the clock's time. No decision changes.

--- a/include/sycamorelb/event/loop.h
+++ b/include/sycamorelb/event/loop.h
@@ -34,6 +34,9 @@
   /** @return the time at the start of the current iteration: the time since
    * boot, unless it is simulated. */
   auto now() const -> steady_time;
+  /** @return the current time. It is later than now() in a long iteration, but
+   * not if time is simulated. */
+  auto clockTime() const -> steady_time;
 
   /** Adds to the byte counts of the host's network link. */
   void countTraffic(std::size_t Received, std::size_t Sent);
--- a/include/sycamorelb/event/stream.h
+++ b/include/sycamorelb/event/stream.h
@@ -45,6 +45,8 @@
   std::function<void(close_reason)> OnClosed;
   /** Called once, when an outgoing connection is established. */
   std::function<void()> OnConnected;
+  /** Called when queued output was written to the end after send() returned. */
+  std::function<void()> OnOutputWritten;
 
   /** Takes ownership of an accepted socket. */
   static auto adopt(loop &Loop, int Descriptor) -> std::shared_ptr<stream>;
@@ -82,6 +84,7 @@
   void startWatching(std::uint32_t Events);
   void handleReady(std::uint32_t Ready);
   void finishConnecting();
+  void reportOutputWritten();
   std::unique_ptr<implementation> Impl;
 };
 
--- a/include/sycamorelb/http/client_connection.h
+++ b/include/sycamorelb/http/client_connection.h
@@ -60,8 +60,11 @@
    * requests and are skipped. Without a predicate all responses match. */
   void setResponseMatcher(
       std::function<bool(const proxy::header_list &)> MatchesRequest);
-  /** Sends a request. Handler is called once, never from within this method. */
-  void exchange(const request &Request, result_handler Handler);
+  /** Sends a request. Handler is called once, never from within this method.
+   * @param OnSent called once when the request has been written to the end,
+   * also from within this method. */
+  void exchange(const request &Request, result_handler Handler,
+                std::function<void()> OnSent = nullptr);
   /** @return whether another request can be sent. */
   auto isReusable() const -> bool;
   /** @return when the last response was complete. */
@@ -76,6 +79,7 @@
   struct implementation;
   explicit client_connection(std::unique_ptr<implementation> Impl);
   void readResponse();
+  void reportSent();
   void finish(exchange_result Result, bool Reusable);
   void handleClosed(event::close_reason Reason);
   std::unique_ptr<implementation> Impl;
--- a/src/event/loop.cpp
+++ b/src/event/loop.cpp
@@ -116,6 +116,10 @@
 
 auto loop::now() const -> steady_time { return Impl->Now; }
 
+auto loop::clockTime() const -> steady_time {
+  return Impl->Simulated ? Impl->Now : bootTime();
+}
+
 void loop::countTraffic(std::size_t Received, std::size_t Sent) {
   Impl->Received += Received;
   Impl->Sent += Sent;
--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -209,6 +209,15 @@
   if (auto Callback = std::move(OnConnected)) {
     Callback();
   }
+  reportOutputWritten();
+}
+
+void stream::reportOutputWritten() {
+  if (Impl->Descriptor >= 0 && pendingOutput() == 0 && OnOutputWritten) {
+    // Copied, since the callback may replace it.
+    auto Callback = OnOutputWritten;
+    Callback();
+  }
 }
 
 void stream::handleReady(std::uint32_t Ready) {
@@ -216,9 +225,13 @@
   if (Impl->Connecting) {
     return finishConnecting();
   }
+  auto HadOutput = pendingOutput() > 0;
   if ((Ready & EPOLLOUT) != 0U && !Impl->flush()) {
     return closeAndReport(*this, close_reason::Reset);
   }
+  if (HadOutput) {
+    reportOutputWritten();
+  }
   if (Impl->ClosingAfterOutput &&
       Impl->OutputOffset >= Impl->OutputBuffer.size()) {
     return close();
@@ -352,6 +365,7 @@
 void stream::closeAfterOutput() {
   OnClosed = nullptr;
   OnData = nullptr;
+  OnOutputWritten = nullptr;
   if (Impl->Descriptor < 0 || pendingOutput() == 0) {
     return Impl->closeDescriptor();
   }
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -23,6 +23,7 @@
   client_options Options;
   std::shared_ptr<event::stream> Stream;
   result_handler Handler;
+  std::function<void()> OnSent; // Of the request in progress.
   std::string Method;
   std::function<bool(const proxy::header_list &)> MatchesRequest;
   bool Established = false;
@@ -107,6 +108,11 @@
       Self->Impl->Established = true;
     }
   };
+  Stream->OnOutputWritten = [Weak] {
+    if (auto Self = Weak.lock()) {
+      Self->reportSent();
+    }
+  };
   Stream->OnData = [Weak] {
     if (auto Self = Weak.lock()) {
       Self->readResponse();
@@ -125,14 +131,24 @@
   Impl->MatchesRequest = std::move(MatchesRequest);
 }
 
-void client_connection::exchange(const request &Request,
-                                 result_handler Handler) {
+void client_connection::reportSent() {
+  if (auto Callback = std::exchange(Impl->OnSent, nullptr)) {
+    Callback();
+  }
+}
+
+void client_connection::exchange(const request &Request, result_handler Handler,
+                                 std::function<void()> OnSent) {
   Impl->Handler = std::move(Handler);
+  Impl->OnSent = std::move(OnSent);
   Impl->Method = Request.Method;
   Impl->ReadingBody = false;
   Impl->Body.clear();
   Impl->IgnoredBytes = 0;
   Impl->Stream->send(renderRequest(Request));
+  if (Impl->Stream->isOpen() && Impl->Stream->pendingOutput() == 0) {
+    reportSent();
+  }
 }
 
 auto client_connection::implementation::readHead(std::string &Failure) -> bool {
@@ -231,6 +247,7 @@
 void client_connection::finish(exchange_result Result, bool Reusable) {
   auto Self = shared_from_this();
   auto Handler = std::exchange(Impl->Handler, nullptr);
+  Impl->OnSent = nullptr;
   Impl->releaseBudget();
   Impl->Body = std::string();
   Impl->IdleSince = Impl->Loop.now();
@@ -281,6 +298,7 @@
 void client_connection::close() {
   Impl->releaseBudget();
   Impl->Handler = nullptr;
+  Impl->OnSent = nullptr;
   Impl->Unusable = true;
   Impl->Stream->close();
 }
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -37,6 +37,9 @@
 /** Calls per second to a cold target whose limit isn't known. */
 static constexpr auto UnknownColdRate = 1.0;
 
+/** Time over which the calls to a cold target are counted for one log line. */
+static constexpr auto ColdCallLogInterval = micros(1'000'000);
+
 admission::admission(node_state &State, admission_events Events)
     : Impl(std::make_unique<implementation>(State, std::move(Events))) {}
 
@@ -53,6 +56,35 @@
                     : UnknownColdRate;
 }
 
+auto admission::implementation::coldRateSource() const -> const char * {
+  if (State.Routes && State.Routes->findService(Target.Service) != nullptr) {
+    return "configuration";
+  }
+  return ToldColdCallsPerSecond ? "told" : "unknown";
+}
+
+void admission::implementation::countColdCall() {
+  if (ColdCalls.Calls++ == 0) {
+    State.Loop.addTimer(State.Loop.now() + ColdCallLogInterval,
+                        [this] { logColdCalls(); });
+  }
+  auto Delay = State.Loop.clockTime() - State.Loop.now();
+  ColdCalls.LoopDelay = std::max(ColdCalls.LoopDelay, Delay);
+}
+
+void admission::implementation::logColdCalls() {
+  State.Log.write(log_class::State, "target.cold_calls",
+                  {{"target", Target.Id.Value},
+                   {"calls", ColdCalls.Calls},
+                   {"limit_per_ks", static_cast<std::int64_t>(
+                                        std::min(coldRate() * 1e3, 1e15))},
+                   {"limit_from", coldRateSource()},
+                   {"loop_delay_us", ColdCalls.LoopDelay.count()},
+                   {"write_delay_us", ColdCalls.WriteDelay.count()},
+                   {"cold", std::int64_t{isCold() ? 1 : 0}}});
+  ColdCalls = cold_call_count();
+}
+
 void admission::implementation::adoptColdRate(const forward_message &Forward) {
   auto &Known = ToldColdCallsPerSecond;
   auto Told = Forward.ColdCallsPerSecond;
@@ -456,7 +488,19 @@
   Impl->runQueue();
 }
 
-void admission::assumeCold() { Impl->IsColdTimeKnown = false; }
+void admission::assumeCold(const char *Reason) {
+  Impl->State.Log.write(
+      log_class::State, "target.cold_assumed",
+      {{"target", Impl->Target.Id.Value}, {"reason", Reason}});
+  Impl->IsColdTimeKnown = false;
+}
+
+auto admission::coldTimeLeft() const -> std::optional<micros> {
+  if (!Impl->IsColdTimeKnown) {
+    return std::nullopt;
+  }
+  return std::max(micros(0), Impl->ColdUntil - Impl->State.Loop.now());
+}
 
 auto admission::load() const -> dispatch::load_report { return Impl->load(); }
 
--- a/src/sidecar/admission.h
+++ b/src/sidecar/admission.h
@@ -6,6 +6,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace sycamorelb::sidecar {
 
@@ -74,8 +75,12 @@
   /** Refuses queued calls that may no longer run, after a change of the
    * evacuated zones, rollouts or configuration. */
   void recheckQueue();
-  /** Treats the target as cold until its next heartbeat. */
-  void assumeCold();
+  /** Treats the target as cold until its next heartbeat.
+   * @param Reason for the log. */
+  void assumeCold(const char *Reason);
+  /** @return how long the target counts as cold, 0 for a warm one; nothing if
+   * that isn't known, so that it counts as cold. */
+  auto coldTimeLeft() const -> std::optional<micros>;
 
   /** @return the current load of the target. */
   auto load() const -> dispatch::load_report;
--- a/src/sidecar/admission_state.h
+++ b/src/sidecar/admission_state.h
@@ -22,6 +22,13 @@
 /** Mean run time assumed until the first call ends. */
 inline constexpr auto InitialMeanRun = micros(100'000);
 
+/** Calls started at a cold target within about a second, for the log. */
+struct cold_call_count {
+  std::int64_t Calls = 0;
+  micros LoopDelay{0};  // Longest time from loop::now() to the clock's time.
+  micros WriteDelay{0}; // Longest time from a start to the last byte written.
+};
+
 enum class call_stage : std::uint8_t { Queued, Running, Done };
 
 /** A call submitted to admission. */
@@ -59,6 +66,7 @@
   dispatch::call_rate_window Rate;
   steady_time ColdUntil{};
   bool IsColdTimeKnown = false;
+  cold_call_count ColdCalls; // Since the last line "target.cold_calls".
   /** Configured limit of a cold target of this service, as other nodes told it.
    */
   std::optional<double> ToldColdCallsPerSecond;
@@ -84,6 +92,11 @@
   }
   /** @return the calls per second to a cold target; 0 for no limit. */
   auto coldRate() const -> double;
+  /** @return where coldRate() comes from, for the log. */
+  auto coldRateSource() const -> const char *;
+  /** Counts a call that starts at a cold target. */
+  void countColdCall();
+  void logColdCalls();
   /** @return the earliest time at which the next call may start. */
   auto nextCallTime() const -> steady_time;
   auto capacity() const -> dispatch::target_capacity;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -160,7 +160,7 @@
   }
   if (WasEvacuated && !State.EvacuatedZones.contains(State.Own.Zone)) {
     // The target may have become cold while its zone was evacuated.
-    Admission.assumeCold();
+    Admission.assumeCold("evacuation ended");
   }
   Rollouts.handleOrders();
   Admission.recheckQueue();
@@ -320,7 +320,7 @@
     State.Log.write(log_class::State, "process.paused",
                     {{"late_us", Lateness.count()}});
     // All state from before the pause may be outdated.
-    Admission.assumeCold();
+    Admission.assumeCold("process was paused");
     Store.restart();
     Gossip.syncWithPeers();
   }
--- a/src/sidecar/sidecar_state.h
+++ b/src/sidecar/sidecar_state.h
@@ -60,6 +60,7 @@
   std::function<void()> OnStopped; // Ends the process.
   steady_time TickDue{};
   int TickCount = 0;
+  bool LoggedWarm = false; // In the last line "target.cold_time".
   timespec SettingsModifiedAt{};
   std::uint64_t MeasuredReceivedBytes = 0;
   std::uint64_t MeasuredSentBytes = 0;
@@ -89,6 +90,12 @@
   void announceHost();
   /** @return whether another host of the zone has told of itself. */
   auto hearsFromPeers() const -> bool;
+  /** Logs how long the target counts as cold, after a report of the target.
+   * @param Source kind of the report.
+   * @param Told time for which it stays cold, as reported.
+   * @param Sequence of the heartbeat; 0 for a health check. */
+  void logColdTime(const char *Source, std::optional<micros> Told,
+                   std::uint64_t Sequence);
   void handleLeave(const mesh::target_id &Id, std::string_view Body);
   void publishTarget();
   void publishTargetLost();
--- a/src/sidecar/target_control.cpp
+++ b/src/sidecar/target_control.cpp
@@ -61,11 +61,34 @@
         log_class::State, "heartbeat.outdated",
         {{"target", Heartbeat.Target.Id.Value},
          {"born", Heartbeat.Target.StartedAtMs},
-         {"sequence", static_cast<std::int64_t>(Heartbeat.Sequence)}});
+         {"sequence", static_cast<std::int64_t>(Heartbeat.Sequence)},
+         {"cold_us", Heartbeat.ColdFor.count()},
+         {"known", Watch.Known.Id.Value},
+         {"known_born", Watch.Known.StartedAtMs},
+         {"known_sequence", static_cast<std::int64_t>(Watch.Sequence)}});
     return;
   }
   publishTarget();
   Admission.setTarget(State.Own.Target, Heartbeat.ColdFor, ServedBefore);
+  logColdTime("heartbeat", Heartbeat.ColdFor, Heartbeat.Sequence);
+}
+
+void sidecar::implementation::logColdTime(const char *Source,
+                                          std::optional<micros> Told,
+                                          std::uint64_t Sequence) {
+  auto Left = Admission.coldTimeLeft();
+  auto IsWarm = Left && *Left == micros(0);
+  auto WasWarm = std::exchange(LoggedWarm, IsWarm);
+  if (IsWarm && WasWarm) {
+    return;
+  }
+  State.Log.write(log_class::State, "target.cold_time",
+                  {{"target", State.Own.Target.Id.Value},
+                   {"born", State.Own.Target.StartedAtMs},
+                   {"source", Source},
+                   {"sequence", static_cast<std::int64_t>(Sequence)},
+                   {"told_us", Told ? Told->count() : -1},
+                   {"cold_us", Left ? Left->count() : -1}});
 }
 
 void sidecar::implementation::probeTarget(
@@ -105,6 +128,7 @@
         acceptHeartbeat(Watch, Heartbeat)) {
       publishTarget();
       Admission.setTarget(State.Own.Target, Heartbeat.ColdFor, true);
+      logColdTime("verified heartbeat", Heartbeat.ColdFor, Heartbeat.Sequence);
     }
   });
 }
@@ -128,6 +152,7 @@
     if (Resumed) {
       publishTarget();
       Admission.setTarget(State.Own.Target, ColdFor, true);
+      logColdTime("health check", ColdFor, 0);
     }
   });
 }
--- a/src/sidecar/target_exchange.cpp
+++ b/src/sidecar/target_exchange.cpp
@@ -33,6 +33,9 @@
   Call->WasCold = isCold();
   Call->TargetStart = TargetStarts;
   ++Running;
+  if (Call->WasCold) {
+    countColdCall();
+  }
   dispatch::recordSentCall(Rate, Now);
   dispatch::recordStart(StartLimit, Now);
   auto Header = platform::target_header();
@@ -48,12 +51,17 @@
     auto Answered = platform::decodeResponseHeader(Headers).Id;
     return Id.Value.empty() || Answered == Id;
   });
-  Call->Connection->exchange(Forward.Request,
-                             [this, Weak](http::exchange_result Result) {
-                               if (auto Self = Weak.lock()) {
-                                 handleResult(*Self, std::move(Result));
-                               }
-                             });
+  Call->Connection->exchange(
+      Forward.Request,
+      [this, Weak](http::exchange_result Result) {
+        if (auto Self = Weak.lock()) {
+          handleResult(*Self, std::move(Result));
+        }
+      },
+      [this, StartedAt = State.Loop.clockTime()] {
+        ColdCalls.WriteDelay =
+            std::max(ColdCalls.WriteDelay, State.Loop.clockTime() - StartedAt);
+      });
   Forward.Request.Body = std::string();
   Call->Timer =
       State.Loop.addTimer(Call->DeadlineAt + DeadlineMargin, [this, Weak] {
--- a/test/event_stream_test.cpp
+++ b/test/event_stream_test.cpp
@@ -5,6 +5,7 @@
 #include <array>
 #include <criterion/criterion.h>
 #include <string>
+#include <sys/epoll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -46,3 +47,33 @@
   Stream->OnData = nullptr;
   ::close(Ends[1]);
 }
+
+// Guards against a write that is reported before the last byte is with the
+// kernel: the peer reads late.
+Test(event_stream, output_is_reported_as_written_when_all_of_it_is) {
+  auto Loop = event::loop();
+  auto Ends = std::array<int, 2>();
+  cr_assert_eq(
+      ::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, Ends.data()), 0);
+  auto Stream = event::stream::adopt(Loop, Ends[0]);
+  auto Reports = 0;
+  auto Read = std::size_t{0};
+  Stream->OnOutputWritten = [&] {
+    ++Reports;
+    cr_assert_gt(Read, std::size_t{0}, "reported before the peer has read");
+    cr_assert_eq(Stream->pendingOutput(), std::size_t{0});
+    Loop.stop();
+  };
+  Stream->send(std::string(std::size_t{4} * 1024 * 1024, 'x'));
+  cr_assert_gt(Stream->pendingOutput(), std::size_t{0});
+  auto Buffer = std::array<char, 4096>();
+  Loop.watch(Ends[1], EPOLLIN, [&](std::uint32_t) {
+    auto Got = ::recv(Ends[1], Buffer.data(), Buffer.size(), 0);
+    Read += Got > 0 ? static_cast<std::size_t>(Got) : 0;
+  });
+  Loop.addTimer(Loop.now() + micros(5'000'000), [&] { Loop.stop(); });
+  Loop.run();
+  cr_assert_eq(Reports, 1);
+  Loop.unwatch(Ends[1]);
+  ::close(Ends[1]);
+}
--- a/test/http_connection_test.cpp
+++ b/test/http_connection_test.cpp
@@ -340,3 +340,30 @@
   cr_assert(Got.find("/1") < Got.find("/2"));
   cr_assert(Got.find("400") != std::string::npos);
 }
+
+// Guards against a request that counts as sent before it is connected, and
+// against one that is reported twice or not at all on a kept connection.
+Test(http_connection, request_is_reported_as_sent_once) {
+  auto Loop = event::loop();
+  auto Server =
+      raw_server{Loop, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n"};
+  Server.start();
+  auto Client = client_connection::open(Loop, Server.Address, {});
+  auto Request = http::request();
+  Request.Method = "GET";
+  Request.Target = "/";
+  for (auto Round = 0; Round < 2; ++Round) {
+    auto Sent = 0;
+    auto SentBeforeResult = -1;
+    Client->exchange(
+        Request, [&](const exchange_result &) { SentBeforeResult = Sent; },
+        [&Sent] { ++Sent; });
+    cr_assert_eq(Sent, Round, "the first request waits for the connection");
+    auto Until = Loop.now() + TestTimeout;
+    while (SentBeforeResult < 0 && Loop.now() < Until) {
+      Loop.runUntil(Loop.now() + micros(1'000));
+    }
+    cr_assert_eq(SentBeforeResult, 1);
+    cr_assert_eq(Sent, 1);
+  }
+}
