--- a/soak/soak.py
+++ b/soak/soak.py
@@ -144,6 +144,8 @@
 class World:
     """All components of a soak, and the ledger of its observations."""
 
+    node_type = Node
+
     def __init__(self, args):
         self.args = args
         self.random = random.Random(args.seed)
@@ -154,7 +156,7 @@
         self.store = Store((f"127.0.{self.net}.250", STORE_PORT))
         self.ledger = Ledger(BOUNDS, args.broken)
         self.left_at_by_target = self.ledger.left_at_by_target
-        self.nodes = [Node(self, index) for index in range(args.nodes)]
+        self.nodes = [self.node_type(self, index) for index in range(args.nodes)]
         self.finished = False
         self.version = 0
         self.faults = []
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -164,16 +164,19 @@
         self.alive = False
         self.leave_acknowledged_at = None
         self.incarnation = 0
+        self.heartbeat_delay_s = 0.0  # Time for which heartbeats are held up on their way.
+        self.clock_offset_ms = 0  # Of the time of day in its heartbeats.
         self.tasks = []
 
     async def listen(self):
         await asyncio.start_server(self.serve, *self.address, backlog=256)
 
-    def start(self, version="v1", cold=True):
+    def start(self, version="v1", cold=True, keep_id=False):
         self.incarnation += 1
-        self.id = f"i-{self.node}-{self.incarnation}"
+        if not keep_id:
+            self.id = f"i-{self.node}-{self.incarnation}"
         self.version = version
-        self.started_ms = int(time.time() * 1000)
+        self.started_ms = int(time.time() * 1000) + self.clock_offset_ms
         self.cold_until = time.monotonic() + (COLD_S if cold else 0)
         self.state = "ready"
         self.says_leaving = False
@@ -197,19 +200,28 @@
             "born": self.started_ms, "address": "%s:%d" % self.address,
             "information": {"service": self.service, "version": self.version, "zone": self.zone, "slots": SLOTS},
             "status": {"state": self.state, "sequence": self.sequence, "coldRemaining": f"{self.cold_ms()}ms"}})
-        target_id = self.id
+        target_id, incarnation, told_cold = self.id, self.incarnation, self.cold_ms() > 0
         data = encode(f"PUT /instances/{target_id} HTTP/1.1", {"Host": "node"}, body.encode())
+        if self.heartbeat_delay_s > 0:
+            await asyncio.sleep(self.heartbeat_delay_s)
         response = await request_once(self.control_address, data, 1.0)
         acknowledged = response is not None and response.status == 200
+        if acknowledged and told_cold and self.incarnation == incarnation:
+            self.record_told_cold()
         if acknowledged and leaving and self.id == target_id and self.leave_acknowledged_at is None:
             self.leave_acknowledged_at = time.monotonic()
             self.world.left_at_by_target[target_id] = self.leave_acknowledged_at
         return acknowledged
 
+    def record_told_cold(self):
+        """Called when the node has been told that the target is cold."""
+
     async def send_heartbeats(self):
         incarnation = self.incarnation
         while self.alive and self.incarnation == incarnation:
-            await self.send_heartbeat()
+            # Heartbeats may overtake each other.
+            self.tasks.append(asyncio.create_task(self.send_heartbeat()))
+            self.tasks = [task for task in self.tasks if not task.done()]
             await asyncio.sleep(HEARTBEAT_S)
 
     async def drain(self, drain_s):
