Fix: [Sidecar] Take the cold time of a verified heartbeat from the check

The new start has the same id, so the check succeeded, and the cold time was taken from the heartbeat: 0. The answer to the check had told 4 s. The node sent a warm target's calls until the first heartbeat of the new start came in, 1.5 s later.

Ruled out by the log lines: the limit was known (limit_from "configuration"), the loop's time was at most 0.001 s old, one process was running.

Now the greater of both cold times counts; a malformed one means unknown, and thus cold.

sidecar_cold/health_check_tells_a_newer_cold_time_than_the_heartbeat failed before, passes.

--- a/src/sidecar/target_control.cpp
+++ b/src/sidecar/target_control.cpp
@@ -4,6 +4,7 @@
 #include "sidecar/sidecar_state.h"
 #include "sycamorelb/http/client_connection.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace sycamorelb::sidecar {
@@ -116,6 +117,17 @@
       });
 }
 
+/** @return how long a target stays cold, if its heartbeat has waited for this
+ * health check: the heartbeat may be from before the target became cold, also
+ * from an earlier start with the same id. Nothing if it isn't known. */
+static auto laterColdTime(const target_heartbeat &Heartbeat,
+                          const http::response &Response)
+    -> std::optional<micros> {
+  auto ColdFor = platform::decodeColdTime(Response);
+  return ColdFor ? std::optional(std::max(*ColdFor, Heartbeat.ColdFor))
+                 : std::nullopt;
+}
+
 void sidecar::implementation::verifyHeartbeat(
     const target_heartbeat &Heartbeat) {
   State.Log.write(
@@ -126,9 +138,10 @@
     if (awaitsVerification(Watch, Heartbeat) &&
         platform::isHealthy(Response, Heartbeat.Target.Id) &&
         acceptHeartbeat(Watch, Heartbeat)) {
+      auto ColdFor = laterColdTime(Heartbeat, Response);
       publishTarget();
-      Admission.setTarget(State.Own.Target, Heartbeat.ColdFor, true);
-      logColdTime("verified heartbeat", Heartbeat.ColdFor, Heartbeat.Sequence);
+      Admission.setTarget(State.Own.Target, ColdFor, true);
+      logColdTime("verified heartbeat", ColdFor, Heartbeat.Sequence);
     }
   });
 }
--- a/test/sidecar_cold_test.cpp
+++ b/test/sidecar_cold_test.cpp
@@ -191,3 +191,17 @@
   Run.Mesh.run(micros(30'000));
   cr_assert_eq(Run.Mesh.state(0)["config_version"], 1);
 }
+
+// Regression test (cold-flood): a cold target got a warm one's calls, as the
+// node took the cold time from a heartbeat that had waited for its health
+// check, and not from the newer answer to that check.
+Test(sidecar_cold, health_check_tells_a_newer_cold_time_than_the_heartbeat) {
+  auto Mesh = mesh_sim(1, 1);
+  Mesh.target(0).Sequence = 5;
+  Mesh.target(0).HealthHeaders = {{"Cold-Milliseconds", "3000"}};
+  Mesh.startTargets();
+  Mesh.run(micros(300'000));
+  auto State = Mesh.state(0);
+  cr_assert_eq(State["hosts"]["node-1"]["target"], "i-1");
+  cr_assert(State["target"]["cold"], "the target counts as warm");
+}
--- a/test/sidecar_sim.cpp
+++ b/test/sidecar_sim.cpp
@@ -113,6 +113,16 @@
 
 void target_stand_in::start(const event::endpoint &Address,
                             const event::endpoint &Heartbeats) {
+  listen(Address);
+  sendHeartbeat(Heartbeats);
+}
+
+void target_stand_in::stopListening() {
+  Listener = nullptr;
+  Connections.clear();
+}
+
+void target_stand_in::listen(const event::endpoint &Address) {
   auto Opened = event::listener::open(
       Loop, Address, [this](std::shared_ptr<event::stream> Stream) {
         auto Connection = http::server_connection::create(
@@ -128,15 +138,17 @@
       });
   cr_assert(isOk(Opened), "a target can't listen");
   Listener = std::move(valueOf(Opened));
-  sendHeartbeat(Heartbeats);
 }
 
 void target_stand_in::handle(const connection &Caller,
                              http::exchange_number Exchange,
                              const http::request &Request) {
   if (Request.Path == "/health") {
-    return Caller->respond(
-        Exchange, {200, "", {{"Instance-Id", targetName(Node)}}, ""}, false);
+    auto Health =
+        http::response{200, "", {{"Instance-Id", targetName(Node)}}, ""};
+    Health.Headers.insert(Health.Headers.end(), HealthHeaders.begin(),
+                          HealthHeaders.end());
+    return Caller->respond(Exchange, Health, false);
   }
   auto Id = std::string();
   for (const auto &[Name, Value] : Request.Headers) {
@@ -172,7 +184,7 @@
   Request.Path = Request.Target;
   Request.Headers = {{"Host", "node"}};
   Request.HasBody = true;
-  Request.Body = nlohmann::json{{"born", 1},
+  Request.Body = nlohmann::json{{"born", StartedAtMs},
                                 {"address", event::formatEndpoint(Heartbeats)},
                                 {"information",
                                  {{"service", "svc"},
--- a/test/sidecar_sim.h
+++ b/test/sidecar_sim.h
@@ -71,12 +71,22 @@
 
   /** Serves calls and sends heartbeats to the node. */
   void start(const event::endpoint &Address, const event::endpoint &Heartbeats);
+  /** Accepts connections. */
+  void listen(const event::endpoint &Address);
+  /** Closes all connections, and refuses new ones until listen(). */
+  void stopListening();
   /** Headers that are added to each answer. */
   proxy::header_list Headers;
   /** Time that it runs a call. */
   micros RunTime{20'000};
   /** Version of its software. */
   std::string Version = "v1";
+  /** Headers that are added to the answers to health checks. */
+  proxy::header_list HealthHeaders;
+  /** Sequence of its last heartbeat. */
+  int Sequence = 0;
+  /** Time of its start in its heartbeats, in Unix ms. */
+  std::int64_t StartedAtMs = 1;
   /** Time for which it stays cold, in its heartbeats. */
   std::string ColdFor = "0ms";
   /** Size of its answers. */
@@ -97,7 +107,6 @@
 
   event::loop &Loop;
   int Node;
-  int Sequence = 0;
   std::unique_ptr<event::listener> Listener;
   std::set<connection> Connections;
 };
@@ -124,6 +133,9 @@
   auto peerAddress(int Node) -> event::endpoint {
     return settings(Node).PeerAddress;
   }
+  auto targetAddress(int Node) -> event::endpoint {
+    return settings(Node).TargetAddress;
+  }
   /** Starts the target beside one node. */
   void startTarget(int Node);
   auto target(int Node) -> target_stand_in & {
