Fix: [Sidecar] Accept a target that starts after the time was set back

Cause: all its heartbeats counted as those of an earlier start (heartbeat.outdated with a cold time, known_born greater), and were acknowledged. Under the same id the node went on with what it knew of the start before: warm.

Start times order heartbeats, but don't decide alone any more: a health check tells which target is at the address. With another id that is proof. With the same id the cold time in the answer counts at once, and a second heartbeat in a row makes the start the known one, as a single one may be late. A target that has left is never replaced by an earlier start with its id.

--- a/src/sidecar/sidecar_state.h
+++ b/src/sidecar/sidecar_state.h
@@ -82,6 +82,9 @@
   void
   probeTarget(const std::function<void(const http::response &)> &OnResponse);
   void verifyHeartbeat(const target_heartbeat &Heartbeat);
+  /** Asks the target whether it is the one of a heartbeat that was not
+   * accepted, since its start time is earlier than that of the known one. */
+  void verifyReplacement(const target_heartbeat &Heartbeat);
   /** Sends a health check to the target of a previous process once there is a
    * configuration, so that calls need not wait for its next heartbeat. */
   void probePreviousTarget();
--- a/src/sidecar/target_control.cpp
+++ b/src/sidecar/target_control.cpp
@@ -67,6 +67,9 @@
          {"known", Watch.Known.Id.Value},
          {"known_born", Watch.Known.StartedAtMs},
          {"known_sequence", static_cast<std::int64_t>(Watch.Sequence)}});
+    if (mayHaveReplaced(Watch, Heartbeat)) {
+      verifyReplacement(Heartbeat);
+    }
     return;
   }
   publishTarget();
@@ -146,6 +149,29 @@
   });
 }
 
+void sidecar::implementation::verifyReplacement(
+    const target_heartbeat &Heartbeat) {
+  if (Heartbeat.Target.Id == State.Own.Target.Id) {
+    Admission.assumeCold("other start with the same id");
+  }
+  auto Known = Watch.Known;
+  probeTarget([this, Heartbeat, Known](const http::response &Response) {
+    if (!platform::isHealthy(Response, Heartbeat.Target.Id) ||
+        Watch.Known.Id != Known.Id ||
+        Watch.Known.StartedAtMs != Known.StartedAtMs) {
+      return;
+    }
+    if (replaceTarget(Watch, Heartbeat)) {
+      publishTarget();
+    }
+    if (Heartbeat.Target.Id == State.Own.Target.Id) {
+      auto ColdFor = laterColdTime(Heartbeat, Response);
+      Admission.setTarget(State.Own.Target, ColdFor);
+      logColdTime("verified heartbeat", ColdFor, Heartbeat.Sequence);
+    }
+  });
+}
+
 void sidecar::implementation::probePreviousTarget() {
   auto MustProbe = PreviousTarget && State.Routes &&
                    Watch.Known.State == mesh::target_state::Absent;
--- a/src/sidecar/target_watch.cpp
+++ b/src/sidecar/target_watch.cpp
@@ -2,6 +2,8 @@
  * heartbeats. */
 #include "sidecar/target_watch.h"
 
+#include <utility>
+
 namespace sycamorelb::sidecar {
 
 /** Maximum sequence of a heartbeat from a target that has just started. */
@@ -46,6 +48,32 @@
          Watch.Known.State == mesh::target_state::Absent;
 }
 
+auto mayHaveReplaced(const target_watch &Watch,
+                     const target_heartbeat &Heartbeat) -> bool {
+  const auto &Known = Watch.Known;
+  auto KnownLeft = Heartbeat.Target.Id == Known.Id &&
+                   Known.State != mesh::target_state::Ready;
+  return Known.State != mesh::target_state::Absent && !KnownLeft &&
+         Heartbeat.Target.State == mesh::target_state::Ready &&
+         Heartbeat.Target.StartedAtMs < Known.StartedAtMs;
+}
+
+auto replaceTarget(target_watch &Watch, const target_heartbeat &Heartbeat)
+    -> bool {
+  auto Earlier = std::exchange(Watch.Unverified, Heartbeat);
+  auto IsSecond = Earlier && Earlier->Target.Id == Heartbeat.Target.Id &&
+                  Earlier->Target.StartedAtMs == Heartbeat.Target.StartedAtMs &&
+                  Earlier->Sequence < Heartbeat.Sequence;
+  if (!mayHaveReplaced(Watch, Heartbeat) ||
+      (Heartbeat.Target.Id == Watch.Known.Id && !IsSecond)) {
+    return false;
+  }
+  Watch.Known = Heartbeat.Target;
+  Watch.Sequence = Heartbeat.Sequence;
+  Watch.Unverified = std::nullopt;
+  return true;
+}
+
 auto acceptHeartbeat(target_watch &Watch, const target_heartbeat &Heartbeat)
     -> bool {
   const auto &Reported = Heartbeat.Target;
@@ -69,6 +97,7 @@
   }
   Watch.Known = *Next;
   Watch.Sequence = Heartbeat.Sequence;
+  Watch.Unverified = std::nullopt;
   return true;
 }
 
--- a/src/sidecar/target_watch.h
+++ b/src/sidecar/target_watch.h
@@ -44,6 +44,21 @@
 auto resumeTarget(target_watch &Watch, const mesh::target_record &Previous)
     -> bool;
 
+/** @return whether a heartbeat, which was not accepted, may come from a target
+ * that has started after the known one although its start time is earlier,
+ * since the time of day has been set back. A health check must tell whether it
+ * is the one at the address. */
+auto mayHaveReplaced(const target_watch &Watch,
+                     const target_heartbeat &Heartbeat) -> bool;
+
+/** Makes the target of such a heartbeat the known one, after a successful
+ * health check. If it has the id of the known one, the health check doesn't
+ * tell which of both it is, and this takes a second heartbeat without an
+ * accepted one in between.
+ * @return whether it was made the known one. */
+auto replaceTarget(target_watch &Watch, const target_heartbeat &Heartbeat)
+    -> bool;
+
 /** Accepts a heartbeat unless it is outdated: from an earlier start, older than
  * the last accepted one, or from a target that has announced its leave.
  * @return whether it was accepted. */
--- a/test/sidecar_watch_test.cpp
+++ b/test/sidecar_watch_test.cpp
@@ -184,3 +184,44 @@
   // A new start under the same name is ready.
   cr_assert(acceptHeartbeat(Watch, heartbeat("a", 9, 1, target_state::Ready)));
 }
+
+// Regression test (cold-flood): all heartbeats of a target that had started
+// after the time of day was set back were ignored, with their cold time.
+Test(sidecar_watch, start_with_an_earlier_time_replaces_another_target) {
+  auto Watch = target_watch();
+  cr_assert(acceptHeartbeat(Watch, heartbeat("a", 50, 9, target_state::Ready)));
+  auto Next = heartbeat("b", 20, 1, target_state::Ready);
+  cr_assert_not(acceptHeartbeat(Watch, Next));
+  cr_assert(mayHaveReplaced(Watch, Next));
+  cr_assert(replaceTarget(Watch, Next));
+  cr_assert(Watch.Known.Id.Value == "b");
+  cr_assert(acceptHeartbeat(Watch, heartbeat("b", 20, 2, target_state::Ready)));
+}
+
+// Guards against a late heartbeat of an earlier start that replaces the current
+// one, if both have the same id: only a second one in a row does.
+Test(sidecar_watch, single_late_heartbeat_does_not_replace_the_same_id) {
+  auto Watch = target_watch();
+  cr_assert(acceptHeartbeat(Watch, heartbeat("a", 50, 1, target_state::Ready)));
+  cr_assert_not(
+      replaceTarget(Watch, heartbeat("a", 20, 7, target_state::Ready)));
+  cr_assert(acceptHeartbeat(Watch, heartbeat("a", 50, 2, target_state::Ready)));
+  cr_assert_not(
+      replaceTarget(Watch, heartbeat("a", 20, 8, target_state::Ready)));
+  cr_assert_eq(Watch.Known.StartedAtMs, 50);
+  cr_assert(replaceTarget(Watch, heartbeat("a", 20, 9, target_state::Ready)));
+  cr_assert_eq(Watch.Known.StartedAtMs, 20);
+}
+
+// Guards against a late heartbeat that undoes a leave.
+Test(sidecar_watch, earlier_start_does_not_replace_a_target_that_left) {
+  auto Watch = target_watch();
+  cr_assert(acceptHeartbeat(Watch, heartbeat("a", 50, 1, target_state::Ready)));
+  cr_assert(acceptLeave(Watch, {"a"}, 50));
+  for (auto Sequence : {7U, 8U}) {
+    auto Late = heartbeat("a", 20, Sequence, target_state::Ready);
+    cr_assert_not(mayHaveReplaced(Watch, Late));
+    cr_assert_not(replaceTarget(Watch, Late));
+  }
+  cr_assert(Watch.Known.State == target_state::Gone);
+}
