Fix: [Event] Count calls from when they are sent

A call to a cold target was counted with the time at which the iteration of the loop had begun. If the process is stopped or starved in an iteration, the calls that it then sends count as earlier ones, and the next ones are sent less than a second after them. The time until which a target is cold, and the deadline that is told to it, were wrong by as much.

Shown by a test: in an iteration of 0.4 s the next call was due 0.65 s after the first one.

The loop takes the time anew for each event, which covers deadlines and timers; calls and cold times use the clock itself.

sidecar_admission/calls_to_a_cold_target_count_from_when_they_are_sent failed before, passes.

--- a/include/sycamorelb/event/loop.h
+++ b/include/sycamorelb/event/loop.h
@@ -31,11 +31,12 @@
   loop(const loop &) = delete;
   auto operator=(const loop &) -> loop & = delete;
 
-  /** @return the time at the start of the current iteration: the time since
-   * boot, unless it is simulated. */
+  /** @return the time at which the events of a descriptor, or a series of
+   * timers or deferred callbacks, began to be handled: the time since boot,
+   * unless it is simulated. */
   auto now() const -> steady_time;
-  /** @return the current time. It is later than now() in a long iteration, but
-   * not if time is simulated. */
+  /** @return the current time. It is later than now() if the process was
+   * stopped meanwhile, but not if time is simulated. */
   auto clockTime() const -> steady_time;
 
   /** Adds to the byte counts of the host's network link. */
--- a/src/event/loop.cpp
+++ b/src/event/loop.cpp
@@ -191,9 +191,11 @@
     Impl->runDueTimers();
     auto GenerationBound = Impl->NextGeneration;
     for (auto Index = 0; Index < Count; ++Index) {
+      Impl->updateTime(false, Until);
       Impl->dispatch(Events.at(static_cast<std::size_t>(Index)),
                      GenerationBound);
     }
+    Impl->updateTime(false, Until);
     Impl->runDeferredCallbacks();
   }
 }
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -461,15 +461,16 @@
     // The calls that the previous process sent before it ended are unknown.
     dispatch::fillWindow(Self.Rate, Self.State.StartedAt);
   } else if (!Self.IsColdTimeKnown && ColdFor && !IsNew) {
-    dispatch::fillWindow(Self.Rate, Now);
+    dispatch::fillWindow(Self.Rate, Self.State.Loop.clockTime());
   }
   if (ColdFor) {
     Self.IsColdTimeKnown = true;
     // A heartbeat that reports a warm target does not shorten the margin that
     // coldEndTime() added before.
+    auto ReadAt = *ColdFor > micros(0) ? Self.State.Loop.clockTime() : Now;
     Self.ColdUntil =
         std::max(*ColdFor > micros(0) || IsNew ? Now : Self.ColdUntil,
-                 dispatch::coldEndTime(Now, *ColdFor));
+                 dispatch::coldEndTime(ReadAt, *ColdFor));
   }
   recheckQueue();
 }
--- a/src/sidecar/target_exchange.cpp
+++ b/src/sidecar/target_exchange.cpp
@@ -25,7 +25,8 @@
 
 void admission::implementation::startCall(
     const std::shared_ptr<admitted_call> &Call) {
-  auto Now = State.Loop.now();
+  // Limits are exceeded if a call counts from before it is sent.
+  auto Now = State.Loop.clockTime();
   auto &Forward = Call->Forward;
   auto Idempotent = Forward.Kind == mesh::call_kind::Idempotent;
   Call->Stage = call_stage::Running;
@@ -179,7 +180,7 @@
 void admission::implementation::handleAnswer(admitted_call &Call,
                                              http::response Response) {
   auto Header = platform::decodeResponseHeader(Response.Headers);
-  auto RunTime = State.Loop.now() - Call.StartedAt;
+  auto RunTime = std::max(micros(0), State.Loop.now() - Call.StartedAt);
   auto Outcome = reply_message();
   Outcome.ReachedTarget = true;
   Outcome.RunTime = RunTime;
@@ -222,7 +223,7 @@
   Outcome.Outcome =
       Failure.Connected ? reply_outcome::Unknown : reply_outcome::NotRun;
   Outcome.Reason = Failure.Reason;
-  Outcome.RunTime = State.Loop.now() - Call.StartedAt;
+  Outcome.RunTime = std::max(micros(0), State.Loop.now() - Call.StartedAt);
   ++State.Counters.Admissions["failed: " + Failure.Reason];
   State.Log.write(log_class::Decision, "target.failed",
                   {{"call", static_cast<std::int64_t>(Call.Key.Call.Value)},
--- a/test/sidecar_admission_test.cpp
+++ b/test/sidecar_admission_test.cpp
@@ -29,14 +29,18 @@
     Settings.Service = {"svc"};
     return Settings;
   }
-  /** Makes the target ready and warm, so that calls are queued or run. */
-  void start() {
+  static auto target() -> mesh::target_record {
     auto Target = mesh::target_record();
     Target.Id = {"i-1"};
     Target.StartedAtMs = 1;
     Target.Service = {"svc"};
     Target.Slots = 1;
     Target.State = mesh::target_state::Ready;
+    return Target;
+  }
+  /** Makes the target ready and warm, so that calls are queued or run. */
+  void start() {
+    auto Target = target();
     State.Own.Target = Target;
     State.Hosts.merge(State.Own);
     Admission.setTarget(Target, micros(0));
@@ -270,3 +274,33 @@
   Node.Loop.run();
   cr_assert(Outcome == reply_outcome::Answered);
 }
+
+// Regression test (cold-flood): a cold target got the calls of two seconds in
+// one, as calls counted from the begin of the loop's iteration, which was long
+// before they were sent.
+Test(sidecar_admission, calls_to_a_cold_target_count_from_when_they_are_sent) {
+  auto Node = admission_fixture();
+  auto Server =
+      event::listener::open(Node.Loop, targetAddress(),
+                            [](const std::shared_ptr<event::stream> &) {});
+  cr_assert(isOk(Server));
+  Node.State.Settings.TargetAddress = targetAddress();
+  Node.start();
+  Node.Admission.assumeCold("test");
+  auto SentAt = steady_time();
+  auto NextCallAt = steady_time();
+  Node.Loop.addTimer(Node.Loop.now(), [&Node, &SentAt] {
+    ::usleep(400'000);
+    SentAt = Node.Loop.clockTime();
+    Node.Admission.submit(Key, admission_fixture::forward(micros(900'000)),
+                          [](const auto &) {});
+  });
+  Node.Loop.addTimer(Node.Loop.now() + micros(500'000), [&Node, &NextCallAt] {
+    NextCallAt = Node.Loop.now() + Node.Admission.load().Wait;
+    Node.Loop.stop();
+  });
+  Node.Loop.run();
+  cr_assert(NextCallAt - SentAt >= micros(1'000'000),
+            "the next call starts %ld us after the first one",
+            static_cast<long>((NextCallAt - SentAt).count()));
+}
