Fix: [Sidecar] Don't take an old heartbeat for news of a warm target

After a pause of the process, the end of an evacuation or the loss of the target, the target counts as cold until a heartbeat tells. That heartbeat may be older than the reason: heartbeats come seconds late. The node then sent a cold target the calls of a warm one until the next heartbeat.

Such a heartbeat now leaves the target cold and a health check is sent, whose answer is certainly newer; it is also sent at the end of a pause or an evacuation, so a warm target has to wait for a heartbeat no longer. If the check fails, the second heartbeat counts.

--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -160,7 +160,8 @@
   }
   if (WasEvacuated && !State.EvacuatedZones.contains(State.Own.Zone)) {
     // The target may have become cold while its zone was evacuated.
-    Admission.assumeCold("evacuation ended");
+    doubtColdTime("evacuation ended");
+    askColdTime();
   }
   Rollouts.handleOrders();
   Admission.recheckQueue();
@@ -320,7 +321,8 @@
     State.Log.write(log_class::State, "process.paused",
                     {{"late_us", Lateness.count()}});
     // All state from before the pause may be outdated.
-    Admission.assumeCold("process was paused");
+    doubtColdTime("process was paused");
+    askColdTime();
     Store.restart();
     Gossip.syncWithPeers();
   }
--- a/src/sidecar/sidecar_state.h
+++ b/src/sidecar/sidecar_state.h
@@ -60,6 +60,9 @@
   std::function<void()> OnStopped; // Ends the process.
   steady_time TickDue{};
   int TickCount = 0;
+  /** The next heartbeat that reports a warm target may be from before the
+   * reason to take it for cold. */
+  bool ColdTimeDoubted = false;
   bool LoggedWarm = false; // In the last line "target.cold_time".
   timespec SettingsModifiedAt{};
   std::uint64_t MeasuredReceivedBytes = 0;
@@ -93,6 +96,14 @@
   void announceHost();
   /** @return whether another host of the zone has told of itself. */
   auto hearsFromPeers() const -> bool;
+  /** Treats the target as cold until it is certain that it isn't. */
+  void doubtColdTime(const char *Reason);
+  /** Sends a health check to learn how long the target stays cold. */
+  void askColdTime();
+  /** @return the cold time that a heartbeat proves; nothing if it may be from
+   * before the reason to take the target for cold. */
+  auto provenColdTime(const target_heartbeat &Heartbeat)
+      -> std::optional<micros>;
   /** Logs how long the target counts as cold, after a report of the target.
    * @param Source kind of the report.
    * @param Told time for which it stays cold, as reported.
--- a/src/sidecar/target_control.cpp
+++ b/src/sidecar/target_control.cpp
@@ -34,6 +34,39 @@
   State.Own.Target.State = mesh::target_state::Absent;
   publishOwnRecord(State);
   Gossip.broadcastState();
+  ColdTimeDoubted = true;
+}
+
+void sidecar::implementation::doubtColdTime(const char *Reason) {
+  Admission.assumeCold(Reason);
+  ColdTimeDoubted = true;
+}
+
+void sidecar::implementation::askColdTime() {
+  probeTarget([this](const http::response &Response) {
+    if (!platform::isHealthy(Response, State.Own.Target.Id) ||
+        State.Own.Target.State != mesh::target_state::Ready) {
+      return;
+    }
+    ColdTimeDoubted = false;
+    auto ColdFor = platform::decodeColdTime(Response);
+    Admission.setTarget(State.Own.Target, ColdFor);
+    logColdTime("health check", ColdFor, 0);
+  });
+}
+
+auto sidecar::implementation::provenColdTime(const target_heartbeat &Heartbeat)
+    -> std::optional<micros> {
+  if (Heartbeat.Target.StartedAtMs != State.Own.Target.StartedAtMs ||
+      Heartbeat.Target.Id != State.Own.Target.Id) {
+    ColdTimeDoubted = false;
+  }
+  auto IsDoubted = ColdTimeDoubted && Heartbeat.ColdFor == micros(0);
+  if (!IsDoubted) {
+    return Heartbeat.ColdFor;
+  }
+  ColdTimeDoubted = false;
+  return std::nullopt;
 }
 
 void sidecar::implementation::handleTargetLeaving() {
@@ -72,9 +105,13 @@
     }
     return;
   }
+  auto ColdFor = provenColdTime(Heartbeat);
   publishTarget();
-  Admission.setTarget(State.Own.Target, Heartbeat.ColdFor, ServedBefore);
+  Admission.setTarget(State.Own.Target, ColdFor, ServedBefore);
   logColdTime("heartbeat", Heartbeat.ColdFor, Heartbeat.Sequence);
+  if (!ColdFor) {
+    askColdTime();
+  }
 }
 
 void sidecar::implementation::logColdTime(const char *Source,
--- a/test/sidecar_cold_test.cpp
+++ b/test/sidecar_cold_test.cpp
@@ -228,3 +228,40 @@
   Mesh.run(micros(10'000'000));
   cr_assert_not(Mesh.state(0)["target"]["cold"], "the target stays cold");
 }
+
+// Guards against a cold target that is taken for warm after the evacuation of
+// its zone, since a heartbeat from before arrives late.
+Test(sidecar_cold, late_heartbeat_does_not_end_the_doubt_after_an_evacuation) {
+  auto Mesh = mesh_sim(1, 1);
+  auto &Target = Mesh.target(0);
+  Mesh.startTargets();
+  Mesh.run(micros(1'500'000));
+  Mesh.store().append("keyed.op", "evacuate/zone-1", "{}");
+  Mesh.run(micros(1'000'000));
+  Target.HealthHeaders = {{"Cold-Milliseconds", "3000"}};
+  Mesh.store().append("keyed.op", "evacuate/zone-1", "");
+  // Heartbeats still say that it is warm.
+  Mesh.run(micros(1'500'000));
+  cr_assert(Mesh.state(0)["target"]["cold"], "the target counts as warm");
+  Target.HealthHeaders = {};
+  Mesh.run(micros(3'000'000));
+  cr_assert_not(Mesh.state(0)["target"]["cold"], "the target stays cold");
+}
+
+// Guards against a cold target that is taken for warm after it was lost: it has
+// started again under its id, and a heartbeat from before arrives late.
+Test(sidecar_cold, late_heartbeat_does_not_end_the_doubt_after_a_loss) {
+  auto Mesh = mesh_sim(1, 1);
+  auto &Target = Mesh.target(0);
+  Mesh.startTargets();
+  Mesh.run(micros(1'500'000));
+  Target.stopListening();
+  Mesh.startCall(0, 1, [](int) {});
+  Mesh.run(micros(100'000));
+  Target.HealthHeaders = {{"Cold-Milliseconds", "3000"}};
+  Target.listen(Mesh.targetAddress(0));
+  Mesh.run(micros(1'000'000));
+  auto State = Mesh.state(0);
+  cr_assert_eq(State["hosts"]["node-1"]["state"], 1, "the target isn't ready");
+  cr_assert(State["target"]["cold"], "the target counts as warm");
+}
