Codechange: [Soak] A seed of the cold soak repeats its rounds

The faults drew from the random source that the callers use, so the rounds of a seed depended on the timing of the processes.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all build test soak format format-check lint schema schema-check demo bench bench-report clean
+.PHONY: all build test soak cold-soak format format-check lint schema schema-check demo bench bench-report clean
 
 all: build
 
@@ -40,6 +40,11 @@
 soak: build
 	python3 soak/soak.py $(BUILD) --seed $(SEED) --seconds $$(python3 -c 'print(60 * $(MINUTES))')
 
+# One seed of the soak of cold targets; ROUNDS of about 10 s.
+ROUNDS ?= 6
+cold-soak: build
+	python3 soak/cold_soak.py $(BUILD) --seed $(SEED) --rounds $(ROUNDS)
+
 bench: build
 	bench/run.sh $(BUILD)
 
--- a/soak/cold_soak.py
+++ b/soak/cold_soak.py
@@ -2,13 +2,14 @@
 """Soak of cold targets: real nodes, one target under load that starts anew or turns cold again, and faults around it.
 
 Counts the calls that were sent and arrived within one second while the target is cold and the node beside it has been
-told. Exits with 1 if a rule was violated.
-Usage: soak/cold_soak.py BUILD_DIR [--seed N] [--rounds N] [--nodes N] [--rate N] [--only FAULT,...] [--keep DIR]
+told. Exits with 1 if a rule was violated. A seed repeats its rounds, up to the timing of the processes.
+Usage: soak/cold_soak.py BUILD_DIR [--seed N] [--rounds N] [--nodes N] [--rate N] [--busy N] [--only FAULT,...] [--keep DIR]
 """
 import argparse
 import asyncio
 import json
 import os
+import random
 import shutil
 import signal
 import subprocess
@@ -117,6 +118,7 @@
         self.ledger = ColdLedger(soak.BOUNDS)
         self.left_at_by_target = self.ledger.left_at_by_target
         self.round_name = "start"
+        self.choice = random.Random(args.seed)  # Not shared with the callers, so that a seed repeats its rounds.
         self.load = []
 
     def record_execution(self, target, request_id, message, cold):
@@ -155,51 +157,51 @@
     # Faults of the host under test. Each takes the node and returns when it is over.
 
     async def fault_kill(self, node):
-        await asyncio.sleep(self.random.uniform(0, 1.2))
+        await asyncio.sleep(self.choice.uniform(0, 1.2))
         await node.kill()
 
     async def fault_stop(self, node):
-        await asyncio.sleep(self.random.uniform(0, 1))
+        await asyncio.sleep(self.choice.uniform(0, 1))
         await node.stop_gracefully()
 
     async def fault_pause(self, node):
-        await asyncio.sleep(self.random.uniform(0, 2))
-        await self.pause_process(node, self.random.uniform(0.2, 3.2))
+        await asyncio.sleep(self.choice.uniform(0, 2))
+        await self.pause_process(node, self.choice.uniform(0.2, 3.2))
 
     async def fault_short_pauses(self, node):
-        for _ in range(self.random.randint(6, 14)):
-            await asyncio.sleep(self.random.uniform(0.02, 0.5))
-            await self.pause_process(node, self.random.uniform(0.05, 0.6))
+        for _ in range(self.choice.randint(6, 14)):
+            await asyncio.sleep(self.choice.uniform(0.02, 0.5))
+            await self.pause_process(node, self.choice.uniform(0.05, 0.6))
 
     async def fault_store_silent(self, node):
-        await self.inject_link_fault(node.store_proxy, node, "silent", self.random.uniform(2, 6))
+        await self.inject_link_fault(node.store_proxy, node, "silent", self.choice.uniform(2, 6))
 
     async def fault_store_refused(self, node):
-        await self.inject_link_fault(node.store_proxy, node, "refuse", self.random.uniform(2, 6))
+        await self.inject_link_fault(node.store_proxy, node, "refuse", self.choice.uniform(2, 6))
 
     async def fault_peers_silent(self, node):
-        await self.inject_link_fault(node.peer_proxy, node, "silent", self.random.uniform(0.3, 1.5))
+        await self.inject_link_fault(node.peer_proxy, node, "silent", self.choice.uniform(0.3, 1.5))
 
     async def fault_peers_reset(self, node):
         await self.inject_link_fault(node.peer_proxy, node, "reset", 0)
 
     async def fault_late_heartbeats(self, node):
-        node.target.heartbeat_delay_s = self.random.uniform(0.1, 2.5)
-        await asyncio.sleep(self.random.uniform(1, 4))
+        node.target.heartbeat_delay_s = self.choice.uniform(0.1, 2.5)
+        await asyncio.sleep(self.choice.uniform(1, 4))
         node.target.heartbeat_delay_s = 0.0
 
     async def fault_slow_reads(self, node):
         for _ in range(3):
-            node.target.reads_until = time.monotonic() + self.random.uniform(0.2, 1.3)
-            await asyncio.sleep(self.random.uniform(0.5, 1.5))
+            node.target.reads_until = time.monotonic() + self.choice.uniform(0.2, 1.3)
+            await asyncio.sleep(self.choice.uniform(0.5, 1.5))
 
     async def fault_connects(self, node):
         """Connections to the target are accepted late, and those that are open are reset."""
-        await self.inject_link_fault(node.target_proxy, node, "delay", self.random.uniform(0.5, 2))
+        await self.inject_link_fault(node.target_proxy, node, "delay", self.choice.uniform(0.5, 2))
         node.target_proxy.reset_all()
 
     async def fault_clock_back(self, node):
-        node.target.clock_offset_ms = -self.random.choice([2000, 20000, 60000])
+        node.target.clock_offset_ms = -self.choice.choice([2000, 20000, 60000])
         await asyncio.sleep(4)
         node.target.clock_offset_ms = 0
 
@@ -210,7 +212,7 @@
 
     async def fault_evacuate(self, node):
         """Evacuates the zone of the target, which is cold when that ends."""
-        await self.evacuate(node.zone, self.random.uniform(1.5, 3))
+        await self.evacuate(node.zone, self.choice.uniform(1.5, 3))
         if node.target.alive:
             node.target.become_cold()
 
@@ -219,12 +221,12 @@
     # How the target turns cold.
 
     async def cold_new(self, node):
-        await node.target.restart(self.random.uniform(0.02, 1.5))
+        await node.target.restart(self.choice.uniform(0.02, 1.5))
 
     async def cold_same_id(self, node):
         target = node.target
         target.stop()
-        await asyncio.sleep(self.random.uniform(0.02, 1.5))
+        await asyncio.sleep(self.choice.uniform(0.02, 1.5))
         target.start(target.version, keep_id=True)
 
     async def cold_again(self, node):
@@ -234,13 +236,13 @@
 
     async def play_round(self, node):
         allowed = self.args.only.split(",") if self.args.only else self.FAULTS
-        chosen = self.random.sample(allowed, min(len(allowed), self.random.randint(1, 3)))
-        cold = self.random.choice([name for name in self.COLD if name in allowed] or self.COLD)
+        chosen = self.choice.sample(allowed, min(len(allowed), self.choice.randint(1, 3)))
+        cold = self.choice.choice([name for name in self.COLD if name in allowed] or self.COLD)
         names = [name for name in chosen if name in self.FAULTS]
         self.round_name = "+".join([cold] + names)
         self.faults.append((time.monotonic(), self.round_name, node.name))
         tasks = [asyncio.create_task(getattr(self, "fault_" + name)(node)) for name in names]
-        await asyncio.sleep(self.random.uniform(0, 1.5))
+        await asyncio.sleep(self.choice.uniform(0, 1.5))
         await getattr(self, "cold_" + cold)(node)
         await asyncio.gather(*tasks)
         await asyncio.sleep(COLD_FOR_S + CALM_S)
@@ -256,7 +258,8 @@
         tasks += [asyncio.create_task(self.run_caller(node)) for node in self.nodes[1:]]
         self.load = [subprocess.Popen([sys.executable, "-c", "while True: pass"]) for _ in range(self.args.busy)]
         await asyncio.sleep(4)
-        for _ in range(self.args.rounds):
+        for number in range(self.args.rounds):
+            self.choice = random.Random(f"{self.args.seed}/{number}")
             await self.play_round(self.nodes[0])
         quiet_since = time.monotonic()
         await asyncio.sleep(soak.FINAL_QUIET_S / 2)
