Fix: [Sidecar] Let a heartbeat correct the cold time of a late one

Heartbeats have an order, so a later one counts, as it did. Only the first heartbeat after a health check can't be ordered with it, and doesn't shorten the checked cold time.

--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -465,11 +465,12 @@
   }
   if (ColdFor) {
     Self.IsColdTimeKnown = true;
-    // A report may be older than the last one, and a heartbeat that reports a
-    // warm target must not remove the margin of coldEndTime().
+    // A heartbeat that reports a warm target does not shorten the margin that
+    // coldEndTime() added before.
     auto ReadAt = *ColdFor > micros(0) ? Self.State.Loop.clockTime() : Now;
-    Self.ColdUntil = std::max(IsNew ? Now : Self.ColdUntil,
-                              dispatch::coldEndTime(ReadAt, *ColdFor));
+    Self.ColdUntil =
+        std::max(*ColdFor > micros(0) || IsNew ? Now : Self.ColdUntil,
+                 dispatch::coldEndTime(ReadAt, *ColdFor));
   }
   recheckQueue();
 }
--- a/src/sidecar/sidecar_state.h
+++ b/src/sidecar/sidecar_state.h
@@ -63,6 +63,9 @@
   /** The next heartbeat that reports a warm target may be from before the
    * reason to take it for cold. */
   bool ColdTimeDoubted = false;
+  /** The last report of the cold time was a health check; the next heartbeat
+   * may be older. */
+  bool ColdTimeFromCheck = false;
   bool LoggedWarm = false; // In the last line "target.cold_time".
   timespec SettingsModifiedAt{};
   std::uint64_t MeasuredReceivedBytes = 0;
@@ -100,8 +103,13 @@
   void doubtColdTime(const char *Reason);
   /** Sends a health check to learn how long the target stays cold. */
   void askColdTime();
-  /** @return the cold time that a heartbeat proves; nothing if it may be from
-   * before the reason to take the target for cold. */
+  /** Applies the cold time of a health check, or nothing if it isn't known.
+   * @param Source and Sequence for the log. */
+  void applyCheckedColdTime(std::optional<micros> ColdFor, bool ServedBefore,
+                            const char *Source, std::uint64_t Sequence);
+  /** @return the cold time that a heartbeat proves: not less than what a health
+   * check told before; nothing if the heartbeat may be from before the reason
+   * to take the target for cold. */
   auto provenColdTime(const target_heartbeat &Heartbeat)
       -> std::optional<micros>;
   /** Logs how long the target counts as cold, after a report of the target.
--- a/src/sidecar/target_control.cpp
+++ b/src/sidecar/target_control.cpp
@@ -48,25 +48,36 @@
         State.Own.Target.State != mesh::target_state::Ready) {
       return;
     }
-    ColdTimeDoubted = false;
-    auto ColdFor = platform::decodeColdTime(Response);
-    Admission.setTarget(State.Own.Target, ColdFor);
-    logColdTime("health check", ColdFor, 0);
+    applyCheckedColdTime(platform::decodeColdTime(Response), false,
+                         "health check", 0);
   });
 }
 
+void sidecar::implementation::applyCheckedColdTime(
+    std::optional<micros> ColdFor, bool ServedBefore, const char *Source,
+    std::uint64_t Sequence) {
+  ColdTimeDoubted = false;
+  ColdTimeFromCheck = ColdFor.has_value();
+  Admission.setTarget(State.Own.Target, ColdFor, ServedBefore);
+  logColdTime(Source, ColdFor, Sequence);
+}
+
 auto sidecar::implementation::provenColdTime(const target_heartbeat &Heartbeat)
     -> std::optional<micros> {
   if (Heartbeat.Target.StartedAtMs != State.Own.Target.StartedAtMs ||
       Heartbeat.Target.Id != State.Own.Target.Id) {
     ColdTimeDoubted = false;
+    ColdTimeFromCheck = false;
   }
   auto IsDoubted = ColdTimeDoubted && Heartbeat.ColdFor == micros(0);
-  if (!IsDoubted) {
-    return Heartbeat.ColdFor;
+  if (IsDoubted) {
+    ColdTimeDoubted = false;
+    return std::nullopt;
   }
-  ColdTimeDoubted = false;
-  return std::nullopt;
+  auto Checked = std::exchange(ColdTimeFromCheck, false)
+                     ? Admission.coldTimeLeft()
+                     : std::nullopt;
+  return std::max(Heartbeat.ColdFor, Checked.value_or(micros(0)));
 }
 
 void sidecar::implementation::handleTargetLeaving() {
@@ -178,10 +189,9 @@
     if (awaitsVerification(Watch, Heartbeat) &&
         platform::isHealthy(Response, Heartbeat.Target.Id) &&
         acceptHeartbeat(Watch, Heartbeat)) {
-      auto ColdFor = laterColdTime(Heartbeat, Response);
       publishTarget();
-      Admission.setTarget(State.Own.Target, ColdFor, true);
-      logColdTime("verified heartbeat", ColdFor, Heartbeat.Sequence);
+      applyCheckedColdTime(laterColdTime(Heartbeat, Response), true,
+                           "verified heartbeat", Heartbeat.Sequence);
     }
   });
 }
@@ -202,9 +212,8 @@
       publishTarget();
     }
     if (Heartbeat.Target.Id == State.Own.Target.Id) {
-      auto ColdFor = laterColdTime(Heartbeat, Response);
-      Admission.setTarget(State.Own.Target, ColdFor);
-      logColdTime("verified heartbeat", ColdFor, Heartbeat.Sequence);
+      applyCheckedColdTime(laterColdTime(Heartbeat, Response), false,
+                           "verified heartbeat", Heartbeat.Sequence);
     }
   });
 }
@@ -227,8 +236,7 @@
                      {"resumed", std::int64_t{Resumed ? 1 : 0}}});
     if (Resumed) {
       publishTarget();
-      Admission.setTarget(State.Own.Target, ColdFor, true);
-      logColdTime("health check", ColdFor, 0);
+      applyCheckedColdTime(ColdFor, true, "health check", 0);
     }
   });
 }
--- a/test/sidecar_cold_test.cpp
+++ b/test/sidecar_cold_test.cpp
@@ -265,3 +265,30 @@
   cr_assert_eq(State["hosts"]["node-1"]["state"], 1, "the target isn't ready");
   cr_assert(State["target"]["cold"], "the target counts as warm");
 }
+
+// Guards against a cold target that is taken for warm too early: a health check
+// told the cold time, and a heartbeat from before it arrives late.
+Test(sidecar_cold, late_heartbeat_does_not_shorten_the_checked_cold_time) {
+  auto Mesh = mesh_sim(1, 1);
+  auto &Target = Mesh.target(0);
+  Target.Sequence = 5;
+  Target.ColdFor = "100ms";
+  Target.HealthHeaders = {{"Cold-Milliseconds", "4000"}};
+  Mesh.startTargets();
+  // The first heartbeat waits for the health check, the second one is late.
+  Mesh.run(micros(1'900'000));
+  cr_assert(Mesh.state(0)["target"]["cold"], "the target counts as warm");
+}
+
+// Guards against a target that is taken for cold too long, as a heartbeat that
+// was late counts more than the next one.
+Test(sidecar_cold, next_heartbeat_corrects_the_cold_time_of_a_late_one) {
+  auto Mesh = mesh_sim(1, 1);
+  auto &Target = Mesh.target(0);
+  Target.ColdFor = "8s";
+  Mesh.startTargets();
+  Mesh.run(micros(500'000));
+  Target.ColdFor = "100ms";
+  Mesh.run(micros(1'000'000));
+  cr_assert_not(Mesh.state(0)["target"]["cold"], "the target stays cold");
+}
