Codechange: [Soak] One way to play a soak, one to send a leave in tests

Four tests of sidecar_heartbeat sent a leave and checked that it was acknowledged in the same lines; target_run::leave() does, and a fifth one that sends a leave checks it now too. No check or bound changes; the product is untouched.

--- a/soak/cold_soak.py
+++ b/soak/cold_soak.py
@@ -5,13 +5,8 @@
 told. Exits with 1 if a rule was violated. A seed repeats its rounds, up to the timing of the processes.
 Usage: soak/cold_soak.py BUILD_DIR [--seed N] [--rounds N] [--nodes N] [--rate N] [--busy N] [--only FAULT,...] [--keep DIR]
 """
-import argparse
 import asyncio
-import json
-import os
 import random
-import shutil
-import signal
 import subprocess
 import sys
 import time
@@ -29,8 +24,8 @@
 class ColdLedger(Ledger):
     """Also records which calls arrived at a cold target."""
 
-    def __init__(self, bounds):
-        super().__init__(bounds, "")
+    def __init__(self, bounds, falsification):
+        super().__init__(bounds, falsification)
         self.spans = []  # Of the cold times of the target: dicts.
 
     def check_cold(self, target, now):
@@ -64,7 +59,6 @@
 
     span = None
     reads_until = 0.0
-    work_s = (0.01, 0.05)
 
     def start(self, version="v1", cold=True, keep_id=False):
         super().start(version, cold, keep_id)
@@ -111,14 +105,12 @@
     """One target under load, and rounds of faults around its cold times."""
 
     node_type = ColdNode
+    ledger_type = ColdLedger
 
     def __init__(self, args):
-        args.broken = ""
         super().__init__(args)
-        self.ledger = ColdLedger(soak.BOUNDS)
-        self.left_at_by_target = self.ledger.left_at_by_target
         self.round_name = "start"
-        self.choice = random.Random(args.seed)  # Not shared with the callers, so that a seed repeats its rounds.
+        self.choice = None  # Of each round; not shared with the callers, so that a seed repeats its rounds.
         self.load = []
 
     def record_execution(self, target, request_id, message, cold):
@@ -274,36 +266,22 @@
             process.kill()
             process.wait()
 
+    def report(self):
+        spans = [{"round": span["round"], "most": span["most"], "after_told": span["most_after_told"],
+                  "lag": span["lag"],
+                  "told_after_ms": None if span["told"] is None else round(1000 * (span["told"] - span["from"]))}
+                 for span in self.ledger.spans]
+        return super().report() | {"allowed": ALLOWED, "spans": spans}
+
 
 def main():
-    parser = argparse.ArgumentParser()
-    parser.add_argument("build")
-    parser.add_argument("--seed", type=int, default=1)
+    parser = soak.make_parser(nodes=4)
     parser.add_argument("--rounds", type=int, default=6)
-    parser.add_argument("--nodes", type=int, default=4)
     parser.add_argument("--rate", type=float, default=135.0)
     parser.add_argument("--busy", type=int, default=0, help="busy loops beside the soak")
     parser.add_argument("--only", default="", help="faults and ways to turn cold that are played")
-    parser.add_argument("--keep", default="")
-    args = parser.parse_args()
-    world = ColdWorld(args)
-    try:
-        asyncio.run(world.run())
-    finally:
-        world.kill_nodes()
-    report = world.ledger.report()
-    spans = [{"round": span["round"], "most": span["most"], "after_told": span["most_after_told"], "lag": span["lag"],
-              "told_after_ms": None if span["told"] is None else round(1000 * (span["told"] - span["from"]))}
-             for span in world.ledger.spans]
-    report.update(seed=args.seed, allowed=ALLOWED, spans=spans, folder=world.folder)
-    print(json.dumps(report))
-    if report["broken"]:
-        with open(os.path.join(world.folder, "faults.json"), "w") as file:
-            json.dump([[round(at - world.ledger.started_at, 3), name, node] for at, name, node in world.faults], file)
-        return 1
-    if not args.keep:
-        shutil.rmtree(world.folder)
-    return 0
+    parser.set_defaults(broken="")
+    return soak.play(ColdWorld(parser.parse_args()))
 
 
 if __name__ == "__main__":
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -145,6 +145,7 @@
     """All components of a soak, and the ledger of its observations."""
 
     node_type = Node
+    ledger_type = Ledger
 
     def __init__(self, args):
         self.args = args
@@ -154,7 +155,7 @@
         self.folder = args.keep or tempfile.mkdtemp(prefix="soak-")
         os.makedirs(self.folder, exist_ok=True)
         self.store = Store((f"127.0.{self.net}.250", STORE_PORT))
-        self.ledger = Ledger(BOUNDS, args.broken)
+        self.ledger = self.ledger_type(BOUNDS, args.broken)
         self.left_at_by_target = self.ledger.left_at_by_target
         self.nodes = [self.node_type(self, index) for index in range(args.nodes)]
         self.finished = False
@@ -400,32 +401,43 @@
                 node.process.kill()
                 node.process.wait()
 
+    def report(self):
+        return self.ledger.report() | {"seed": self.args.seed, "faults": len(self.faults), "folder": self.folder}
 
-def main():
+
+def make_parser(nodes):
+    """Returns a parser of the options that all soaks have; nodes is the default number of nodes."""
     parser = argparse.ArgumentParser()
     parser.add_argument("build")
     parser.add_argument("--seed", type=int, default=1)
-    parser.add_argument("--seconds", type=float, default=30)
-    parser.add_argument("--nodes", type=int, default=9)
-    parser.add_argument("--break", dest="broken", default="")
+    parser.add_argument("--nodes", type=int, default=nodes)
     parser.add_argument("--keep", default="")
-    args = parser.parse_args()
-    world = World(args)
+    return parser
+
+
+def play(world):
+    """Plays a soak and prints its report. Returns the exit code."""
     try:
         asyncio.run(world.run())
     finally:
         world.kill_nodes()
-    report = world.ledger.report()
-    report.update(seed=args.seed, faults=len(world.faults), folder=world.folder)
+    report = world.report()
     print(json.dumps(report))
     if report["broken"]:
         with open(os.path.join(world.folder, "faults.json"), "w") as file:
             json.dump([[round(at - world.ledger.started_at, 3), name, node] for at, name, node in world.faults], file)
         return 1
-    if not args.keep:
+    if not world.args.keep:
         shutil.rmtree(world.folder)
     return 0
 
 
+def main():
+    parser = make_parser(nodes=9)
+    parser.add_argument("--seconds", type=float, default=30)
+    parser.add_argument("--break", dest="broken", default="")
+    return play(World(parser.parse_args()))
+
+
 if __name__ == "__main__":
     sys.exit(main())
--- a/test/sidecar_heartbeat_test.cpp
+++ b/test/sidecar_heartbeat_test.cpp
@@ -80,6 +80,14 @@
     Connections.push_back(Connection);
   }
 
+  /** Sends the leave of a start, which is acknowledged, and lets time pass. */
+  void leave(std::int64_t StartedAtMs, int Sequence, int Millis) {
+    auto Before = Acknowledged;
+    send({StartedAtMs, Sequence, "8s", "i-1", "ready", "DELETE"});
+    run(Millis);
+    cr_assert_eq(Acknowledged, Before + 1);
+  }
+
   void run(int Millis) { Mesh.run(micros(millis(Millis))); }
 
   /** Sets the answer to health checks. */
@@ -245,8 +253,7 @@
   Run.startWarm();
   Run.send({EarlierStart, 8, "0ms"});
   Run.run(10);
-  Run.send({EarlierStart, 9, "0ms", "i-1", "ready", "DELETE"});
-  Run.run(1000);
+  Run.leave(EarlierStart, 9, 1000);
   Run.send({KnownStart, 2, "0ms"});
   Run.run(100);
   cr_assert(Run.isReady());
@@ -341,11 +348,8 @@
   Run.run(10);
   Run.send({EarlierStart, 9, "0ms"});
   Run.run(100);
-  auto Before = Run.Acknowledged;
   Run.answerChecks(0, 503);
-  Run.send({KnownStart, 2, "0ms", "i-1", "ready", "DELETE"});
-  Run.run(1000);
-  cr_assert_eq(Run.Acknowledged, Before + 1);
+  Run.leave(KnownStart, 2, 1000);
   cr_assert_not(Run.isReady(), "ready after an acknowledged leave");
 }
 
@@ -357,10 +361,7 @@
   Run.answerChecks(0, 200, 300);
   Run.send({EarlierStart, 1, "8s"});
   Run.run(100);
-  auto Before = Run.Acknowledged;
-  Run.send({EarlierStart, 2, "8s", "i-1", "ready", "DELETE"});
-  Run.run(2000);
-  cr_assert_eq(Run.Acknowledged, Before + 1);
+  Run.leave(EarlierStart, 2, 2000);
   auto Host = Run.Mesh.state(0)["hosts"]["node-1"];
   cr_assert_not(Host["target"] == "i-1" && Host["state"] == 1,
                 "ready after an acknowledged leave");
@@ -374,11 +375,8 @@
   Run.answerChecks(8000);
   Run.send({EarlierStart, 1, "8s"});
   Run.run(500);
-  auto Before = Run.Acknowledged;
   Run.answerChecks(0, 503);
-  Run.send({EarlierStart, 2, "8s", "i-1", "ready", "DELETE"});
-  Run.run(3000);
-  cr_assert_eq(Run.Acknowledged, Before + 1);
+  Run.leave(EarlierStart, 2, 3000);
   cr_assert_not(Run.isReady(), "ready after an acknowledged leave");
 }
 
@@ -387,10 +385,7 @@
 Test(sidecar_heartbeat, leave_before_the_first_heartbeat_counts) {
   auto Run = target_run();
   Run.startWarm();
-  auto Before = Run.Acknowledged;
-  Run.send({LaterStart, 3, "8s", "i-1", "ready", "DELETE"});
-  Run.run(100);
-  cr_assert_eq(Run.Acknowledged, Before + 1);
+  Run.leave(LaterStart, 3, 100);
   Run.answerChecks(0, 503);
   Run.send({LaterStart, 1, "8s"});
   Run.run(1000);
