--- a/include/sycamorelb/core/id_type.h
+++ b/include/sycamorelb/core/id_type.h
@@ -31,6 +31,7 @@
 using node_id = strong_id<struct node_tag, std::string>;
 using zone_id = strong_id<struct zone_tag, std::string>;
 using region_id = strong_id<struct region_tag, std::string>;
+using customer_id = strong_id<struct customer_tag, std::string>;
 using service_id = strong_id<struct service_tag, std::string>;
 using version_id = strong_id<struct version_tag, std::string>;
 using route_id = strong_id<struct route_tag, std::string>;
@@ -43,6 +44,9 @@
 
 /** Position of a record in a stream of the log service. */
 using log_offset = strong_id<struct log_offset_tag, std::uint64_t>;
+/** Era of the platform's store. It rises when the store comes back from an
+ * older copy, which assigns offsets again; 0 if unknown. */
+using store_era = strong_id<struct store_era_tag, std::uint64_t>;
 /** Incarnation number of a node process: its start time in ms since the Unix
  * epoch, incremented to refute a suspicion. */
 using incarnation = strong_id<struct incarnation_tag, std::uint64_t>;
--- a/include/sycamorelb/dispatch/pick.h
+++ b/include/sycamorelb/dispatch/pick.h
@@ -30,6 +30,10 @@
   /** Mean time between starts while they are rate-limited, because the target
    * is cold or names a limit; 0 if they are not. */
   micros StartGap{0};
+  /** Calls that the target takes well at once, as measured; 0 if unknown. */
+  std::uint32_t Concurrency = 0;
+  /** Work time on the target's host now, in percent of usual; 0 if unknown. */
+  std::uint32_t WorkPercent = 0;
 };
 
 /** State of a target as an entry node estimates it. */
--- a/include/sycamorelb/inner/mesh_message_type.h
+++ b/include/sycamorelb/inner/mesh_message_type.h
@@ -12,6 +12,7 @@
 #include "sycamorelb/rollout/rollout_type.h"
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <string>
 #include <string_view>
@@ -30,6 +31,7 @@
   version_id Version;       ///< Version of the chosen target.
   route_id Route;           ///< Route that the call matched.
   service_id CallerService; ///< Service that makes the call.
+  customer_id Customer;     ///< Customer that makes the call; empty for none.
   http::request Request;    ///< HTTP request of the caller.
   mesh::call_kind Kind = mesh::call_kind::NonIdempotent; ///< Idempotency.
   std::uint32_t Priority = 0;  ///< Priority of the route.
@@ -89,6 +91,27 @@
   rollout::version_evidence Evidence; ///< Statistics since the order.
 };
 
+/** Calls of each customer that began to run at the target of a node in one
+ * usage window. */
+struct usage_counts {
+  node_id Node;                                ///< Node that counted.
+  process_id Process;                          ///< Process that counted.
+  std::int64_t Window = 0;                     ///< Number of the window.
+  std::map<customer_id, std::uint32_t> Counts; ///< Calls by customer.
+  bool Final = false; ///< The window is over for this process.
+  auto operator==(const usage_counts &) const -> bool = default;
+};
+
+/** Holder of the duty to report usage, as recorded in the store. */
+struct usage_holder {
+  node_id Node;             ///< Node that holds the duty.
+  process_id Process;       ///< Its process.
+  std::uint64_t Token = 0;  ///< Fencing token of its calls.
+  store_era Era;            ///< Era of the store in which it was recorded.
+  std::int64_t Window = -1; ///< Last window that it recorded; -1 for none.
+  auto operator==(const usage_holder &) const -> bool = default;
+};
+
 /** Revision of a host record that a node holds. */
 struct host_revision {
   node_id Node;                  ///< Host.
@@ -113,6 +136,10 @@
   bool WantHosts = false;   ///< Requests all host records.
   bool WantRecords = false; ///< Requests the records since OperatorEnd.
   std::vector<rollout_evidence_report> Evidence; ///< For rollout decisions.
+  store_era OperatorEra; ///< Era of the store to which OperatorEnd belongs.
+  std::vector<usage_counts> Usage; ///< For the holder of the usage duty.
+  std::optional<usage_holder> UsageHolder; ///< Holder that the sender knows.
+  std::int64_t WallMillis = 0; ///< Time of day of the sender, in Unix ms, or 0.
 };
 
 /** First message of a connection in each direction; identifies the process at
--- a/include/sycamorelb/mesh/config_type.h
+++ b/include/sycamorelb/mesh/config_type.h
@@ -67,6 +67,9 @@
   std::vector<route_rule> Routes;     ///< All routes.
   std::vector<service_rule> Services; ///< All services.
   caller_limits Limits;               ///< Limits for callers.
+  /** First optional member of the document that couldn't be read and has its
+   * default value; empty if there is none. */
+  std::string IgnoredFault;
 };
 
 /** Rollout order: moves a service's calls to another version. */
--- a/include/sycamorelb/mesh/operator_table.h
+++ b/include/sycamorelb/mesh/operator_table.h
@@ -22,6 +22,7 @@
    * delta; nothing if Value is the content itself. */
   std::optional<log_offset> Base;
   bool Compressed = false; ///< Value is compressed, in messages between nodes.
+  store_era Era{};         ///< Era of the store that assigned Offset.
   auto operator==(const operator_record &) const -> bool = default;
 };
 
--- a/src/inner/gossip_codec.cpp
+++ b/src/inner/gossip_codec.cpp
@@ -120,6 +120,7 @@
     List[Index].setDropped(Records[Index].Dropped);
     List[Index].setValue(asData(Records[Index].Value));
     List[Index].setCompressed(Records[Index].Compressed);
+    List[Index].setEra(Records[Index].Era.Value);
     if (Records[Index].Base) {
       List[Index].setBaseAfter(Records[Index].Base->Value + 1);
     }
@@ -139,6 +140,41 @@
   }
 }
 
+static void writeUsage(mesh_wire::UsageCounts::Builder Out,
+                       const usage_counts &Usage) {
+  Out.setNode(Usage.Node.Value);
+  Out.setProcess(Usage.Process.Value);
+  Out.setWindow(Usage.Window);
+  Out.setFinal(Usage.Final);
+  auto Counts = Out.initCounts(static_cast<unsigned>(Usage.Counts.size()));
+  auto Index = 0U;
+  for (const auto &[Customer, Calls] : Usage.Counts) {
+    Counts[Index].setCustomer(Customer.Value);
+    Counts[Index++].setCalls(Calls);
+  }
+}
+
+static auto readUsage(mesh_wire::UsageCounts::Reader In) -> usage_counts {
+  auto Usage = usage_counts();
+  Usage.Node.Value = textOf(In.getNode());
+  Usage.Process.Value = In.getProcess();
+  Usage.Window = In.getWindow();
+  Usage.Final = In.getFinal();
+  for (auto Item : In.getCounts()) {
+    Usage.Counts[customer_id{textOf(Item.getCustomer())}] = Item.getCalls();
+  }
+  return Usage;
+}
+
+static void writeUsageHolder(mesh_wire::UsageHolder::Builder Out,
+                             const usage_holder &Holder) {
+  Out.setNode(Holder.Node.Value);
+  Out.setProcess(Holder.Process.Value);
+  Out.setToken(Holder.Token);
+  Out.setEra(Holder.Era.Value);
+  Out.setWindow(Holder.Window);
+}
+
 void writeGossip(mesh_wire::Gossip::Builder Out, const gossip_message &Message,
                  steady_time Now) {
   writeHost(Out.initSender(), Message.Sender);
@@ -167,6 +203,17 @@
   for (auto Index = 0U; Index < Message.Evidence.size(); ++Index) {
     writeEvidence(Evidence[Index], Message.Evidence[Index]);
   }
+  Out.setOperatorEra(Message.OperatorEra.Value);
+  if (!Message.Usage.empty()) {
+    auto Usage = Out.initUsage(static_cast<unsigned>(Message.Usage.size()));
+    for (auto Index = 0U; Index < Message.Usage.size(); ++Index) {
+      writeUsage(Usage[Index], Message.Usage[Index]);
+    }
+  }
+  if (Message.UsageHolder) {
+    writeUsageHolder(Out.initUsageHolder(), *Message.UsageHolder);
+  }
+  Out.setWallMillis(Message.WallMillis);
 }
 
 /** @return the rollout, or nothing if its stage is unknown. */
@@ -203,7 +250,8 @@
   for (auto Item : In.getRecords()) {
     auto Record = mesh::operator_record{
         textOf(Item.getKey()),   {Item.getOffset()}, Item.getDropped(),
-        dataOf(Item.getValue()), std::nullopt,       Item.getCompressed()};
+        dataOf(Item.getValue()), std::nullopt,       Item.getCompressed(),
+        {Item.getEra()}};
     if (Item.getBaseAfter() > 0) {
       Record.Base = log_offset{Item.getBaseAfter() - 1};
     }
@@ -228,6 +276,19 @@
   for (auto Item : In.getEvidence()) {
     Message.Evidence.push_back(readEvidence(Item));
   }
+  Message.OperatorEra.Value = In.getOperatorEra();
+  for (auto Item : In.getUsage()) {
+    Message.Usage.push_back(readUsage(Item));
+  }
+  if (In.hasUsageHolder()) {
+    auto Holder = In.getUsageHolder();
+    Message.UsageHolder = usage_holder{{textOf(Holder.getNode())},
+                                       {Holder.getProcess()},
+                                       Holder.getToken(),
+                                       {Holder.getEra()},
+                                       Holder.getWindow()};
+  }
+  Message.WallMillis = In.getWallMillis();
   return Message;
 }
 
--- a/src/inner/mesh.capnp
+++ b/src/inner/mesh.capnp
@@ -22,6 +22,8 @@
   bulkPpm @8 :UInt32;       # Share of large requests that the link can carry.
   waitMicros @9 :UInt32;    # Expected queueing time of another call.
   startGapMicros @10 :UInt32; # Mean time between call starts that are rate-limited; 0 for no limit.
+  concurrency @11 :UInt32;  # Calls that the target takes well at once, as measured; 0 if unknown.
+  workPercent @12 :UInt32;  # Work time on the target's host now, in percent of usual; 0 if unknown.
 }
 
 struct TargetNotice {
@@ -50,6 +52,7 @@
   version @14 :Text;        # Expected version of the target.
   notice @15 :TargetNotice; # What the sender knows from answers of the target.
   coldCallsPerSecond @16 :Float64 = -1; # Configured limit of a cold target, 0 for none; -1 if not told.
+  customer @17 :Text;       # Customer that makes the call; empty for none.
 }
 
 struct Reply {
@@ -98,6 +101,7 @@
   value @3 :Data;
   baseAfter @4 :UInt64;     # If not 0, value is a delta against the record at baseAfter - 1.
   compressed @5 :Bool;
+  era @6 :UInt64;           # Era of the store in which offset was assigned; 0 if unknown.
 }
 
 struct Revision {
@@ -133,6 +137,27 @@
   process @7 :UInt64;       # Random number of the process that counted.
 }
 
+struct CustomerCalls {
+  customer @0 :Text;
+  calls @1 :UInt32;
+}
+
+struct UsageCounts {
+  node @0 :Text;
+  process @1 :UInt64;       # Process that counted.
+  window @2 :Int64;         # Number of the usage window.
+  counts @3 :List(CustomerCalls);
+  final @4 :Bool;           # The window is over for this process.
+}
+
+struct UsageHolder {
+  node @0 :Text;
+  process @1 :UInt64;
+  token @2 :UInt64;         # Fencing token of its calls.
+  era @3 :UInt64;           # Era of the store in which it was recorded.
+  window @4 :Int64;         # Last window that it recorded; -1 for none.
+}
+
 struct Gossip {
   sender @0 :Host;
   operatorEnd @1 :UInt64;
@@ -148,6 +173,10 @@
   reader @11 :Bool;         # The sender reads the store for its zone.
   relay @12 :Bool;          # Asks the receiver to forward sender to its zone.
   storeAgeMicros @13 :Int64; # With reader: time since the sender had all records of the store.
+  operatorEra @14 :UInt64;  # Era of the store to which operatorEnd belongs; 0 if unknown.
+  usage @15 :List(UsageCounts);
+  usageHolder @16 :UsageHolder;
+  wallMillis @17 :Int64;    # Time of day of the sender, in Unix ms; 0 if not told.
 }
 
 struct Message {
--- a/src/inner/mesh_codec.cpp
+++ b/src/inner/mesh_codec.cpp
@@ -74,6 +74,7 @@
   if (!Message.Notice.Target.Value.empty()) {
     writeNotice(Out.initNotice(), Message.Notice);
   }
+  Out.setCustomer(Message.Customer.Value);
   if (Message.ColdCallsPerSecond) {
     Out.setColdCallsPerSecond(*Message.ColdCallsPerSecond);
   }
@@ -100,6 +101,7 @@
   Message.TimeToLatestStart = timeOf(In.getStartMicros());
   Message.TimeLeft = timeOf(In.getLeftMicros());
   Message.Notice = readNotice(In.getNotice());
+  Message.Customer.Value = textOf(In.getCustomer());
   if (In.getColdCallsPerSecond() >= 0) {
     Message.ColdCallsPerSecond = In.getColdCallsPerSecond();
   }
@@ -119,6 +121,8 @@
   Out.setBulkPpm(Load.BulkPpm);
   Out.setWaitMicros(static_cast<std::uint32_t>(Load.Wait.count()));
   Out.setStartGapMicros(static_cast<std::uint32_t>(Load.StartGap.count()));
+  Out.setConcurrency(Load.Concurrency);
+  Out.setWorkPercent(Load.WorkPercent);
 }
 
 auto readLoad(mesh_wire::Load::Reader In) -> dispatch::load_report {
@@ -132,7 +136,9 @@
           In.getLinkBusyPpm(),
           In.getBulkPpm(),
           micros(In.getWaitMicros()),
-          micros(In.getStartGapMicros())};
+          micros(In.getStartGapMicros()),
+          In.getConcurrency(),
+          In.getWorkPercent()};
 }
 
 void writeReply(mesh_wire::Reply::Builder Out, const reply_message &Message) {
--- a/src/sidecar/node_state.cpp
+++ b/src/sidecar/node_state.cpp
@@ -104,6 +104,7 @@
                   {{"version", static_cast<std::int64_t>(Version.Value)},
                    {"offset", static_cast<std::int64_t>(Record->Offset.Value)},
                    {"source", State.RecordSource.LastChange},
+                   {"ignored_fault", State.Routes->config().IgnoredFault},
                    {"routes", static_cast<std::int64_t>(
                                   State.Routes->config().Routes.size())}});
   return true;
