Feature: [Mesh] Operator records are ordered by era of the store, then by offset

Cause: the store may come back from an older copy and assign offsets again; the header Store-Era tells so.

--- a/src/mesh/operator_table.cpp
+++ b/src/mesh/operator_table.cpp
@@ -16,12 +16,37 @@
  * packet together with the rest of its message. */
 static constexpr auto MinCompressedDeltaBytes = std::size_t{1024};
 
+auto operator_table::isNewer(const operator_record &Record,
+                             const operator_record &Stored) const -> bool {
+  if (Record.Era != Stored.Era && isRanked(Record)) {
+    auto Left = *Rank(Record);
+    auto Right = Rank(Stored).value_or(0);
+    if (Left != Right) {
+      return Left > Right;
+    }
+  }
+  return Record.position() > Stored.position();
+}
+
+auto operator_table::mayBeNewer(const operator_record &Record) const -> bool {
+  if (Record.Era < Era && !AwaitsRewrites && !isRanked(Record)) {
+    return false;
+  }
+  auto Found = Records.find(Record.Key);
+  return Found == Records.end() ||
+         Record.position() > Found->second.position() ||
+         (Record.Era != Found->second.Era && isRanked(Record));
+}
+
 auto operator_table::merge(const operator_record &Record) -> bool {
+  if (!mayBeNewer(Record)) {
+    return false;
+  }
   auto [Found, IsNew] = Records.try_emplace(Record.Key, Record);
   if (IsNew) {
     return true;
   }
-  if (Record.Offset <= Found->second.Offset) {
+  if (!isNewer(Record, Found->second)) {
     return false;
   }
   if (Found->second.Value.size() >= MinDeltaContentBytes) {
@@ -42,11 +67,13 @@
     return std::nullopt;
   }
   if (!Record.Base) {
-    return operator_record{Record.Key, Record.Offset, Record.Dropped,
-                           std::move(*Expanded), std::nullopt};
+    return operator_record{
+        Record.Key,   Record.Offset, Record.Dropped, std::move(*Expanded),
+        std::nullopt, false,         Record.Era};
   }
   auto Found = Records.find(Record.Key);
-  if (Found == Records.end() || Found->second.Offset != *Record.Base) {
+  if (Found == Records.end() ||
+      Found->second.position() != log_position{Record.Era, *Record.Base}) {
     return std::nullopt;
   }
   auto Text = applyDelta(Found->second.Value, *Expanded);
@@ -54,24 +81,32 @@
     return std::nullopt;
   }
   return operator_record{
-      Record.Key, Record.Offset, Record.Dropped, std::move(*Text), {}};
+      Record.Key, Record.Offset, Record.Dropped, std::move(*Text),
+      {},         false,         Record.Era};
 }
 
-auto operator_table::changesFrom(log_offset From)
+auto operator_table::changesFrom(log_position From, bool WithOlderEras)
     -> std::vector<operator_record> {
+  // A position of another era doesn't tell which records that node has.
+  auto All = From.Era != Era;
+  if (All) {
+    From = {};
+  }
   auto Changes = std::vector<operator_record>();
   for (const auto &Entry : Records) {
     const auto &Key = Entry.first;
     const auto &Record = Entry.second;
-    if (Record.Offset < From) {
+    auto IsOlderEra = Record.Era < From.Era;
+    if (IsOlderEra ? !WithOlderEras : Record.position() < From) {
       continue;
     }
     Changes.push_back(Record);
-    auto Base =
-        std::find_if(ReplacedRecords.rbegin(), ReplacedRecords.rend(),
-                     [&](const auto &Previous) {
-                       return Previous.Key == Key && Previous.Offset < From;
-                     });
+    auto Base = std::find_if(ReplacedRecords.rbegin(), ReplacedRecords.rend(),
+                             [&](const auto &Previous) {
+                               return !All && Previous.Key == Key &&
+                                      Previous.Era == Record.Era &&
+                                      Previous.position() < From;
+                             });
     if (Base != ReplacedRecords.rend() && !Record.Dropped) {
       // The other node holds the newest replaced record before From.
       auto &Change = Changes.back();
@@ -82,10 +117,11 @@
         Change.Compressed = true;
       }
     } else if (Record.Value.size() >= MinDeltaContentBytes) {
-      if (LastCompressed.Key != Key || LastCompressed.Offset != Record.Offset) {
-        LastCompressed = {Key,          Record.Offset,
-                          false,        compressText(Record.Value),
-                          std::nullopt, true};
+      if (LastCompressed.Key != Key ||
+          LastCompressed.position() != Record.position()) {
+        LastCompressed = {
+            Key,          Record.Offset, false,     compressText(Record.Value),
+            std::nullopt, true,          Record.Era};
       }
       Changes.back() = LastCompressed;
     }
@@ -93,6 +129,23 @@
   return Changes;
 }
 
+auto operator_table::beginEra(store_era Later) -> bool {
+  if (Later <= Era) {
+    return false;
+  }
+  Era = Later;
+  End = {};
+  AwaitsRewrites = true;
+  return true;
+}
+
+auto operator_table::hasUnconfirmedRecords() const -> bool {
+  return std::any_of(Records.begin(), Records.end(), [this](const auto &Entry) {
+    const auto &Record = Entry.second;
+    return Record.Era < Era && !Record.Dropped && !isRanked(Record);
+  });
+}
+
 auto operator_table::mergeListing(const std::vector<operator_record> &Listing,
                                   log_offset Begin, log_offset End)
     -> std::vector<std::string> {
@@ -106,11 +159,20 @@
     auto Listed = std::any_of(
         Listing.begin(), Listing.end(),
         [&Name = Key](const auto &Record) { return Record.Key == Name; });
-    if (!Listed && !Stored.Dropped && Stored.Offset < Begin) {
+    auto IsOlderEra = Stored.Era < Era;
+    if (IsOlderEra && (AwaitsRewrites || isRanked(Stored))) {
+      continue;
+    }
+    if (!Listed && !Stored.Dropped &&
+        Stored.position() < log_position{Era, Begin}) {
       Stored.Dropped = true;
       Stored.Value.clear();
-      // The tombstone is newer than the record and older than later writes.
-      Stored.Offset = log_offset{Begin.Value - 1};
+      // The tombstone is newer than the record and older than later writes. In
+      // an empty topic no position of this era is older than later writes.
+      if (Begin.Value > 0) {
+        Stored.Offset = log_offset{Begin.Value - 1};
+        Stored.Era = Era;
+      }
       Changed.push_back(Key);
     }
   }
