Feature: [Sidecar] Nodes follow the store when it comes back from an older copy

Change: the feed lists again on a new era, also when another node tells of it; absent records stay for 5 s; an order is identified by content and first sight; conditional appends count only in the era of their listing; deciders record decisions and statuses again; hosts write their records again. Schema: Rollout.era, storedEra, storedOffset, durationMillis and Evidence.orderEra; none is written without eras. The simulated store sends its era and can go back.

--- a/include/sycamorelb/inner/mesh_message_type.h
+++ b/include/sycamorelb/inner/mesh_message_type.h
@@ -89,6 +89,7 @@
   version_id Version;                 ///< Version of the target on the node.
   rollout::evidence_start Start;      ///< Since when it counts.
   rollout::version_evidence Evidence; ///< Statistics since the order.
+  store_era OrderEra; ///< Era of the store to which OrderOffset belongs.
 };
 
 /** Calls of each customer that began to run at the target of a node in one
--- a/include/sycamorelb/rollout/rollout_type.h
+++ b/include/sycamorelb/rollout/rollout_type.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "sycamorelb/mesh/config_type.h"
+#include "sycamorelb/mesh/operator_table.h"
 
 #include <cstdint>
 #include <map>
@@ -22,11 +23,32 @@
 /** State of the newest rollout order of a service. */
 struct rollout_state {
   mesh::version_order Order; ///< The order.
-  log_offset OrderOffset{0}; ///< Position of the order in the store.
+  /** With OrderEra, position at which the order was first found in the store.
+   */
+  log_offset OrderOffset{0};
   rollout_stage Stage = rollout_stage::Canary; ///< Progress.
   steady_time SeenAt{}; ///< When the order was first seen.
+  store_era OrderEra;   ///< See OrderOffset.
+  /** Newest position of the order: another one after operators wrote it again
+   * in a new era. */
+  mesh::log_position Stored;
+  /** @return the position that identifies the order. */
+  auto identity() const -> mesh::log_position {
+    return {OrderEra, OrderOffset};
+  }
 };
 
+/** How orders of different eras of the store are compared. */
+enum class order_match : std::uint8_t {
+  ByOffset,  ///< The same content at the same offset, as after a rewind.
+  ByContent, ///< The same content: one of them was written again.
+};
+
+/** @return whether both are the same order. Orders of one era are the same only
+ * if they are the same record. */
+auto isSameOrder(const rollout_state &Left, const rollout_state &Right,
+                 order_match Match) -> bool;
+
 /** @return whether the stage is final. */
 inline auto isFinal(rollout_stage Stage) -> bool {
   return Stage == rollout_stage::RolledBack ||
@@ -35,7 +57,8 @@
 
 /** Merges the state of a service's rollout from another source into Current.
  * @return whether the order or its stage changed. */
-auto mergeRollout(rollout_state &Current, const rollout_state &Update) -> bool;
+auto mergeRollout(rollout_state &Current, const rollout_state &Update,
+                  order_match Match = order_match::ByOffset) -> bool;
 
 /** Counts of one route's calls to a version. */
 struct route_tally {
--- a/src/inner/gossip_codec.cpp
+++ b/src/inner/gossip_codec.cpp
@@ -77,6 +77,7 @@
   Out.setNode(Report.Node.Value);
   Out.setService(Report.Service.Value);
   Out.setOrderOffset(Report.OrderOffset.Value);
+  Out.setOrderEra(Report.OrderEra.Value);
   Out.setVersion(Report.Version.Value);
   Out.setIncarnation(Report.Start.Incarnation);
   Out.setTargetStart(Report.Start.TargetStart);
@@ -99,6 +100,7 @@
   Report.Node.Value = textOf(In.getNode());
   Report.Service.Value = textOf(In.getService());
   Report.OrderOffset.Value = In.getOrderOffset();
+  Report.OrderEra.Value = In.getOrderEra();
   Report.Version.Value = textOf(In.getVersion());
   Report.Start = {In.getIncarnation(),
                   In.getTargetStart(),
@@ -137,6 +139,12 @@
     List[Index].setVersion(Rollouts[Index].Order.Version.Value);
     List[Index].setStage(static_cast<std::uint16_t>(Rollouts[Index].Stage));
     List[Index].setElapsedMicros((Now - Rollouts[Index].SeenAt).count());
+    if (Rollouts[Index].Stored.Era.Value > 0) {
+      List[Index].setEra(Rollouts[Index].OrderEra.Value);
+      List[Index].setStoredEra(Rollouts[Index].Stored.Era.Value);
+      List[Index].setStoredOffset(Rollouts[Index].Stored.Offset.Value);
+      List[Index].setDurationMillis(Rollouts[Index].Order.Duration.count());
+    }
   }
 }
 
@@ -222,6 +230,15 @@
   auto Rollout = rollout::rollout_state();
   Rollout.Order.Service.Value = textOf(In.getService());
   Rollout.OrderOffset.Value = In.getOrderOffset();
+  Rollout.OrderEra.Value = In.getEra();
+  Rollout.Stored =
+      In.getStoredEra() > 0
+          ? mesh::log_position{{In.getStoredEra()}, {In.getStoredOffset()}}
+          : Rollout.identity();
+  Rollout.Order.Duration = std::chrono::duration_cast<millis>(
+      timeOf(std::clamp(In.getDurationMillis(), std::int64_t{0},
+                        MaxMessageTime / 1000) *
+             1000));
   Rollout.Order.Version.Value = textOf(In.getVersion());
   Rollout.SeenAt = Now - std::max(micros(0), timeOf(In.getElapsedMicros()));
   if (In.getStage() < static_cast<int>(rollout::rollout_stage::Canary) ||
--- a/src/inner/mesh.capnp
+++ b/src/inner/mesh.capnp
@@ -116,6 +116,10 @@
   version @2 :Text;
   stage @3 :UInt16;
   elapsedMicros @4 :Int64;  # Time since the sender saw the order.
+  era @5 :UInt64;           # Era of the store to which orderOffset belongs.
+  storedEra @6 :UInt64;     # Newest position of the order; 0 without eras.
+  storedOffset @7 :UInt64;
+  durationMillis @8 :Int64; # Duration of the order; 0 if unknown or without eras.
 }
 
 struct Tally {
@@ -135,6 +139,7 @@
   incarnation @5 :UInt64;   # Of the process that counted.
   targetStart @6 :UInt64;   # Number of the target among those of that process.
   process @7 :UInt64;       # Random number of the process that counted.
+  orderEra @8 :UInt64;      # Era of the store to which orderOffset belongs.
 }
 
 struct CustomerCalls {
--- a/src/rollout/rollout.cpp
+++ b/src/rollout/rollout.cpp
@@ -43,14 +43,43 @@
 /** Number of calls at which the counts of a brake window are halved. */
 static constexpr auto BrakeWindowCalls = std::uint32_t{24};
 
-auto mergeRollout(rollout_state &Current, const rollout_state &Update) -> bool {
-  if (Update.OrderOffset < Current.OrderOffset) {
+/** @return whether the contents are equal, as far as they are known. */
+static auto hasSameContent(const mesh::version_order &Left,
+                           const mesh::version_order &Right) -> bool {
+  auto IsDurationKnown =
+      Left.Duration > millis(0) && Right.Duration > millis(0);
+  return Left.Service == Right.Service && Left.Version == Right.Version &&
+         (!IsDurationKnown || Left.Duration == Right.Duration);
+}
+
+auto isSameOrder(const rollout_state &Left, const rollout_state &Right,
+                 order_match Match) -> bool {
+  if (Left.identity() == Right.identity() || Left.Stored == Right.Stored ||
+      Left.identity() == Right.Stored || Left.Stored == Right.identity()) {
+    return true;
+  }
+  if (Left.OrderEra == Right.OrderEra ||
+      !hasSameContent(Left.Order, Right.Order)) {
     return false;
   }
-  if (Update.OrderOffset > Current.OrderOffset) {
+  return Match == order_match::ByContent ||
+         Left.OrderOffset == Right.OrderOffset;
+}
+
+auto mergeRollout(rollout_state &Current, const rollout_state &Update,
+                  order_match Match) -> bool {
+  if (!isSameOrder(Current, Update, Match)) {
+    if (Update.Stored < Current.Stored) {
+      return false;
+    }
     Current = Update;
     return true;
   }
+  if (Update.identity() < Current.identity()) {
+    Current.OrderEra = Update.OrderEra;
+    Current.OrderOffset = Update.OrderOffset;
+  }
+  Current.Stored = std::max(Current.Stored, Update.Stored);
   Current.SeenAt = std::min(Current.SeenAt, Update.SeenAt);
   if (Update.Stage <= Current.Stage) {
     return false;
--- a/src/sidecar/gossip.cpp
+++ b/src/sidecar/gossip.cpp
@@ -80,6 +80,7 @@
   auto Message = gossip_message();
   Message.Sender = State.Own;
   Message.OperatorEnd = State.Operator.end();
+  Message.OperatorEra = State.Operator.era();
   auto ConfirmedAt = State.RecordSource.ConfirmedAt;
   if (mesh::isReader(State.Hosts, State.Own) && !State.Own.StoreLost &&
       State.MeshTopicListed && ConfirmedAt != steady_time()) {
@@ -253,7 +254,8 @@
     return;
   }
   auto Message = Impl->buildMessage();
-  Message.Records = Impl->State.Operator.changesFrom(log_offset{0});
+  Message.Records = Impl->State.Operator.changesFrom(
+      {Impl->State.Operator.era(), log_offset{0}}, true);
   for (const auto &Node : PendingRecordRequests) {
     Impl->Links.send(Node, Message);
   }
@@ -304,8 +306,9 @@
 
 void gossip::implementation::scheduleRecordRequest(const node_id &Node,
                                                    log_offset End) {
-  auto RequestRecords = [this, Node, End] {
-    if (State.Operator.end() < End) {
+  auto Era = State.Operator.era();
+  auto RequestRecords = [this, Node, Era, End] {
+    if (State.Operator.era() == Era && State.Operator.end() < End) {
       auto Message = buildMessage();
       Message.WantRecords = true;
       Links.send(Node, Message);
@@ -326,13 +329,12 @@
     return;
   }
   auto Keys = std::vector<std::string>();
-  auto Complete =
-      Message.RecordsFrom <= State.Operator.end() && !Message.Records.empty();
+  auto Complete = Message.OperatorEra == State.Operator.era() &&
+                  Message.RecordsFrom <= State.Operator.end() &&
+                  !Message.Records.empty();
   auto MissingBase = false;
   for (const auto &Record : Message.Records) {
-    auto Current = State.Operator.records().find(Record.Key);
-    if (Current != State.Operator.records().end() &&
-        Current->second.Offset >= Record.Offset) {
+    if (!State.Operator.mayBeNewer(Record)) {
       continue;
     }
     auto Expanded = State.Operator.expand(Record);
@@ -411,6 +413,9 @@
     const gossip_message &Message,
     const std::function<void(const mesh_message &)> &SendReply) {
   auto &State = Impl->State;
+  if (Message.OperatorEra > State.StoreEra) {
+    Impl->Events.OnStoreEra(Message.OperatorEra);
+  }
   if (Message.StoreAge && Message.Sender.Zone == State.Own.Zone) {
     auto ConfirmedAt = State.Loop.now() - *Message.StoreAge;
     auto &Source = State.RecordSource;
@@ -459,14 +464,19 @@
   if (Message.WantRecords && !State.Routes) {
     Impl->PendingRecordRequests.insert(Message.Sender.Node);
   } else if (Message.WantRecords) {
-    Reply.Records = State.Operator.changesFrom(Message.OperatorEnd);
-    Reply.RecordsFrom = Message.OperatorEnd;
+    // A node of another era gets all records.
+    Reply.Records = State.Operator.changesFrom(
+        {Message.OperatorEra, Message.OperatorEnd}, true);
+    Reply.RecordsFrom = Message.OperatorEra == State.Operator.era()
+                            ? Message.OperatorEnd
+                            : log_offset{0};
     ShouldReply = true;
   }
   if (ShouldReply) {
     SendReply(Reply);
   }
-  if (Message.OperatorEnd > State.Operator.end()) {
+  if (Message.OperatorEra == State.Operator.era() &&
+      Message.OperatorEnd > State.Operator.end()) {
     Impl->scheduleRecordRequest(Message.Sender.Node, Message.OperatorEnd);
   }
 }
--- a/src/sidecar/gossip.h
+++ b/src/sidecar/gossip.h
@@ -21,6 +21,9 @@
   std::function<void(const rollout::rollout_state &)> OnRolloutProgress;
   /** Another node sent its call statistics for a rollout. */
   std::function<void(const inner::rollout_evidence_report &)> OnEvidence;
+  /** Another node has seen a later era of the store. Called before anything
+   * else of its message is handled. */
+  std::function<void(store_era)> OnStoreEra;
 };
 
 /** Replicates state with the other nodes. */
--- a/src/sidecar/node_counters.cpp
+++ b/src/sidecar/node_counters.cpp
@@ -148,6 +148,9 @@
       makeGaugeFamily("sycamorelb_store_lost",
                       "1 while the store can't be read.",
                       Gauges.StoreLost ? 1 : 0),
+      makeGaugeFamily("sycamorelb_store_era",
+                      "Newest era of the store seen; 0 if unknown.",
+                      static_cast<double>(Gauges.StoreEra)),
       makeLatencyFamily(Counters.Latency)};
   return prometheus::TextSerializer().Serialize(Families);
 }
--- a/src/sidecar/node_counters.h
+++ b/src/sidecar/node_counters.h
@@ -59,6 +59,7 @@
   std::uint64_t Pipelined = 0;     ///< Requests begun beside earlier ones.
   std::uint64_t HeldResponses = 0; ///< Responses that waited for earlier ones.
   std::uint64_t HeldBytes = 0;     ///< Size of those that wait now.
+  std::uint64_t StoreEra = 0;      ///< Newest era of the store; 0: unknown.
   bool StoreLost = false;          ///< The store is unreachable.
 };
 
--- a/src/sidecar/node_state.cpp
+++ b/src/sidecar/node_state.cpp
@@ -3,6 +3,7 @@
 
 #include "sidecar/message_sample.h"
 
+#include <algorithm>
 #include <optional>
 #include <random>
 
@@ -110,6 +111,32 @@
   return true;
 }
 
+/** Number of replaced rollouts of a service that are remembered, to recognize
+ * their orders when an older copy of the store brings them back. */
+static constexpr auto MaxPastRollouts = std::size_t{4};
+
+auto isStoreRewriteTime(const node_state &State) -> bool {
+  return State.StoreEra.Value > 0 &&
+         State.Loop.now() - State.StoreEraSeenAt <= StoreRewriteTime;
+}
+
+/** @return whether an older copy of the store brought back an order that the
+ * current one of its service had replaced. */
+static auto isReturnedOrder(const node_state &State,
+                            const rollout::rollout_state &Rollout,
+                            rollout::order_match Match) -> bool {
+  auto Current = State.Rollouts.find(Rollout.Order.Service);
+  auto Past = State.PastRollouts.find(Rollout.Order.Service);
+  if (Past == State.PastRollouts.end() || Current == State.Rollouts.end() ||
+      rollout::isSameOrder(Current->second, Rollout, Match)) {
+    return false;
+  }
+  return std::any_of(Past->second.begin(), Past->second.end(),
+                     [&](const auto &Previous) {
+                       return rollout::isSameOrder(Previous, Rollout, Match);
+                     });
+}
+
 static auto applyOrder(node_state &State, const std::string &Key) -> bool {
   const auto *Record = State.Operator.find(Key);
   if (Record == nullptr) {
@@ -123,15 +150,38 @@
   auto Rollout = rollout::rollout_state();
   Rollout.Order = valueOf(Order);
   Rollout.OrderOffset = Record->Offset;
+  Rollout.OrderEra = Record->Era;
+  Rollout.Stored = Record->position();
   Rollout.SeenAt = State.Loop.now();
   auto Early = State.EarlyProgress.find(Rollout.Order.Service);
   if (Early != State.EarlyProgress.end() &&
-      Early->second.OrderOffset == Rollout.OrderOffset) {
+      rollout::isSameOrder(Rollout, Early->second,
+                           rollout::order_match::ByOffset)) {
     rollout::mergeRollout(Rollout, Early->second);
   }
+  auto Match = isStoreRewriteTime(State) ? rollout::order_match::ByContent
+                                         : rollout::order_match::ByOffset;
+  if (isReturnedOrder(State, Rollout, Match)) {
+    State.Log.write(
+        log_class::State, "rollout.returned",
+        {{"service", Rollout.Order.Service.Value},
+         {"version", Rollout.Order.Version.Value},
+         {"offset", static_cast<std::int64_t>(Rollout.OrderOffset.Value)}});
+    return false;
+  }
   auto [Current, IsNew] =
       State.Rollouts.try_emplace(Rollout.Order.Service, Rollout);
-  auto Changed = IsNew || rollout::mergeRollout(Current->second, Rollout);
+  if (!IsNew && !rollout::isSameOrder(Current->second, Rollout, Match) &&
+      Rollout.Stored > Current->second.Stored) {
+    auto &Past = State.PastRollouts[Rollout.Order.Service];
+    Past.push_back(Current->second);
+    if (Past.size() > MaxPastRollouts) {
+      Past.erase(Past.begin());
+    }
+  }
+  auto PreviousStored = Current->second.Stored;
+  auto Changed =
+      IsNew || rollout::mergeRollout(Current->second, Rollout, Match);
   // A peer may have sent the rollout before its document was read here.
   Current->second.Order.Duration = Rollout.Order.Duration;
   if (Changed) {
@@ -142,7 +192,8 @@
          {"duration_ms", Rollout.Order.Duration.count()},
          {"offset", static_cast<std::int64_t>(Rollout.OrderOffset.Value)}});
   }
-  return Changed;
+  // Its decision is recorded again for the new position.
+  return Changed || Current->second.Stored != PreviousStored;
 }
 
 static auto applyEvacuation(node_state &State, const std::string &Key,
--- a/src/sidecar/node_state.h
+++ b/src/sidecar/node_state.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "platform/config_document.h"
+#include "platform/log_store.h"
 #include "sidecar/decision_log.h"
 #include "sidecar/node_counters.h"
 #include "sycamorelb/core/random_func.h"
@@ -17,6 +18,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <vector>
 
 namespace sycamorelb::sidecar {
 
@@ -43,9 +45,12 @@
   node_counters Counters; ///< Counters exported as metrics.
 
   inner::frame_compressor Compressor; ///< For messages to other zones.
-  mesh::host_record Own;         ///< Record of this host; published to Hosts.
-  mesh::host_table Hosts;        ///< Known hosts.
-  mesh::operator_table Operator; ///< Records written by operators.
+  mesh::host_record Own;  ///< Record of this host; published to Hosts.
+  mesh::host_table Hosts; ///< Known hosts.
+  /** Records written by operators. */
+  mesh::operator_table Operator{platform::recordRank};
+  store_era StoreEra;           ///< Newest era of the store seen; 0 if unknown.
+  steady_time StoreEraSeenAt{}; ///< When it was first seen.
   /** Routes of the current configuration; null before the first one. */
   std::shared_ptr<const mesh::route_table> Routes;
   /** Parsed parts of the last configuration document. */
@@ -55,6 +60,8 @@
   std::set<zone_id> EvacuatedZones; ///< Zones whose targets get no calls.
   /** Newest rollout of each service. */
   std::map<service_id, rollout::rollout_state> Rollouts;
+  /** Rollouts that newer ones of their services replaced, oldest first. */
+  std::map<service_id, std::vector<rollout::rollout_state>> PastRollouts;
   /** Rollout progress received from peers before the order itself. */
   std::map<service_id, rollout::rollout_state> EarlyProgress;
   steady_time StartedAt{}; ///< Start of this process.
@@ -66,6 +73,15 @@
   bool MeshTopicListed = false; ///< The mesh topic was listed once.
 };
 
+/** Time after the first sight of a new era of the store in which operators
+ * write their records again. Until then records that the store lacks stay in
+ * force, and an order that is found again with the same content is the same
+ * order. */
+inline constexpr auto StoreRewriteTime = micros(5'000'000);
+
+/** @return whether operators may still be writing their records again. */
+auto isStoreRewriteTime(const node_state &State) -> bool;
+
 /** @return whether a call with this deadline gets its answer before a stop in
  * progress ends the process; true without one. */
 auto endsBeforeStop(const node_state &State, steady_time DeadlineAt) -> bool;
--- a/src/sidecar/rollout_control.cpp
+++ b/src/sidecar/rollout_control.cpp
@@ -20,6 +20,10 @@
 static constexpr auto DecidersPerService = std::size_t{3};
 /** Additional delay before each further decider acts. */
 static constexpr auto DelayPerRank = micros(600'000);
+/** Time after the first sight of a new era of the store before a final decision
+ * is recorded, so that nodes that know a decision which the store lost tell it
+ * first: an exchange with another node takes 1 s. */
+static constexpr auto RewoundDecisionDelay = micros(2'000'000);
 /** Time after a final decision for its status to appear in the store before the
  * next decider writes it. */
 static constexpr auto StatusFallbackDelay = micros(1'500'000);
@@ -27,12 +31,14 @@
 struct rollout_control::implementation {
   /** Local progress of an order, beyond the state shared between nodes. */
   struct order_progress {
-    log_offset OrderOffset{0};
+    mesh::log_position Order;       // Identity of the order.
+    mesh::log_position StoredOrder; // Newest position of the order.
     steady_time SwitchedAt{};
     steady_time FinalAt{};
     bool WriteInProgress = false; // A store call is pending.
     bool RunningReported = false; // Status in the store: running.
     bool FinalReported = false;   // Status in the store: the outcome.
+    bool DecisionLost = false;    // The store may lack the final decision.
     rollout::evidence_ledger Ledger;
   };
 
@@ -48,6 +54,13 @@
     rollout::recordEvidence(Progress.Ledger, Report.Node,
                             {Report.Start, Report.Version, Report.Evidence});
   }
+  /** The store may lack what was written about an order. */
+  static void expectLoss(order_progress &Progress) {
+    Progress.RunningReported = false;
+    Progress.FinalReported = false;
+    Progress.FinalAt = steady_time();
+    Progress.DecisionLost = true;
+  }
   auto selectDeciders(const service_id &Service) const -> std::vector<node_id>;
   auto progressOf(const rollout::rollout_state &Rollout) -> order_progress &;
   void scheduleTick();
@@ -64,12 +77,13 @@
                const char *Cause, bool Broadcast = true);
   /** @return the rollout of an order, or null if a newer order for the service
    * has come meanwhile: calls to the store take time. */
-  auto findOrder(const service_id &Service, log_offset OrderOffset)
+  auto findOrder(const service_id &Service, mesh::log_position Order)
       -> rollout::rollout_state *;
   void proposeFinalStage(const rollout::rollout_state &Rollout,
                          rollout_stage Stage);
   void appendFinalStage(const rollout::rollout_state &Rollout,
-                        rollout_stage Stage, log_offset End);
+                        rollout_stage Stage,
+                        const platform::store_page &Listing);
   void writeStatus(const rollout::rollout_state &Rollout);
   auto isSettled(const rollout::rollout_state &Rollout) -> bool;
 };
@@ -101,13 +115,19 @@
 auto rollout_control::implementation::progressOf(
     const rollout::rollout_state &Rollout) -> order_progress & {
   auto &Progress = ProgressByService[Rollout.Order.Service];
-  if (Progress.OrderOffset != Rollout.OrderOffset) {
+  if (Progress.Order != Rollout.identity()) {
     Progress = order_progress();
-    Progress.OrderOffset = Rollout.OrderOffset;
+    Progress.Order = Rollout.identity();
+    Progress.StoredOrder = Rollout.Stored;
     if (Rollout.Order.Service == State.Settings.Service) {
       Admission.clearEvidence();
     }
   }
+  if (Progress.StoredOrder != Rollout.Stored) {
+    // A node that starts finds the decision by the position of the order.
+    Progress.StoredOrder = Rollout.Stored;
+    expectLoss(Progress);
+  }
   return Progress;
 }
 
@@ -163,7 +183,8 @@
       Rollout.OrderOffset,
       State.Own.Target.Version,
       {State.Own.Incarnation, Admission.targetStarts(), State.Own.Process},
-      Admission.evidence()};
+      Admission.evidence(),
+      Rollout.OrderEra};
   for (const auto &Decider : Deciders) {
     if (Decider == State.Own.Node) {
       recordReport(progressOf(Rollout), Report);
@@ -210,7 +231,9 @@
     }
     auto Wait = StatusFallbackDelay * static_cast<std::int64_t>(Rank);
     if (!Progress.FinalReported && Now - Progress.FinalAt >= Wait) {
-      writeStatus(Rollout);
+      // The status follows the decision.
+      Progress.DecisionLost ? proposeFinalStage(Rollout, Rollout.Stage)
+                            : writeStatus(Rollout);
     }
     return;
   }
@@ -218,6 +241,8 @@
   if (!Progress.RunningReported && Inputs.Elapsed >= micros(0)) {
     return writeStatus(Rollout);
   }
+  auto MayRecord = State.StoreEra.Value == 0 ||
+                   Now - State.StoreEraSeenAt >= RewoundDecisionDelay;
   switch (rollout::decideRollout(Rollout, Inputs)) {
   case rollout::rollout_step::Wait:
     break;
@@ -226,10 +251,14 @@
     break;
   case rollout::rollout_step::RollBack:
     advance(Rollout, rollout_stage::Braked, "failed evaluation or time limit");
-    proposeFinalStage(Rollout, rollout_stage::RolledBack);
+    if (MayRecord) {
+      proposeFinalStage(Rollout, rollout_stage::RolledBack);
+    }
     break;
   case rollout::rollout_step::Complete:
-    proposeFinalStage(Rollout, rollout_stage::Completed);
+    if (MayRecord) {
+      proposeFinalStage(Rollout, rollout_stage::Completed);
+    }
     break;
   }
 }
@@ -261,27 +290,26 @@
 }
 
 auto rollout_control::implementation::findOrder(const service_id &Service,
-                                                log_offset OrderOffset)
+                                                mesh::log_position Order)
     -> rollout::rollout_state * {
   auto Found = State.Rollouts.find(Service);
-  if (Found != State.Rollouts.end() &&
-      Found->second.OrderOffset == OrderOffset) {
+  if (Found != State.Rollouts.end() && Found->second.identity() == Order) {
     return &Found->second;
   }
   State.Log.write(log_class::State, "rollout.superseded",
                   {{"service", Service.Value},
-                   {"offset", static_cast<std::int64_t>(OrderOffset.Value)}});
+                   {"offset", static_cast<std::int64_t>(Order.Offset.Value)}});
   return nullptr;
 }
 
 void rollout_control::implementation::proposeFinalStage(
     const rollout::rollout_state &Rollout, rollout_stage Stage) {
   auto Service = Rollout.Order.Service;
-  auto Offset = Rollout.OrderOffset;
+  auto Order = Rollout.identity();
   progressOf(Rollout).WriteInProgress = true;
-  Store.list(store_topic::Mesh, [this, Service, Offset,
+  Store.list(store_topic::Mesh, [this, Service, Order,
                                  Stage](result<platform::store_page> Page) {
-    auto *Found = findOrder(Service, Offset);
+    auto *Found = findOrder(Service, Order);
     if (Found == nullptr) {
       return;
     }
@@ -296,21 +324,29 @@
                                       ? Message->Rollouts
                                       : std::vector<rollout::rollout_state>()) {
         if (Recorded.Order.Service == Service &&
-            Recorded.OrderOffset == Current.OrderOffset) {
-          progressOf(Current).WriteInProgress = false;
-          return advance(Current, Recorded.Stage, "decided by another node");
+            rollout::isSameOrder(Recorded, Current,
+                                 rollout::order_match::ByOffset)) {
+          advance(Current, Recorded.Stage, "decided by another node");
+          if (Recorded.Stored >= Current.Stored ||
+              Recorded.Stage != Current.Stage) {
+            progressOf(Current).WriteInProgress = false;
+            progressOf(Current).DecisionLost = false;
+            return;
+          }
+          // Recorded for the order's place in an earlier era.
+          return appendFinalStage(Current, Current.Stage, valueOf(Page));
         }
       }
     }
-    appendFinalStage(Current, Stage, valueOf(Page).End);
+    appendFinalStage(Current, Stage, valueOf(Page));
   });
 }
 
 void rollout_control::implementation::appendFinalStage(
     const rollout::rollout_state &Rollout, rollout_stage Stage,
-    log_offset End) {
+    const platform::store_page &Listing) {
   auto Service = Rollout.Order.Service;
-  auto Offset = Rollout.OrderOffset;
+  auto Order = Rollout.identity();
   auto Decision = gossip_message();
   Decision.Sender = State.Own;
   Decision.Rollouts.push_back(Rollout);
@@ -318,29 +354,29 @@
   auto Value = encodeMeshMessage(Decision, State.Loop.now());
   // An append that timed out may still have been accepted; the next listing
   // shows it.
-  Store.append(
-      store_topic::Mesh, "rollout/" + Service.Value, Value, End,
-      [this, Service, Offset, Stage](result<platform::append_ack> Ack) {
-        auto *Current = findOrder(Service, Offset);
-        if (Current == nullptr) {
-          return;
-        }
-        progressOf(*Current).WriteInProgress = false;
-        if (isOk(Ack) && valueOf(Ack).Appended) {
-          advance(*Current, Stage, "decided by this node");
-          writeStatus(*Current);
-        }
-      });
+  Store.append(store_topic::Mesh, "rollout/" + Service.Value, Value, Listing,
+               [this, Service, Order, Stage](result<platform::append_ack> Ack) {
+                 auto *Current = findOrder(Service, Order);
+                 if (Current == nullptr) {
+                   return;
+                 }
+                 progressOf(*Current).WriteInProgress = false;
+                 if (isOk(Ack) && valueOf(Ack).Appended) {
+                   progressOf(*Current).DecisionLost = false;
+                   advance(*Current, Stage, "decided by this node");
+                   writeStatus(*Current);
+                 }
+               });
 }
 
 void rollout_control::implementation::writeStatus(
     const rollout::rollout_state &Rollout) {
   auto Service = Rollout.Order.Service;
-  auto Offset = Rollout.OrderOffset;
+  auto Order = Rollout.identity();
   auto Stage = Rollout.Stage;
   progressOf(Rollout).WriteInProgress = true;
-  auto Finish = [this, Service, Offset, Stage](bool Reported) {
-    auto *Current = findOrder(Service, Offset);
+  auto Finish = [this, Service, Order, Stage](bool Reported) {
+    auto *Current = findOrder(Service, Order);
     if (Current == nullptr) {
       return;
     }
@@ -350,9 +386,9 @@
     Progress.FinalReported =
         Progress.FinalReported || (Reported && rollout::isFinal(Stage));
   };
-  Store.list(store_topic::Status, [this, Service, Offset,
+  Store.list(store_topic::Status, [this, Service, Order,
                                    Finish](result<platform::store_page> Page) {
-    auto *Current = findOrder(Service, Offset);
+    auto *Current = findOrder(Service, Order);
     if (Current == nullptr) {
       return;
     }
@@ -362,9 +398,11 @@
     }
     auto Status = platform::encodeRolloutStatus(*Current);
     auto Key = platform::rolloutStatusKey(Service);
-    auto End = log_offset{0};
-    if (!Missing) {
-      End = valueOf(Page).End;
+    auto Listing = platform::store_page();
+    if (Missing) {
+      Listing.Era = State.StoreEra;
+    } else {
+      Listing = valueOf(Page);
       for (const auto &Record : valueOf(Page).Records) {
         if (Record.Key == Key && Record.Value == Status) {
           return Finish(true);
@@ -373,7 +411,7 @@
     }
     // The expected end offset keeps a delayed write from replacing a newer
     // status.
-    Store.append(store_topic::Status, Key, Status, End,
+    Store.append(store_topic::Status, Key, Status, Listing,
                  [Finish](result<platform::append_ack> Ack) {
                    Finish(isOk(Ack) && valueOf(Ack).Appended);
                  });
@@ -389,11 +427,20 @@
   }
 }
 
-void rollout_control::mergeProgress(const rollout::rollout_state &Update) {
+void rollout_control::handleRewind() {
+  for (const auto &[Service, Rollout] : Impl->State.Rollouts) {
+    implementation::expectLoss(Impl->progressOf(Rollout));
+  }
+  handleOrders();
+}
+
+void rollout_control::mergeProgress(const rollout::rollout_state &Update,
+                                    rollout::order_match Match) {
   auto Found = Impl->State.Rollouts.find(Update.Order.Service);
   // The order itself comes from the operator records and may arrive later.
   if (Found == Impl->State.Rollouts.end() ||
-      Found->second.OrderOffset < Update.OrderOffset) {
+      (Found->second.Stored < Update.Stored &&
+       !rollout::isSameOrder(Found->second, Update, Match))) {
     auto [Early, IsNew] =
         Impl->State.EarlyProgress.try_emplace(Update.Order.Service, Update);
     if (!IsNew) {
@@ -401,18 +448,26 @@
     }
     return;
   }
-  if (Found->second.OrderOffset != Update.OrderOffset) {
+  if (!rollout::isSameOrder(Found->second, Update, Match)) {
     return;
   }
   auto &Current = Found->second;
-  Current.SeenAt = std::min(Current.SeenAt, Update.SeenAt);
+  auto Merged = Update;
+  Merged.Stage = Current.Stage; // advance() follows.
+  auto PreviousStored = Current.Stored;
+  rollout::mergeRollout(Current, Merged, Match);
+  if (Current.Stored != PreviousStored) {
+    Impl->progressOf(Current);
+    Impl->scheduleTick();
+  }
   Impl->advance(Current, Update.Stage, "received from a peer", false);
 }
 
 void rollout_control::mergeEvidence(const rollout_evidence_report &Report) {
+  auto Order = mesh::log_position{Report.OrderEra, Report.OrderOffset};
   auto Found = Impl->State.Rollouts.find(Report.Service);
   if (Found != Impl->State.Rollouts.end() &&
-      Found->second.OrderOffset == Report.OrderOffset) {
+      (Found->second.identity() == Order || Found->second.Stored == Order)) {
     implementation::recordReport(Impl->progressOf(Found->second), Report);
   }
 }
--- a/src/sidecar/rollout_control.h
+++ b/src/sidecar/rollout_control.h
@@ -26,8 +26,12 @@
 
   /** Starts to control rollouts whose orders are new or changed. */
   void handleOrders();
-  /** Merges rollout progress received from another node. */
-  void mergeProgress(const rollout::rollout_state &Update);
+  /** Writes decisions and statuses again that the store may have lost. */
+  void handleRewind();
+  /** Merges rollout progress received from another node or the store.
+   * @param Match how its order is recognized if it is of another era. */
+  void mergeProgress(const rollout::rollout_state &Update,
+                     rollout::order_match Match);
   /** Stores call statistics received from another node. */
   void mergeEvidence(const inner::rollout_evidence_report &Report);
   /** Stops the rollout because the new version on the local target fails too
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -27,6 +27,11 @@
  * processes know which target to probe. */
 static constexpr auto AnnouncementDelay = micros(2'000'000);
 
+/** Maximum of the random delay after which a host writes its record again when
+ * the store came back from an older copy; it spreads the writes of all hosts.
+ */
+static constexpr auto RepeatedAnnouncementMicros = std::uint32_t{2'000'000};
+
 /** Periodic checks between two checks of the settings file. */
 static constexpr auto SettingsCheckTicks = 5;
 
@@ -116,8 +121,10 @@
       publishTarget();
     }
   };
+  Events.OnStoreEra = [this](store_era Era) { Store.noteEra(Era); };
   Events.OnRolloutProgress = [this](const rollout::rollout_state &Update) {
-    Rollouts.mergeProgress(Update);
+    // Another node has known its order since before it was written again.
+    Rollouts.mergeProgress(Update, rollout::order_match::ByContent);
   };
   Events.OnEvidence = [this](const rollout_evidence_report &Report) {
     Rollouts.mergeEvidence(Report);
@@ -143,6 +150,9 @@
       [this](const std::vector<mesh::operator_record> &Records) {
         handleMeshListing(Records);
       };
+  Events.OnStoreRewound = [this](bool FromStore) {
+    handleStoreRewind(FromStore);
+  };
   Events.OnStoreLostChanged = [this](bool Lost) {
     State.Own.StoreLost = Lost;
     publishOwnRecord(State);
@@ -195,7 +205,7 @@
   }
   Gossip.mergeHost(Host);
   for (const auto &Rollout : Message->Rollouts) {
-    Rollouts.mergeProgress(Rollout);
+    Rollouts.mergeProgress(Rollout, rollout::order_match::ByOffset);
   }
 }
 
@@ -216,6 +226,24 @@
   Loop.addTimer(Loop.now() + AnnouncementDelay, [this] { announceHost(); });
 }
 
+void sidecar::implementation::handleStoreRewind(bool FromStore) {
+  if (FromStore) {
+    // The others learn of the era, and what this node knows.
+    Gossip.broadcastState();
+  }
+  Rollouts.handleRewind();
+  scheduleAnnouncement();
+}
+
+void sidecar::implementation::scheduleAnnouncement() {
+  if (State.Stopping) {
+    return;
+  }
+  AnnouncementPending = true;
+  auto Delay = micros(randomBelow(State.Random, RepeatedAnnouncementMicros));
+  Loop.addTimer(Loop.now() + Delay, [this] { announceHost(); });
+}
+
 void sidecar::implementation::announceHost() {
   if (!std::exchange(AnnouncementPending, false)) {
     return;
@@ -225,27 +253,31 @@
   // listed it earlier are found by the listing that follows.
   auto Self = gossip_message();
   Self.Sender = State.Own;
-  Store.append(platform::store_topic::Mesh, Key,
-               encodeMeshMessage(Self, Loop.now()), std::nullopt,
-               [this](const result<platform::append_ack> &) {
-                 if (!State.MeshTopicListed) {
-                   return Store.start();
-                 }
-                 if (hearsFromPeers()) {
-                   // They spread the record of this host.
-                   return;
-                 }
-                 Store.list(platform::store_topic::Mesh,
-                            [this](result<platform::store_page> Page) {
-                              if (!isOk(Page)) {
-                                return;
-                              }
-                              for (const auto &Record : valueOf(Page).Records) {
-                                mergeMeshRecord(Record);
-                              }
-                              Gossip.syncWithPeers();
-                            });
-               });
+  Store.append(
+      platform::store_topic::Mesh, Key, encodeMeshMessage(Self, Loop.now()),
+      std::nullopt, [this](const result<platform::append_ack> &Ack) {
+        if (!isOk(Ack) && State.StoreEra.Value > 0 && State.MeshTopicListed) {
+          // After a rewind the store may be busy for a while.
+          return scheduleAnnouncement();
+        }
+        if (!State.MeshTopicListed) {
+          return Store.start();
+        }
+        if (hearsFromPeers()) {
+          // They spread the record of this host.
+          return;
+        }
+        Store.list(platform::store_topic::Mesh,
+                   [this](result<platform::store_page> Page) {
+                     if (!isOk(Page)) {
+                       return;
+                     }
+                     for (const auto &Record : valueOf(Page).Records) {
+                       mergeMeshRecord(Record);
+                     }
+                     Gossip.syncWithPeers();
+                   });
+      });
 }
 
 auto sidecar::implementation::hearsFromPeers() const -> bool {
--- a/src/sidecar/sidecar_state.h
+++ b/src/sidecar/sidecar_state.h
@@ -96,6 +96,10 @@
   /** Appends the record of this host to the mesh topic, once, then lists the
    * topic if no other host of the zone is known yet. */
   void announceHost();
+  /** Writes again what the store may have lost. */
+  void handleStoreRewind(bool FromStore);
+  /** Calls announceHost() after a random delay. */
+  void scheduleAnnouncement();
   /** @return whether another host of the zone has told of itself. */
   auto hearsFromPeers() const -> bool;
   /** Treats the target as cold until a health check that is sent later tells
--- a/src/sidecar/state_view.cpp
+++ b/src/sidecar/state_view.cpp
@@ -27,6 +27,7 @@
   Json["config_version"] =
       State.Routes ? State.Routes->config().Version.Value : 0;
   Json["operator_end"] = State.Operator.end().Value;
+  Json["store_era"] = State.StoreEra.Value;
   Json["stopping"] = State.Stopping;
   Json["open_calls"] = View.OpenCalls;
   Json["target"] = {{"running", View.Load.Running},
@@ -68,6 +69,7 @@
   Gauges.HeldResponses = View.Pipelining.HeldResponses;
   Gauges.HeldBytes = View.Pipelining.HeldBytes;
   Gauges.Suppressed = State.Log.suppressed();
+  Gauges.StoreEra = State.StoreEra.Value;
   Gauges.StoreLost = State.Own.StoreLost;
   return Gauges;
 }
--- a/src/sidecar/store_feed.cpp
+++ b/src/sidecar/store_feed.cpp
@@ -1,11 +1,9 @@
 /** @file store_feed.cpp Client of the platform's store. */
-#include "sidecar/store_feed.h"
+#include "sidecar/store_feed_state.h"
 
-#include "sycamorelb/http/client_connection.h"
 #include "sycamorelb/mesh/reader_func.h"
 
 #include <algorithm>
-#include <set>
 #include <utility>
 
 namespace sycamorelb::sidecar {
@@ -46,47 +44,6 @@
 /** Maximum size of a response. */
 static constexpr auto MaxResponseBytes = std::size_t{64} * 1024 * 1024;
 
-struct store_feed::implementation {
-  using connection = std::shared_ptr<http::client_connection>;
-  using response_handler = std::function<void(result<http::response>)>;
-
-  node_state &State;
-  store_events Events;
-  connection IdleConnection; // Reused by calls other than polls.
-  std::set<connection> BusyConnections;
-  connection PollConnection;
-  std::uint64_t CurrentGeneration = 0; // Incremented by start() and restart();
-                                       // outdated callbacks are ignored.
-  std::uint32_t ConsecutiveFailures = 0;
-  bool Lost = false;
-  bool Closed = false;
-
-  auto connect() -> connection;
-  /** @return whether a request may be sent on the connection. */
-  auto isUsable(const connection &Connection) const -> bool;
-  /** @return the idle connection, or a new one. */
-  auto takeConnection() -> connection;
-  void sendRequest(const http::request &Request, millis Timeout,
-                   const char *Name, const connection &Connection,
-                   response_handler Handle);
-  void listPages(store_topic Topic,
-                 const std::shared_ptr<platform::store_page> &Accumulated,
-                 const list_handler &Handle);
-  void listOperatorTopic(std::uint64_t Generation);
-  void listMeshTopic(std::uint64_t Generation);
-  void poll(std::uint64_t Generation);
-  void handlePoll(result<http::response> Response, log_offset From,
-                  steady_time SentAt, std::uint64_t Generation);
-  void recordResult(bool Succeeded, const std::string &Reason);
-  /** Records an answer to a call, the keys that it changed, and the time at
-   * which it made this node's records complete, if it did. */
-  void recordAnswer(const char *Call, const std::vector<std::string> &Keys,
-                    std::optional<steady_time> CompleteAt);
-  /** Calls Action after a delay that depends on the failures in a row. */
-  void scheduleRetry(std::uint64_t Generation, const error &Failure,
-                     std::function<void()> Action);
-};
-
 auto storePollWait(millis ConfigApply) -> millis {
   return std::clamp(ConfigApply * PollWaitPercent / 100 - PollWaitReserve,
                     MinPollWait, MaxPollWait);
@@ -134,6 +91,9 @@
                        ? std::to_string(valueOf(Result).Status)
                        : std::string(errorCodeName(errorOf(Result).Code));
     ++State.Counters.StoreCalls[std::string(Name) + " " + Outcome];
+    if (isOk(Result)) {
+      noteEra(platform::decodeStoreEra(valueOf(Result)), true);
+    }
     if (Handler) {
       Handler(std::move(Result));
     }
@@ -176,11 +136,17 @@
           State.Log.write(log_class::State, "store.unreadable",
                           {{"fault", Value.SkippedRecordFault}});
         }
+        if (!Accumulated->Records.empty() && Value.Era != Accumulated->Era) {
+          return Handle(error{error_code::Unreachable, "list", "store",
+                              "the era changed during the listing"});
+        }
         // Records appended while later pages are read may be missing from the
         // listing, so only the end reported with the first page is reliable.
         if (Accumulated->Records.empty()) {
           Accumulated->End = Value.End;
+          Accumulated->Era = Value.Era;
         }
+        stampEra(Value);
         auto HasRecords = !Value.Records.empty();
         std::move(Value.Records.begin(), Value.Records.end(),
                   std::back_inserter(Accumulated->Records));
@@ -265,6 +231,11 @@
               if (Generation != CurrentGeneration) {
                 return;
               }
+              if (isOk(Page) && valueOf(Page).Era.Value > 0 &&
+                  valueOf(Page).Era < State.StoreEra) {
+                Page = error{error_code::Unreachable, "list", "store",
+                             "answer of an earlier era"};
+              }
               auto Succeeded = isOk(Page);
               recordResult(Succeeded, Succeeded ? "" : describe(errorOf(Page)));
               if (!Succeeded) {
@@ -363,6 +334,7 @@
                          [this, Generation] { poll(Generation); });
   }
   recordResult(true, "");
+  stampEra(valueOf(Page));
   auto Keys = std::vector<std::string>();
   for (const auto &Record : valueOf(Page).Records) {
     if (State.Operator.merge(Record)) {
--- a/src/sidecar/store_feed.h
+++ b/src/sidecar/store_feed.h
@@ -41,6 +41,9 @@
   std::function<bool()> CanUseZoneReader;
   /** The mesh topic was listed; receives its records. */
   std::function<void(const std::vector<mesh::operator_record> &)> OnMeshListed;
+  /** The store came back from an older copy.
+   * @param FromStore its answer told so, not another node. */
+  std::function<void(bool FromStore)> OnStoreRewound;
   /** The store became unreachable, or reachable again. */
   std::function<void(bool Lost)> OnStoreLostChanged;
 };
@@ -69,6 +72,20 @@
   void append(platform::store_topic Topic, const std::string &Key,
               const std::string &Value, std::optional<log_offset> At,
               append_handler Handle);
+  /** Appends one record if the topic still ends where a listing found its end.
+   * The record counts as appended only if the answer is of the era of the
+   * listing; otherwise another listing shows whether it was. */
+  void append(platform::store_topic Topic, const std::string &Key,
+              const std::string &Value, const platform::store_page &Listing,
+              const append_handler &Handle);
+  /** @return the newest era of the store that this node has seen; 0 if unknown.
+   */
+  auto era() const -> store_era;
+  /** @return when that era was first seen. */
+  auto eraSeenAt() const -> steady_time;
+  /** Takes notice of the era that another node has seen. If it is new, the
+   * operator topic is listed again. */
+  void noteEra(store_era Era);
   /** Aborts all calls. */
   void close();
 
--- a/test/store_sim.cpp
+++ b/test/store_sim.cpp
@@ -3,6 +3,7 @@
 
 #include "config/base64_func.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 #include <nlohmann/json.hpp>
 
@@ -77,6 +78,7 @@
 void store_stand_in::append(const std::string &Topic, const std::string &Key,
                             const std::string &Value) {
   Topics[Topic].emplace_back(Key, Value);
+  AppendedAt[Topic].push_back(Loop.now());
   auto Ready = std::vector<std::uint64_t>();
   for (const auto &[Id, Poll] : Polls) {
     if (Poll.Topic == Topic && Poll.From < Topics[Topic].size()) {
@@ -88,6 +90,42 @@
   }
 }
 
+void store_stand_in::rewind(micros Age, micros RewriteDelay) {
+  ++Era;
+  for (auto &[Topic, Records] : Topics) {
+    auto &Times = AppendedAt[Topic];
+    auto Kept = static_cast<std::size_t>(
+        std::lower_bound(Times.begin(), Times.end(), Loop.now() - Age) -
+        Times.begin());
+    if (Topic == "keyed.op") {
+      for (auto Index = Kept; Index < Records.size(); ++Index) {
+        auto Record = Records[Index];
+        Loop.addTimer(Loop.now() + RewriteDelay, [this, Name = Topic, Record] {
+          append(Name, Record.first, Record.second);
+        });
+      }
+    }
+    Records.resize(Kept);
+    Times.resize(Kept);
+  }
+  auto Ended = std::vector<std::uint64_t>();
+  for (const auto &[Id, Poll] : Polls) {
+    Ended.push_back(Id);
+  }
+  for (auto Id : Ended) {
+    answerPoll(Id);
+  }
+}
+
+void store_stand_in::respond(const connection &Connection,
+                             http::exchange_number Exchange,
+                             http::response Response) const {
+  if (Era > 0) {
+    Response.Headers.emplace_back("Store-Era", std::to_string(Era));
+  }
+  Connection->respond(Exchange, Response, false);
+}
+
 auto store_stand_in::pollingNodes() const -> std::set<int> {
   auto Result = std::set<int>();
   for (const auto &[Id, Poll] : Polls) {
@@ -115,6 +153,9 @@
                                 std::size_t From) const -> http::response {
   auto Found = Topics.find(Topic);
   auto End = Found == Topics.end() ? std::size_t{0} : Found->second.size();
+  if (From > End) {
+    return {410, "", {}, ""};
+  }
   auto Response = http::response{200, "", {}, ""};
   appendBigEndian(Response.Body, End, ReadHeaderBytes);
   appendBigEndian(Response.Body, 0, ReadHeaderBytes);
@@ -160,8 +201,7 @@
   Loop.cancelTimer(Poll.Timer);
   Polls.erase(Found);
   if (auto Connection = Poll.Connection.lock()) {
-    Connection->respond(Poll.Exchange, renderRead(Poll.Topic, Poll.From),
-                        false);
+    respond(Connection, Poll.Exchange, renderRead(Poll.Topic, Poll.From));
   }
 }
 
@@ -192,20 +232,19 @@
     return;
   }
   if (Access == store_access::Refused) {
-    return Connection->respond(Exchange, {503, "", {}, ""}, false);
+    return respond(Connection, Exchange, {503, "", {}, ""});
   }
   auto Topic = queryParameter(Request, "topic");
   if (Request.Path == "/log-newest") {
-    return Connection->respond(Exchange, renderListing(Topic), false);
+    return respond(Connection, Exchange, renderListing(Topic));
   }
   if (Request.Path == "/log-append") {
     auto ExpectedEnd = queryParameter(Request, "at");
     if (!ExpectedEnd.empty() &&
         std::stoull(ExpectedEnd) != Topics[Topic].size()) {
-      return Connection->respond(
-          Exchange,
-          {412, "", {}, nlohmann::json{{"end", Topics[Topic].size()}}.dump()},
-          false);
+      return respond(
+          Connection, Exchange,
+          {412, "", {}, nlohmann::json{{"end", Topics[Topic].size()}}.dump()});
     }
     auto KeySize = static_cast<unsigned char>(Request.Body.at(4));
     append(Topic, Request.Body.substr(5, KeySize),
@@ -215,10 +254,11 @@
       return;
     }
     auto End = Topics[Topic].size();
-    return Connection->respond(
-        Exchange,
-        {200, "", {}, nlohmann::json{{"offset", End - 1}, {"end", End}}.dump()},
-        false);
+    return respond(Connection, Exchange,
+                   {200,
+                    "",
+                    {},
+                    nlohmann::json{{"offset", End - 1}, {"end", End}}.dump()});
   }
   auto From = std::stoull(queryParameter(Request, "from"));
   auto Wait = std::stoll(queryParameter(Request, "waitMs"));
@@ -226,7 +266,7 @@
   auto Timer = Loop.addTimer(Loop.now() + micros(Wait * 1000),
                              [this, Id] { answerPoll(Id); });
   Polls.emplace(Id, poll{Node, Connection, Exchange, Topic, From, Timer});
-  if (From < Topics[Topic].size()) {
+  if (From != Topics[Topic].size()) {
     answerPoll(Id);
   }
 }
--- a/test/store_sim.h
+++ b/test/store_sim.h
@@ -43,6 +43,11 @@
   /** Called with path and topic of each call when it arrives.
    * @return the time after which it is handled. */
   std::function<micros(const std::string &, const std::string &)> OnCall;
+  /** Era in all answers; 0 for none. */
+  int Era = 0;
+  /** Comes back from a copy that is as old as the given time, in a new era.
+   * Operators write again what they wrote since, after a delay. */
+  void rewind(micros Age, micros RewriteDelay);
   /** Number of calls of all nodes, by path. */
   std::map<std::string, int> Calls;
 
@@ -71,6 +76,9 @@
       -> http::response;
   auto renderListing(const std::string &Topic) const -> http::response;
   void answerPoll(std::uint64_t Id);
+  /** Sends an answer with the era. */
+  void respond(const connection &Connection, http::exchange_number Exchange,
+               http::response Response) const;
   /** Forgets the polls of a node; they are never answered. */
   void dropPolls(int Node);
 
@@ -78,6 +86,7 @@
   std::map<int, client> Clients;
   std::map<std::string, std::vector<std::pair<std::string, std::string>>>
       Topics;
+  std::map<std::string, std::vector<steady_time>> AppendedAt;
   std::map<std::uint64_t, poll> Polls;
   std::uint64_t NextPoll = 1;
 };
