Feature: [Soak] The store comes back from an older copy

Change: the stand-in of the store sends its era, and every 5 to 15 s rejects calls for up to 1 s, loses its last 1 to 10 s and rises its era; operators write again what it lost. The sequence of the other faults is unchanged.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -155,6 +155,7 @@
         self.folder = args.keep or tempfile.mkdtemp(prefix="soak-")
         os.makedirs(self.folder, exist_ok=True)
         self.store = Store((f"127.0.{self.net}.250", STORE_PORT))
+        self.store.era = 1
         self.ledger = self.ledger_type(BOUNDS, args.broken)
         self.left_at_by_target = self.ledger.left_at_by_target
         self.nodes = [self.node_type(self, index) for index in range(args.nodes)]
@@ -361,6 +362,28 @@
             await asyncio.sleep(choose.uniform(4, 9))
             await choose.choice(self.nodes).target.leave_by_answers(BOUNDS["drain"])
 
+    async def rewind_store(self):
+        """Lets the store come back from older copies; operators write again what it lost, in order."""
+        choose = random.Random(self.args.seed + 3000)
+        end = time.monotonic() + self.args.seconds
+        while time.monotonic() < end:
+            await asyncio.sleep(choose.uniform(5, 15))
+            away, rewrite = choose.uniform(0.2, 1), choose.uniform(0.5, 3)
+            now = time.monotonic()
+            self.ledger.record_store_fault(now, now + away + rewrite)
+            self.faults.append((now, "store rewind", ""))
+            mode, self.store.mode = self.store.mode, "reject"
+            await asyncio.sleep(away)
+            self.store.mode = mode if self.store.mode == "reject" else self.store.mode
+            lost = self.store.rewind(choose.uniform(1, 10))
+            rewound_end = len(self.store.topics["keyed.op"])
+            await asyncio.sleep(rewrite)
+            # What operators have written since is newer than what was lost.
+            written = {key for key, _ in self.store.topics["keyed.op"][rewound_end:]}
+            for key, value in lost:
+                if key not in written:
+                    self.store.append("keyed.op", key, value)
+
     async def watch_loop_lag(self):
         """Records when the event loop of the soak itself was delayed; time bounds are not checked then."""
         while not self.finished:
@@ -387,7 +410,7 @@
             tasks += [asyncio.create_task(node.poll_readiness()), asyncio.create_task(self.probe_config(node))]
             tasks += [asyncio.create_task(self.run_caller(node)) for _ in range(3)]
         await asyncio.sleep(4)
-        await self.inject_faults(self.args.seconds)
+        await asyncio.gather(self.inject_faults(self.args.seconds), self.rewind_store())
         quiet_since = time.monotonic()
         await asyncio.sleep(FINAL_QUIET_S)
         self.finished = True
--- a/soak/stand_ins.py
+++ b/soak/stand_ins.py
@@ -77,6 +77,8 @@
         self.address = address
         self.mode = "ok"
         self.topics = {}
+        self.times = {}  # By topic, when each record was appended.
+        self.era = 0  # Of the header Store-Era; 0 for none.
         self.changed = asyncio.Event()
 
     async def start(self):
@@ -86,9 +88,28 @@
         """Appends a record; an empty value deletes the key. Returns the offset of the record."""
         records = self.topics.setdefault(topic, [])
         records.append((key, value))
+        self.times.setdefault(topic, []).append(time.monotonic())
+        self.notify()
+        return len(records) - 1
+
+    def notify(self):
         self.changed.set()
         self.changed = asyncio.Event()
-        return len(records) - 1
+
+    def rewind(self, age_s):
+        """Comes back from a copy that is age_s old, in a new era. Returns the lost records of operators."""
+        lost = []
+        for topic, records in self.topics.items():
+            kept = sum(at < time.monotonic() - age_s for at in self.times[topic])
+            if topic == "keyed.op":
+                lost = records[kept:]
+            del records[kept:], self.times[topic][kept:]
+        self.era += 1
+        self.notify()
+        return lost
+
+    def headers(self):
+        return {"Store-Era": self.era} if self.era > 0 else {}
 
     def latest_by_key(self, topic):
         last = {key: (value, offset) for offset, (key, value) in enumerate(self.topics.get(topic, []))}
@@ -103,12 +124,12 @@
                 if self.mode == "slow":
                     await asyncio.sleep(0.5)
                 if self.mode == "reject":
-                    writer.write(encode("HTTP/1.1 503 Busy", {}))
+                    writer.write(encode("HTTP/1.1 503 Busy", self.headers()))
                     continue
                 status, body = await self.answer(message)
                 if self.mode == "lost":
                     return abort(writer)
-                writer.write(encode("HTTP/1.1 " + status, {}, body))
+                writer.write(encode("HTTP/1.1 " + status, self.headers(), body))
                 await writer.drain()
         except (OSError, ValueError, asyncio.IncompleteReadError):
             writer.close()
@@ -132,12 +153,14 @@
             return "200 OK", json.dumps({"items": items, "more": False, "end": len(records)}).encode()
         start = int(query.get("from", "0"))
         until = time.monotonic() + int(query.get("waitMs", "0")) / 1000
-        while len(self.topics.get(topic, [])) <= start and time.monotonic() < until:
+        while len(self.topics.get(topic, [])) == start and time.monotonic() < until:
             try:
                 await asyncio.wait_for(self.changed.wait(), max(0.01, until - time.monotonic()))
             except TimeoutError:
                 break
         records = self.topics.get(topic, [])
+        if start > len(records):
+            return "410 Gone", b""
         out = struct.pack(">QQ", len(records), 0)
         for key, value in records[start:]:
             content = bytes([len(key)]) + key.encode() + value
