--- a/test/sidecar_rewind_test.cpp
+++ b/test/sidecar_rewind_test.cpp
@@ -70,6 +70,7 @@
 /** A rollout from two targets of v1 to two of v2. */
 struct rollout_rewind : rewind_run {
   steady_time Ordered{};
+  std::vector<int> Stages; // Of the rollout on each node.
 
   explicit rollout_rewind(micros NewRunTime) : rewind_run(1, 4, micros(0)) {
     for (auto Node : {2, 3}) {
@@ -83,10 +84,24 @@
         R"({"service":"svc","targetVersion":"v2","duration":"14s"})");
     Ordered = Mesh.now();
   }
+  /** Sends calls, and checks that no node goes back to an earlier stage. */
   void playCalls(micros Until) {
     for (auto Call = 0; Mesh.now() < Ordered + Until; ++Call) {
       Mesh.startCall(Call % 4, 1, [](int) {});
       Mesh.run(micros(20'000));
+      if (Call % 25 == 0) {
+        checkStages();
+      }
+    }
+  }
+  void checkStages() {
+    Stages.resize(4);
+    for (auto Node = 0; Node < 4; ++Node) {
+      auto &Known = Stages[static_cast<std::size_t>(Node)];
+      auto Rollouts = Mesh.state(Node)["rollouts"];
+      auto Stage = Rollouts.is_null() ? 0 : Rollouts["svc"]["stage"].get<int>();
+      cr_assert_geq(Stage, Known, "node %d went back", Node + 1);
+      Known = Stage;
     }
   }
   /** Checks that all nodes and the store have one outcome. */
@@ -98,6 +113,12 @@
     auto Statuses = Mesh.store().valuesOf(StatusTopic, "rollout/svc");
     cr_assert_not(Statuses.empty());
     cr_assert_eq(nlohmann::json::parse(Statuses.back())["state"], Status);
+    auto IsFinal = false;
+    for (const auto &Text : Statuses) {
+      auto Is = nlohmann::json::parse(Text)["state"] == Status;
+      cr_assert(Is || !IsFinal, "%s after the outcome", Text.c_str());
+      IsFinal = Is;
+    }
     cr_assert_not(Mesh.store().valuesOf(MeshTopic, "rollout/svc").empty());
   }
 };
@@ -210,39 +231,39 @@
 /** Rewinds the store at each step of a rollout.
  * @param Dead node that is cut off from the store and all nodes meanwhile, or
  * -1. */
-static void rewindRollouts(int Dead) {
-  for (auto Age : {1, 4, 10}) {
-    for (auto Step : {0, 1, 7, 8, 11, 12, 15}) {
-      auto Run = rollout_rewind(micros(20'000));
-      auto SetDead = [&Run, Dead](bool IsDead) {
-        if (Dead < 0) {
-          return;
-        }
-        Run.Mesh.store().setAccess(Dead, IsDead ? store_access::Silent
-                                                : store_access::Served);
-        for (auto Other = 1; Other < 4; ++Other) {
-          Run.Mesh.setCut(Dead, Other, IsDead);
-        }
-      };
-      SetDead(true);
-      Run.playCalls(seconds(Step));
-      Run.Mesh.store().rewind(seconds(Age), RewriteDelay);
-      Run.playCalls(seconds(16));
-      SetDead(false);
-      Run.playCalls(seconds(28));
-      Run.expectOutcome(rollout::rollout_stage::Completed, "completed");
-    }
+static void rewindRollouts(int Dead, int Age) {
+  for (auto Step : {0, 1, 7, 8, 11, 12, 15}) {
+    auto Run = rollout_rewind(micros(20'000));
+    auto SetDead = [&Run, Dead](bool IsDead) {
+      if (Dead < 0) {
+        return;
+      }
+      Run.Mesh.store().setAccess(Dead, IsDead ? store_access::Silent
+                                              : store_access::Served);
+      for (auto Other = 1; Other < 4; ++Other) {
+        Run.Mesh.setCut(Dead, Other, IsDead);
+      }
+    };
+    SetDead(true);
+    Run.playCalls(seconds(Step));
+    Run.Mesh.store().rewind(seconds(Age), RewriteDelay);
+    Run.playCalls(seconds(16));
+    SetDead(false);
+    Run.playCalls(seconds(28));
+    Run.expectOutcome(rollout::rollout_stage::Completed, "completed");
   }
 }
 
-// Guards against a rollout that is undone, begun again or decided twice because
-// the store lost its order, decision or status.
-Test(sidecar_rewind, rollouts_keep_their_outcome) { rewindRollouts(-1); }
+// Guards against a rollout that is undone or begun again because the store lost
+// its order, decision or status. Each test is short enough for its time limit.
+Test(sidecar_rewind, rollouts_outlast_1_s) { rewindRollouts(-1, 1); }
+Test(sidecar_rewind, rollouts_outlast_4_s) { rewindRollouts(-1, 4); }
+Test(sidecar_rewind, rollouts_outlast_10_s) { rewindRollouts(-1, 10); }
 
 // Guards against the same while one of the deciders is dead.
-Test(sidecar_rewind, rollouts_keep_their_outcome_without_a_decider) {
-  rewindRollouts(0);
-}
+Test(sidecar_rewind, rollouts_outlast_1_s_less_one) { rewindRollouts(0, 1); }
+Test(sidecar_rewind, rollouts_outlast_4_s_less_one) { rewindRollouts(0, 4); }
+Test(sidecar_rewind, rollouts_outlast_10_s_less_one) { rewindRollouts(0, 10); }
 
 // Guards against an order that was rolled back and gets calls again because it
 // has another offset.
