Feature: [Customers] Decide calls by customers' keys from the request head

Configurations may name customers with keys. The entry node refuses calls with an unknown, missing or malformed key before it reads their body, and sends the customer's name and priority with the call. Without customers nothing changes.

--- a/include/sycamorelb/http/server_connection.h
+++ b/include/sycamorelb/http/server_connection.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace sycamorelb::http {
 
@@ -25,6 +26,10 @@
   /** Tells whether a request may run beside others of its connection; without
    * it, all requests run one at a time. */
   std::function<bool(const request &)> MayRunBeside;
+  /** Decides from the head whether a request with a body that has not arrived
+   * yet is refused: returns the response, or nothing. Such a body is not
+   * buffered: a small one is skipped, after any other the connection closes. */
+  std::function<std::optional<response>(const request &)> CheckHead;
 };
 
 /**
--- a/include/sycamorelb/mesh/config_type.h
+++ b/include/sycamorelb/mesh/config_type.h
@@ -6,6 +6,7 @@
 #include "sycamorelb/core/unit_type.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -34,10 +35,11 @@
   std::string Host;       ///< Host header, lower case.
   std::string PathPrefix; ///< Begins and ends with a slash.
   call_kind Kind = call_kind::NonIdempotent; ///< Whether calls may be repeated.
-  millis Timeout{0};          ///< Maximum time until the final answer.
-  millis Objective{0};        ///< Time within which an answer is on time.
-  std::uint32_t Attempts = 1; ///< Targets that a call may be sent to.
-  std::uint32_t Priority = 0; ///< Priority; 0 is the highest.
+  millis Timeout{0};           ///< Maximum time until the final answer.
+  millis Objective{0};         ///< Time within which an answer is on time.
+  std::uint32_t Attempts = 1;  ///< Targets that a call may be sent to.
+  std::uint32_t Priority = 0;  ///< Priority; 0 is the highest.
+  bool AllowAnonymous = false; ///< Calls without a key are accepted.
   std::vector<weighted_service> Services; ///< At least one service.
   auto operator==(const route_rule &) const -> bool = default;
 };
@@ -61,12 +63,21 @@
   auto operator==(const caller_limits &) const -> bool = default;
 };
 
+/** A customer, which is known by its keys. */
+struct customer_rule {
+  customer_id Name;                      ///< Name.
+  std::vector<std::string> Keys;         ///< Secret keys of its calls.
+  std::optional<std::uint32_t> Priority; ///< Replaces the route's priority.
+};
+
 /** One version of the configuration. */
 struct mesh_config {
   config_version Version;             ///< Its version.
   std::vector<route_rule> Routes;     ///< All routes.
   std::vector<service_rule> Services; ///< All services.
-  caller_limits Limits;               ///< Limits for callers.
+  /** All customers. Without any, calls carry no keys. */
+  std::vector<customer_rule> Customers;
+  caller_limits Limits; ///< Limits for callers.
   /** First optional member of the document that couldn't be read and has its
    * default value; empty if there is none. */
   std::string IgnoredFault;
--- a/include/sycamorelb/mesh/route_table.h
+++ b/include/sycamorelb/mesh/route_table.h
@@ -2,6 +2,7 @@
 #pragma once
 
 #include "sycamorelb/mesh/config_type.h"
+#include "sycamorelb/mesh/customer_table.h"
 
 #include <memory>
 #include <optional>
@@ -14,7 +15,8 @@
 /** Immutable index of the routes and services of one configuration. */
 class route_table {
 public:
-  explicit route_table(std::shared_ptr<const mesh_config> Config);
+  explicit route_table(std::shared_ptr<const mesh_config> Config,
+                       customer_table Customers = {});
 
   /** @return the route with the longest matching prefix of Path, or null.
    * @param Host value of the Host header; a port and letter case are ignored.
@@ -23,11 +25,14 @@
       -> const route_rule *;
   /** @return the properties of a service, or null. */
   auto findService(const service_id &Service) const -> const service_rule *;
+  /** @return the customers of the configuration. */
+  auto customers() const -> const customer_table & { return Customers; }
   /** @return the configuration. */
   auto config() const -> const mesh_config & { return *Config; }
 
 private:
   std::shared_ptr<const mesh_config> Config;
+  customer_table Customers;
   std::unordered_map<std::string, const route_rule *> ByHostAndPrefix;
   std::unordered_map<service_id, const service_rule *> ByService;
 };
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -12,6 +12,10 @@
 /** Unread input of a busy connection above which it stops reading. */
 static constexpr auto MaxPipelinedBytes = std::size_t{64} * 1024;
 
+/** Largest body of a refused request that is read and dropped, so that its
+ * connection stays usable. A longer one costs more than a new connection. */
+static constexpr auto MaxSkippedBodyBytes = std::uint64_t{64} * 1024;
+
 struct server_connection::implementation {
   /** What has been received of the next request. */
   enum class read_stage : std::uint8_t { None, Head, Body, Complete };
@@ -25,6 +29,8 @@
   bool NextKeepsAlive = true;
   bool NextAwaitsContinue = false;
   bool InReadLoop = false;
+  bool SkipsBody = false;         // Next was refused.
+  bool HasSkippedRequest = false; // Its body has ended.
   proxy::body_decoder Decoder;
   steady_time StateChangedAt = event::bootTime();
 
@@ -42,7 +48,9 @@
       if (Step.Consumed == 0) {
         return;
       }
-      Next.Body.append(Step.Data);
+      if (!SkipsBody) {
+        Next.Body.append(Step.Data);
+      }
       Stream->consume(Step.Consumed);
     }
   }
@@ -58,6 +66,31 @@
     Next.HasBody = Head.Body.Kind != proxy::body_kind::None;
     Decoder = proxy::body_decoder(Head.Body, Options.Limits.MaxBodyBytes);
     setStage(read_stage::Body);
+    checkHead(Head.Body);
+  }
+
+  /** Refuses the next request if its head and the options say so. A small body
+   * that has arrived is not worth a second decision. */
+  void checkHead(const proxy::body_framing &Body) {
+    auto IsSmall = Body.Kind == proxy::body_kind::Length &&
+                   Body.Length <= MaxSkippedBodyBytes;
+    if (!Options.CheckHead || Body.Kind == proxy::body_kind::None ||
+        (IsSmall && Body.Length <= Stream->input().size())) {
+      return;
+    }
+    auto Refusal = Options.CheckHead(Next);
+    if (!Refusal) {
+      return;
+    }
+    // A client that awaits 100 Continue may or may not send the body.
+    SkipsBody = IsSmall && NextKeepsAlive && !NextAwaitsContinue;
+    auto Number = beginExchange(Pipeline, *Options.Budget, Next.Method, false,
+                                !SkipsBody);
+    completeExchange(Pipeline, *Options.Budget, Number, std::move(*Refusal),
+                     !SkipsBody);
+    if (!SkipsBody) {
+      setStage(read_stage::None);
+    }
   }
 
   /** Answers an invalid request; nothing after it can be read. */
@@ -106,6 +139,10 @@
     readBody();
     if (Decoder.isInvalid()) {
       reject(Decoder.isTooLarge() ? 413 : 400, "malformed body");
+    } else if (Decoder.isComplete() && SkipsBody) {
+      SkipsBody = false;
+      HasSkippedRequest = true;
+      setStage(read_stage::None);
     } else if (Decoder.isComplete()) {
       setStage(read_stage::Complete);
     }
@@ -162,6 +199,10 @@
     if (Impl->Stage != implementation::read_stage::Complete) {
       Impl->readNext();
     }
+    if (std::exchange(Impl->HasSkippedRequest, false)) {
+      sendReady();
+      continue;
+    }
     if (Impl->Stage != implementation::read_stage::Complete) {
       break;
     }
--- a/src/mesh/route_table.cpp
+++ b/src/mesh/route_table.cpp
@@ -25,8 +25,9 @@
   return Host + std::string(Prefix);
 }
 
-route_table::route_table(std::shared_ptr<const mesh_config> Config)
-    : Config(std::move(Config)) {
+route_table::route_table(std::shared_ptr<const mesh_config> Config,
+                         customer_table Customers)
+    : Config(std::move(Config)), Customers(std::move(Customers)) {
   for (const auto &Route : this->Config->Routes) {
     ByHostAndPrefix.emplace(
         routeKey(normalizedHost(Route.Host), Route.PathPrefix), &Route);
--- a/src/sidecar/call_dispatch.cpp
+++ b/src/sidecar/call_dispatch.cpp
@@ -75,7 +75,8 @@
   Forward.CallerService = State.Settings.Service;
   Forward.Request = Call.Request;
   Forward.Kind = Call.Route->Kind;
-  Forward.Priority = Call.Route->Priority;
+  Forward.Priority = Call.Priority;
+  Forward.Customer = Call.Customer;
   Forward.TimeToStartOnTime = Call.ObjectiveAt - Now - RunTime;
   Forward.TimeLeft = Call.DeadlineAt - Now;
   auto Notice = Balancer.Notices.find(Host.Node);
@@ -250,10 +251,23 @@
              "failed");
 }
 
+void entry::implementation::logCustomer(const open_call &Call, int Status) {
+  if (Call.Customer.Value.empty()) {
+    return;
+  }
+  // A line of its own, so that deployments without customers log as before.
+  State.Log.write(Status < 400 ? log_class::Routine : log_class::Decision,
+                  "call.customer",
+                  {{"id", Call.Id.Value},
+                   {"customer", Call.Customer.Value},
+                   {"priority", std::int64_t{Call.Priority}}});
+}
+
 void entry::implementation::answerCall(const call_ref &Call,
                                        const http::response &Response,
                                        const char *Outcome) {
   removeCall(*Call);
+  logCustomer(*Call, Response.Status);
   auto Duration = State.Loop.now() - Call->ArrivedAt;
   ++State.Counters.Calls[Outcome];
   recordLatency(State.Counters.Latency[Call->Route->Name], Duration);
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -51,6 +51,9 @@
   Options.MayRunBeside = [this](const http::request &Request) {
     return mayRunBeside(Request);
   };
+  Options.CheckHead = [this](const http::request &Request) {
+    return checkHead(Request);
+  };
   auto Connection = http::server_connection::create(
       std::move(Stream), std::move(Options),
       [this](const std::shared_ptr<http::server_connection> &Caller,
@@ -71,16 +74,72 @@
   return Route != nullptr && Route->Kind == mesh::call_kind::Idempotent;
 }
 
-void entry::implementation::rejectRequest(
-    const std::shared_ptr<http::server_connection> &Caller,
-    http::exchange_number Exchange, const request_id &Id, int Status,
-    std::optional<micros> RetryDelay, const char *Reason) {
+auto entry::implementation::decideCaller(const http::request &Request,
+                                         const mesh::route_rule &Route) const
+    -> mesh::key_decision {
+  const auto &Customers = State.Routes->customers();
+  if (!Customers.hasCustomers()) {
+    return {};
+  }
+  return mesh::decideByKey(Customers, platform::decodeKey(Request.Headers),
+                           Route.AllowAnonymous, areKeysHeld(State));
+}
+
+/** @return the reason of a refusal by key, for callers, logs and metrics. */
+static auto refusalReason(mesh::key_verdict Verdict) -> const char * {
+  switch (Verdict) {
+  case mesh::key_verdict::Held:
+    return "keys not confirmed";
+  case mesh::key_verdict::Missing:
+    return "missing key";
+  case mesh::key_verdict::Unknown:
+    return "unknown key";
+  default:
+    return "malformed";
+  }
+}
+
+auto entry::implementation::refuseKey(const request_id &Id,
+                                      mesh::key_verdict Verdict)
+    -> http::response {
+  const auto *Reason = refusalReason(Verdict);
+  ++State.Counters.KeyRefusals[Reason];
+  return Verdict == mesh::key_verdict::Held
+             ? rejection(Id, 503, DefaultRetryDelay, Reason)
+             : rejection(Id, 401, std::nullopt, Reason);
+}
+
+auto entry::implementation::checkHead(const http::request &Request)
+    -> std::optional<http::response> {
+  if (!State.Routes || !State.Routes->customers().hasCustomers()) {
+    return std::nullopt;
+  }
+  auto Header = platform::decodeCallHeader(Request);
+  const auto *Route = State.Routes->find(Header.Host, Request.Path);
+  if (Route == nullptr) {
+    return std::nullopt;
+  }
+  auto Decision = decideCaller(Request, *Route);
+  return Decision.Verdict == mesh::key_verdict::Accepted
+             ? std::nullopt
+             : std::optional(refuseKey(Header.Id, Decision.Verdict));
+}
+
+auto entry::implementation::rejection(const request_id &Id, int Status,
+                                      std::optional<micros> RetryDelay,
+                                      const char *Reason) -> http::response {
   ++State.Counters.Calls[std::string("rejected: ") + Reason];
   State.Log.write(
       log_class::Decision, "call.rejected",
       {{"id", Id.Value}, {"status", std::int64_t{Status}}, {"reason", Reason}});
-  Caller->respond(Exchange,
-                  platform::encodeLocalReply(Status, Id, RetryDelay, Reason),
+  return platform::encodeLocalReply(Status, Id, RetryDelay, Reason);
+}
+
+void entry::implementation::rejectRequest(
+    const std::shared_ptr<http::server_connection> &Caller,
+    http::exchange_number Exchange, const request_id &Id, int Status,
+    std::optional<micros> RetryDelay, const char *Reason) {
+  Caller->respond(Exchange, rejection(Id, Status, RetryDelay, Reason),
                   State.Stopping);
 }
 
@@ -99,6 +158,12 @@
     return rejectRequest(Caller, Exchange, Header.Id, 404, std::nullopt,
                          "no route");
   }
+  // Decided again: the keys may have changed while the body was read.
+  auto Decision = decideCaller(Request, *Route);
+  if (Decision.Verdict != mesh::key_verdict::Accepted) {
+    return Caller->respond(Exchange, refuseKey(Header.Id, Decision.Verdict),
+                           State.Stopping);
+  }
   auto TimeLeft = std::min<micros>(Header.TimeLeft.value_or(Route->Timeout),
                                    Route->Timeout);
   if (!endsBeforeStop(State, Now + TimeLeft)) {
@@ -111,6 +176,14 @@
   Call->Exchange = Exchange;
   Call->Id = Header.Id;
   Call->Request = std::move(Request);
+  if (State.Routes->customers().hasCustomers()) {
+    platform::removeCustomerHeaders(Call->Request.Headers);
+  }
+  Call->Priority = Route->Priority;
+  if (Decision.Customer != nullptr) {
+    Call->Customer = Decision.Customer->Name;
+    Call->Priority = Decision.Customer->Priority.value_or(Route->Priority);
+  }
   Call->Route = Route;
   Call->Routes = State.Routes;
   auto Index =
--- a/src/sidecar/entry_state.h
+++ b/src/sidecar/entry_state.h
@@ -29,6 +29,8 @@
   const mesh::route_rule *Route = nullptr;
   std::shared_ptr<const mesh::route_table> Routes; // Owns Route.
   service_id Service;
+  customer_id Customer;       // Empty if none was named by a key.
+  std::uint32_t Priority = 0; // Of the customer, or else of the route.
   steady_time ArrivedAt{};
   steady_time ObjectiveAt{}; // Latest time that meets the latency objective.
   steady_time DeadlineAt{};  // Time at which the caller gets a timeout.
@@ -76,6 +78,21 @@
   void accept(std::shared_ptr<event::stream> Stream);
   /** @return whether a request may run beside others of its connection. */
   auto mayRunBeside(const http::request &Request) const -> bool;
+  /** @return the decision on a call by its key. */
+  auto decideCaller(const http::request &Request,
+                    const mesh::route_rule &Route) const -> mesh::key_decision;
+  /** @return the response to a request that is refused before its body is read,
+   * or nothing. */
+  auto checkHead(const http::request &Request) -> std::optional<http::response>;
+  /** Counts and logs a request that is refused by its key.
+   * @return the response. */
+  auto refuseKey(const request_id &Id, mesh::key_verdict Verdict)
+      -> http::response;
+  /** Counts and logs a request for which no call is created.
+   * @return the response. */
+  auto rejection(const request_id &Id, int Status,
+                 std::optional<micros> RetryDelay, const char *Reason)
+      -> http::response;
   void beginCall(const std::shared_ptr<http::server_connection> &Caller,
                  http::exchange_number Exchange, http::request Request);
   /** Responds with an error to a request for which no call is created. */
@@ -101,6 +118,8 @@
   /** Ends a call with the last 5xx response of a target, or else with Status.
    */
   void failCall(const call_ref &Call, int Status, const char *Reason);
+  /** Logs the customer of a call that ends, if it has one. */
+  void logCustomer(const open_call &Call, int Status);
   void answerCall(const call_ref &Call, const http::response &Response,
                   const char *Outcome);
   void handleTimeout(const call_ref &Call);
--- a/src/sidecar/node_counters.h
+++ b/src/sidecar/node_counters.h
@@ -34,11 +34,12 @@
 
 /** Counters of a node. */
 struct node_counters {
-  std::map<std::string, std::uint64_t> Calls;      ///< By final outcome.
-  std::map<std::string, std::uint64_t> Admissions; ///< By local outcome.
-  std::map<std::string, std::uint64_t> StoreCalls; ///< By call and outcome.
-  std::map<std::string, std::uint64_t> BadInput;   ///< By source.
-  std::uint64_t Retries = 0;                       ///< Retries of failed calls.
+  std::map<std::string, std::uint64_t> Calls;       ///< By final outcome.
+  std::map<std::string, std::uint64_t> Admissions;  ///< By local outcome.
+  std::map<std::string, std::uint64_t> StoreCalls;  ///< By call and outcome.
+  std::map<std::string, std::uint64_t> BadInput;    ///< By source.
+  std::map<std::string, std::uint64_t> KeyRefusals; ///< By reason.
+  std::uint64_t Retries = 0;   ///< Retries of failed calls.
   std::uint64_t Bounces = 0;   ///< Attempts that were not run.
   std::uint64_t LinksLost = 0; ///< Peer connections lost.
   /** By kind, and whether the other node is in the same zone. */
--- a/src/sidecar/node_state.cpp
+++ b/src/sidecar/node_state.cpp
@@ -20,11 +20,22 @@
   return {std::uint64_t{Device()} << 32U | Device()};
 }
 
+/** @return a salt that callers can't predict. */
+static auto drawKeySalt() -> mesh::key_salt {
+  auto Device = std::random_device();
+  auto Salt = mesh::key_salt();
+  for (auto &Byte : Salt) {
+    Byte = static_cast<std::uint8_t>(Device());
+  }
+  return Salt;
+}
+
 node_state::node_state(event::loop &Loop, node_settings Settings,
                        std::uint64_t Seed)
     : Loop(Loop), Settings(std::move(Settings)), Random(Seed),
       Log(Loop, this->Settings.Node), Compressor(sampleMessages()) {
   StartedAt = Loop.now();
+  KeySalt = drawKeySalt();
   Own.Node = this->Settings.Node;
   Own.Process = drawProcessId();
   Own.Peer = this->Settings.AdvertisedPeerAddress.Port == 0
@@ -97,8 +108,15 @@
   if (State.Routes && State.Routes->config().Version >= Version) {
     return false;
   }
+  auto Customers =
+      mesh::customer_table(valueOf(Config).Customers, State.KeySalt);
+  auto AmbiguousKeys = Customers.ambiguousKeys();
+  for (auto &Customer : valueOf(Config).Customers) {
+    Customer.Keys.clear();
+  }
   State.Routes = std::make_shared<const mesh::route_table>(
-      std::make_shared<const mesh::mesh_config>(std::move(valueOf(Config))));
+      std::make_shared<const mesh::mesh_config>(std::move(valueOf(Config))),
+      std::move(Customers));
   State.ConfigAppliedAt = State.Loop.now();
   State.Log.write(log_class::State, "config.applied",
                   {{"version", static_cast<std::int64_t>(Version.Value)},
@@ -107,6 +125,14 @@
                    {"ignored_fault", State.Routes->config().IgnoredFault},
                    {"routes", static_cast<std::int64_t>(
                                   State.Routes->config().Routes.size())}});
+  if (State.Routes->customers().hasCustomers()) {
+    State.Log.write(
+        log_class::State, "config.customers",
+        {{"version", static_cast<std::int64_t>(Version.Value)},
+         {"customers",
+          static_cast<std::int64_t>(State.Routes->config().Customers.size())},
+         {"ambiguous_keys", static_cast<std::int64_t>(AmbiguousKeys)}});
+  }
   return true;
 }
 
@@ -158,6 +184,15 @@
   return Changed;
 }
 
+auto areKeysHeld(const node_state &State) -> bool {
+  auto Now = State.Loop.now();
+  // Calls may be read before the check that notices the pause.
+  auto IsCheckLate = State.CheckDueAt != steady_time() &&
+                     Now - State.CheckDueAt > PauseThreshold;
+  return IsCheckLate ||
+         mesh::isHeld(State.KeyHold, State.RecordSource.ConfirmedAt, Now);
+}
+
 void logMissingRoute(node_state &State, const request_id &Id) {
   auto Age = [&State](steady_time Since) {
     return Since == steady_time() ? std::int64_t{-1}
--- a/src/sidecar/node_state.h
+++ b/src/sidecar/node_state.h
@@ -48,6 +48,9 @@
   mesh::operator_table Operator; ///< Records written by operators.
   /** Routes of the current configuration; null before the first one. */
   std::shared_ptr<const mesh::route_table> Routes;
+  mesh::key_salt KeySalt{}; ///< For the hashes of the customers' keys.
+  mesh::key_hold KeyHold;   ///< Set after a pause of the process.
+  steady_time CheckDueAt{}; ///< When the next periodic check is due.
   /** Parsed parts of the last configuration document. */
   platform::config_cache ConfigCache;
   steady_time ConfigAppliedAt{};    ///< When Routes were applied.
@@ -82,6 +85,14 @@
 auto useOfTarget(const node_state &State, const mesh::target_record &Target)
     -> rollout::version_use;
 
+/** Delay of a periodic check above which the process counts as having been
+ * suspended. */
+inline constexpr auto PauseThreshold = micros(1'500'000);
+
+/** @return whether a pause of the process ended, noticed or not, after which
+ * the customers' keys are not confirmed yet. */
+auto areKeysHeld(const node_state &State) -> bool;
+
 /** Logs a call that matched no route, with the configuration that decided and
  * what this node knows of its age. */
 void logMissingRoute(node_state &State, const request_id &Id);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -30,10 +30,6 @@
 /** Periodic checks between two checks of the settings file. */
 static constexpr auto SettingsCheckTicks = 5;
 
-/** Delay of a periodic check above which the process counts as having been
- * suspended. */
-static constexpr auto PauseThreshold = micros(1'500'000);
-
 sidecar::sidecar(std::unique_ptr<implementation> Impl)
     : Impl(std::move(Impl)) {}
 
@@ -319,11 +315,13 @@
 
 void sidecar::implementation::runPeriodicChecks() {
   auto Now = Loop.now();
-  auto Lateness = Now - TickDue;
-  if (TickDue != steady_time() && Lateness > PauseThreshold) {
+  auto Lateness = Now - State.CheckDueAt;
+  if (State.CheckDueAt != steady_time() && Lateness > PauseThreshold) {
     State.Log.write(log_class::State, "process.paused",
                     {{"late_us", Lateness.count()}});
     // All state from before the pause may be outdated.
+    State.KeyHold = {Now, Now + State.Settings.Bounds.ConfigApply,
+                     State.RecordSource.ConfirmedAt};
     doubtColdTime("process was paused");
     askColdTime(false);
     Store.restart();
@@ -332,8 +330,8 @@
   if (++TickCount % SettingsCheckTicks == 0) {
     reloadIfChanged();
   }
-  TickDue = Now + TickInterval;
-  Loop.addTimer(TickDue, [this] { runPeriodicChecks(); });
+  State.CheckDueAt = Now + TickInterval;
+  Loop.addTimer(State.CheckDueAt, [this] { runPeriodicChecks(); });
 }
 
 void sidecar::implementation::measureLink() {
--- a/src/sidecar/sidecar_state.h
+++ b/src/sidecar/sidecar_state.h
@@ -58,7 +58,6 @@
   std::unique_ptr<signal_events> Signals;
   steady_time StopRequestedAt{};
   std::function<void()> OnStopped; // Ends the process.
-  steady_time TickDue{};
   int TickCount = 0;
   /** When there was a reason to take the target for cold. A heartbeat may be
    * from before. */
--- a/src/sidecar/target_exchange.cpp
+++ b/src/sidecar/target_exchange.cpp
@@ -43,6 +43,9 @@
   Header.TimeLeft = Call->DeadlineAt - Now;
   Header.Target = Target.Id;
   Header.CallerService = Forward.CallerService;
+  Header.Customer = Forward.Customer;
+  Header.HasCustomers =
+      State.Routes && State.Routes->customers().hasCustomers();
   Forward.Request.Headers =
       platform::encodeTargetHeader(Forward.Request.Headers, Header);
   Call->Connection = Pool.take(!Idempotent);
--- a/test/platform_document_test.cpp
+++ b/test/platform_document_test.cpp
@@ -267,6 +267,60 @@
                1);
 }
 
+// Guards against a key that is read from credentials in another form, and
+// against accepting two keys.
+Test(platform_document, only_one_bearer_key_is_read) {
+  auto Read = [](const proxy::header_list &Headers) {
+    auto Key = decodeKey(Headers);
+    cr_assert_eq(Key.IsMalformed, Key.IsPresent && Key.Key.empty());
+    return std::string(Key.IsMalformed ? "malformed" : Key.Key);
+  };
+  auto Long = std::string(std::size_t{64} << 10U, 'k');
+  cr_assert_not(decodeKey({{"X-Authorization", "Bearer k"}}).IsPresent);
+  cr_assert_eq(Read({{"authorization", "bearer  k=/+"}}), "k=/+");
+  for (const auto *Value :
+       {"", "Bearer", "Bearer ", "Basic k", "k", "Bearerk", "Bearer k k",
+        "Bearer k\t", "Bearer \x01", "Bearer k,Bearer k", "Bearer \xC3\xA4"}) {
+    cr_assert_eq(Read({{"Authorization", Value}}), "malformed", "%s", Value);
+  }
+  cr_assert_eq(Read({{"Authorization", "Bearer " + Long}}), "malformed");
+  cr_assert_eq(
+      Read({{"Authorization", "Bearer k"}, {"AUTHORIZATION", "Bearer k"}}),
+      "malformed");
+}
+
+// Guards against a customer that loses keys or priority, and against an error
+// message that shows a key.
+Test(platform_document, customers_are_decoded) {
+  auto Decode = [](const std::string &Name, const std::string &Members) {
+    auto Cache = config_cache();
+    return decodeConfig(R"({"version":"r1","resources":[{"resourceType":)"
+                        R"("tenants","metadata":{"name":")" +
+                            Name + R"("},"specification":{)" + Members + "}}]}",
+                        Cache);
+  };
+  auto Config = Decode("pulo780", R"("apiKeys":["maj3","kmgj"],"priority":1)");
+  cr_assert(isOk(Config));
+  const auto &Customer = valueOf(Config).Customers.at(0);
+  cr_assert_eq(Customer.Name.Value, "pulo780");
+  cr_assert_eq(Customer.Keys.size(), 2U);
+  cr_assert_eq(Customer.Priority.value(), 1U);
+  Config = Decode("a", R"("apiKeys":[],"priority":"high")");
+  cr_assert(isOk(Config));
+  cr_assert_not(valueOf(Config).Customers.at(0).Priority.has_value());
+  cr_assert_not(valueOf(Config).IgnoredFault.empty());
+  for (const auto *Members :
+       {R"("apiKeys":"secret")", R"("apiKeys":["secret",1])",
+        R"("apiKeys":["secret",""])", R"("keys":["secret"])"}) {
+    Config = Decode("a", Members);
+    cr_assert_not(isOk(Config), "%s", Members);
+    cr_assert_eq(describe(errorOf(Config)).find("secret"), std::string::npos);
+  }
+  for (const auto *Name : {"a\\r\\nX: 1", "a b", ""}) {
+    cr_assert_not(isOk(Decode(Name, R"("apiKeys":["k"])")), "%s", Name);
+  }
+}
+
 // Guards against starting a process with invalid settings.
 Test(platform_document, settings_name_the_member_at_fault) {
   const auto Valid = std::string(
--- a/test/sidecar_sim.cpp
+++ b/test/sidecar_sim.cpp
@@ -160,7 +160,7 @@
   // See startCall().
   auto Origin = std::stoi(Id);
   auto SentAt = steady_time(micros(std::stoll(Id.substr(Id.find('-') + 1))));
-  Arrivals.push_back({SentAt, Loop.now(), Origin});
+  Arrivals.push_back({SentAt, Loop.now(), Origin, Request.Headers});
   auto Response =
       http::response{200,
                      "",
@@ -315,9 +315,15 @@
                            {"timeout", RouteTimeout},
                            {"targetLatency", "200ms"},
                            {"priority", 1},
+                           {"allowAnonymous", AllowAnonymous},
                            {"attempts", 2},
                            {"service", "svc"}}}});
   };
+  for (const auto &[Name, Keys] : Customers) {
+    Resources.push_back({{"resourceType", "tenants"},
+                         {"metadata", {{"name", Name}}},
+                         {"specification", {{"apiKeys", Keys}}}});
+  }
   // Large enough that nodes send each other deltas of it.
   for (auto Index = 0; Index < UnchangedRoutes; ++Index) {
     AddRoute("unchanged" + std::to_string(Index));
@@ -379,6 +385,8 @@
   auto Id = std::to_string(Node) + "-" +
             std::to_string(Loop.now().time_since_epoch().count());
   Request.Headers = {{"Host", "sim"}, {"Request-Id", Id}};
+  Request.Headers.insert(Request.Headers.end(), CallerHeaders.begin(),
+                         CallerHeaders.end());
   auto Handler =
       std::make_shared<std::function<void(int)>>(std::move(OnStatus));
   auto Finish = [Handler](int Status) {
--- a/test/sidecar_sim.h
+++ b/test/sidecar_sim.h
@@ -59,9 +59,10 @@
 
 /** A call that reached a target. */
 struct target_arrival {
-  steady_time SentAt; ///< When the caller sent it.
-  steady_time At;     ///< When it arrived.
-  int Origin;         ///< Node to which the caller sent it.
+  steady_time SentAt;           ///< When the caller sent it.
+  steady_time At;               ///< When it arrived.
+  int Origin;                   ///< Node to which the caller sent it.
+  proxy::header_list Headers{}; ///< Headers of the request.
 };
 
 /** Stand-in of the target beside a node. */
@@ -154,6 +155,12 @@
   std::string RouteKind = "idempotent";
   /** Limit of a cold target in the next configurations; 0 for none. */
   double ColdCallsPerSecond = 0;
+  /** Customers of the next configurations: names and keys. */
+  std::map<std::string, std::vector<std::string>> Customers;
+  /** Whether all routes of the next configurations allow anonymous calls. */
+  bool AllowAnonymous = false;
+  /** Headers that callers add to their calls. */
+  proxy::header_list CallerHeaders;
   /** Time for which callers wait for an answer. */
   micros CallerPatience{1'000'000};
   /** Stops a node gracefully; OnStopped is called when its process would end.
