--- a/include/sycamorelb/inner/mesh_message_type.h
+++ b/include/sycamorelb/inner/mesh_message_type.h
@@ -34,7 +34,7 @@
   customer_id Customer;     ///< Customer that makes the call; empty for none.
   http::request Request;    ///< HTTP request of the caller.
   mesh::call_kind Kind = mesh::call_kind::NonIdempotent; ///< Idempotency.
-  std::uint32_t Priority = 0;  ///< Priority of the route.
+  std::uint32_t Priority = 0;  ///< Of the customer, or else of the route.
   micros TimeToStartOnTime{0}; ///< Time left to start so that the answer is on
                                ///< time; may be negative.
   micros TimeToLatestStart{0}; ///< Time left to start at all.
