Feature: [Dispatch] Learned speed and concurrency limit of each target

Cause: targets differ in speed and are slowed down by bursts of noise; slow and momentarily slow ones got as many calls as the others. Change: the node beside a target reads the fourth figure of Server-Load, learns usual run times and a concurrency limit, reports both with each reply and refuses calls that would be late at the speed of the moment. Entry nodes choose by predicted finish, with an occupancy that returns to its mean rather than to zero. Targets without the fourth figure are handled as before. The load part of admission.cpp has a file of its own.

--- a/include/sycamorelb/dispatch/call_queue.h
+++ b/include/sycamorelb/dispatch/call_queue.h
@@ -14,6 +14,9 @@
 
 namespace sycamorelb::dispatch {
 
+/** Minimum time to start that an entry node grants to the target's node. */
+inline constexpr auto MinTimeToStart = micros(15'000);
+
 /** A waiting call. */
 struct queued_call {
   std::uint64_t Key = 0;           ///< Identifies the call.
--- a/include/sycamorelb/dispatch/pick.h
+++ b/include/sycamorelb/dispatch/pick.h
@@ -30,9 +30,10 @@
   /** Mean time between starts while they are rate-limited, because the target
    * is cold or names a limit; 0 if they are not. */
   micros StartGap{0};
-  /** Calls that the target takes well at once, as measured; 0 if unknown. */
+  /** Learned limit on its concurrent calls; 0 if none is learned. */
   std::uint32_t Concurrency = 0;
-  /** Work time on the target's host now, in percent of usual; 0 if unknown. */
+  /** Work time on the target's host now, in percent of what is usual there; 0
+   * if unknown. MeanRun is the usual one. */
   std::uint32_t WorkPercent = 0;
 };
 
@@ -45,6 +46,7 @@
   std::uint32_t BulkOutstanding = 0;   ///< Own large requests in flight.
   std::uint32_t SilentConnections = 0; ///< Consecutive ones that went silent.
   double RelativeRunTime = 1.0; ///< Run time relative to the route's mean.
+  double UsualOccupancy = 0;    ///< Mean of the calls in recent reports.
   steady_time AvoidUntil{};     ///< No calls before this time.
 };
 
@@ -64,6 +66,17 @@
   std::size_t Bytes = 0;     ///< Size of the request.
 };
 
+/** Takes over a report of a target. */
+void applyReport(target_view &View, const load_report &Load, steady_time Now);
+
+/** @return whether the target reports how long work takes at the moment. */
+auto reportsWork(const target_view &View) -> bool;
+
+/** @return the expected run time of a call at the target: MeanRun at its own
+ * speed and at that of the moment, if it reports work figures. */
+auto predictedRun(const target_view &View, micros MeanRun, steady_time Now)
+    -> micros;
+
 /** @return the expected wait until the call starts at the target: for a free
  * slot and, while starts are rate-limited, for the rate limit. */
 auto predictedWait(const target_view &View, steady_time Now) -> micros;
--- a/src/dispatch/pick.cpp
+++ b/src/dispatch/pick.cpp
@@ -1,6 +1,8 @@
 /** @file pick.cpp Scoring of targets. */
 #include "sycamorelb/dispatch/pick.h"
 
+#include "sycamorelb/dispatch/work_speed.h"
+
 #include <algorithm>
 #include <cmath>
 
@@ -50,14 +52,63 @@
 /** Shortest delay before jitter after which a refused caller should retry. */
 static constexpr auto MinRetryDelay = micros(25'000);
 
+/** Share of the run time by which a call should be able to exceed its mean and
+ * still be on time, and the weight of the time by which it is not. They spread
+ * the calls with little slack to the fast targets. */
+static constexpr auto RunTimeReserve = 0.5;
+static constexpr auto LatenessWeight = 1.5;
+
+/** Weight of a new report in the usual occupancy of a target. */
+static constexpr auto OccupancyReportWeight = 0.3;
+/** Time constant in which an estimate returns from the last report to the usual
+ * occupancy, in mean run times of the target. */
+static constexpr auto OccupancyRunTimes = 1.0;
+/** Weight of the expected wait at a target whose slots are mostly in use: among
+ * many entry nodes the calls of the others are unknown, and without it all of
+ * them choose the fastest target. */
+static constexpr auto CongestionWeight = 1.0;
+/** Half-life of the usual occupancy without reports, in microseconds: a target
+ * that was full gets calls again. */
+static constexpr auto OccupancyHalfLife = 5e6;
+
+auto reportsWork(const target_view &View) -> bool {
+  return View.Load.WorkPercent > 0;
+}
+
+void applyReport(target_view &View, const load_report &Load, steady_time Now) {
+  auto Occupancy = static_cast<double>(Load.Running + Load.Queued);
+  View.UsualOccupancy =
+      View.ReportedAt == steady_time()
+          ? Occupancy
+          : View.UsualOccupancy +
+                OccupancyReportWeight * (Occupancy - View.UsualOccupancy);
+  View.Load = Load;
+  View.ReportedAt = Now;
+  View.SinceReport = 0;
+}
+
+/** @return the calls that the target runs at once. */
+static auto usableSlots(const target_view &View) -> std::uint32_t {
+  return View.Load.Concurrency > 0
+             ? std::min(View.Load.Slots, View.Load.Concurrency)
+             : View.Load.Slots;
+}
+
 /** @return the estimated number of calls at the target: those of the last
  * report, plus those sent since, minus those that should have finished. */
 static auto estimatedOccupancy(const target_view &View, steady_time Now)
     -> double {
   auto Reported = static_cast<double>(View.Load.Running + View.Load.Queued);
-  if (View.Load.MeanRun > micros(0) && View.Load.Slots > 0) {
+  if (reportsWork(View)) {
+    // Other nodes keep sending calls, so that it returns to its mean.
+    auto Mean = std::max(1.0, static_cast<double>(View.Load.MeanRun.count()));
+    auto Age = static_cast<double>((Now - View.ReportedAt).count());
+    auto Usual = View.UsualOccupancy * std::exp2(-Age / OccupancyHalfLife);
+    Reported = Usual +
+               (Reported - Usual) * std::exp(-Age / (Mean * OccupancyRunTimes));
+  } else if (View.Load.MeanRun > micros(0) && View.Load.Slots > 0) {
     auto Elapsed = static_cast<double>((Now - View.ReportedAt).count());
-    auto Finished = Elapsed * View.Load.Slots /
+    auto Finished = Elapsed * usableSlots(View) /
                     static_cast<double>(View.Load.MeanRun.count());
     // Counts only half of them, because other nodes send calls as well.
     Reported = std::max(0.0, Reported - Finished / 2);
@@ -75,23 +126,40 @@
                                  View.Load.StartGap * Sent);
 }
 
+/** Expected course of a call at a target. */
+struct call_forecast {
+  double Occupancy = 0; // Calls at the target.
+  double Factor = 1;    // Run time now relative to the usual one.
+  micros Wait{0};       // Time until it starts.
+};
+
 /** @return the expected wait for a free slot. */
-static auto predictedSlotWait(const target_view &View, steady_time Now)
-    -> micros {
-  auto Slots = std::max<double>(1, View.Load.Slots);
-  auto Excess = estimatedOccupancy(View, Now) - Slots + 1;
+static auto predictedSlotWait(const target_view &View,
+                              const call_forecast &Forecast) -> micros {
+  auto Slots = std::max<double>(1, usableSlots(View));
+  auto Excess = Forecast.Occupancy - Slots + 1;
   if (Excess <= 0) {
     return micros(0);
   }
-  auto Mean = static_cast<double>(View.Load.MeanRun.count());
+  auto Mean = static_cast<double>(View.Load.MeanRun.count()) * Forecast.Factor;
   return micros(static_cast<std::int64_t>(Excess * Mean / Slots));
 }
 
+/** Evaluates a view once for all parts of a score. */
+static auto forecastCall(const target_view &View, steady_time Now)
+    -> call_forecast {
+  auto Forecast = call_forecast();
+  Forecast.Occupancy = estimatedOccupancy(View, Now);
+  Forecast.Factor = workFactor(View.Load.WorkPercent, Now - View.ReportedAt);
+  Forecast.Wait = predictedSlotWait(View, Forecast);
+  if (View.Load.StartGap > micros(0)) {
+    Forecast.Wait = std::max(Forecast.Wait, predictedStartWait(View, Now));
+  }
+  return Forecast;
+}
+
 auto predictedWait(const target_view &View, steady_time Now) -> micros {
-  auto SlotWait = predictedSlotWait(View, Now);
-  return View.Load.StartGap > micros(0)
-             ? std::max(SlotWait, predictedStartWait(View, Now))
-             : SlotWait;
+  return forecastCall(View, Now).Wait;
 }
 
 auto predictedTransferTime(const target_view &View, std::size_t Bytes)
@@ -152,19 +220,23 @@
 
 /** @return the cost of a candidate in microseconds; lower is better. */
 static auto scoreOf(const candidate &Candidate, const pick_request &Request,
-                    micros Wait, steady_time Now) -> double {
+                    const call_forecast &Forecast, micros Transfer,
+                    steady_time Now) -> double {
+  const auto &View = Candidate.View;
   auto Run = static_cast<double>(Request.MeanRun.count()) *
-             Candidate.View.RelativeRunTime;
+             View.RelativeRunTime * Forecast.Factor;
   auto OnTime =
       std::max(0.0, static_cast<double>(Request.TimeToObjective.count()));
-  auto Slots = std::max<double>(1, Candidate.View.Load.Slots);
-  auto Transfer = Candidate.Local
-                      ? micros(0)
-                      : predictedTransferTime(Candidate.View, Request.Bytes);
-  auto Score = static_cast<double>((Wait + Transfer).count()) + Run;
-  Score += OccupancyWeight * Run *
-           std::min(1.0, estimatedOccupancy(Candidate.View, Now) / Slots);
-  Score += FailureWeight * OnTime * estimatedFailureShare(Candidate.View, Now);
+  auto SlotShare = Forecast.Occupancy / std::max<double>(1, usableSlots(View));
+  auto Start = static_cast<double>((Forecast.Wait + Transfer).count());
+  auto Score = Start + Run;
+  Score += OccupancyWeight * Run * std::min(1.0, SlotShare);
+  Score += FailureWeight * OnTime * estimatedFailureShare(View, Now);
+  if (reportsWork(View)) {
+    auto Finish = Start + Run * (1 + RunTimeReserve);
+    Score += LatenessWeight * std::max(0.0, Finish - OnTime);
+    Score += CongestionWeight * Run * SlotShare * SlotShare * SlotShare;
+  }
   if (!Candidate.SameZone) {
     Score +=
         LocalZoneWaitShare *
@@ -179,21 +251,26 @@
   auto Best = std::optional<pick_result>();
   auto BestScore = 0.0;
   for (const auto &Candidate : Candidates) {
-    if (Candidate.View.AvoidUntil > Now) {
+    const auto &View = Candidate.View;
+    if (View.AvoidUntil > Now) {
       continue;
     }
-    auto Wait = predictedWait(Candidate.View, Now);
+    auto Forecast = forecastCall(View, Now);
     auto Transfer = Candidate.Local
                         ? micros(0)
-                        : predictedTransferTime(Candidate.View, Request.Bytes);
-    if (Wait + Transfer + Request.MeanRun / 2 > Request.TimeLeft ||
+                        : predictedTransferTime(View, Request.Bytes);
+    auto Run =
+        reportsWork(View)
+            ? scaled(Request.MeanRun, View.RelativeRunTime * Forecast.Factor)
+            : Request.MeanRun;
+    if (Forecast.Wait + Transfer + Run / 2 > Request.TimeLeft ||
         !acceptsBulk(Candidate, Request.Bytes, Random)) {
       continue;
     }
-    auto Score = scoreOf(Candidate, Request, Wait, Now) *
+    auto Score = scoreOf(Candidate, Request, Forecast, Transfer, Now) *
                  (1 + ScoreJitter * randomUnit(Random));
     if (!Best || Score < BestScore) {
-      Best = pick_result{Candidate.Index, Wait};
+      Best = pick_result{Candidate.Index, Forecast.Wait};
       BestScore = Score;
     }
   }
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -34,122 +34,11 @@
  * lost, before they are cancelled. */
 static constexpr auto ReconnectGrace = micros(400'000);
 
-/** Calls per second to a cold target whose limit isn't known. */
-static constexpr auto UnknownColdRate = 1.0;
-
-/** Time over which the calls to a cold target are counted for one log line. */
-static constexpr auto ColdCallLogInterval = micros(1'000'000);
-
 admission::admission(node_state &State, admission_events Events)
     : Impl(std::make_unique<implementation>(State, std::move(Events))) {}
 
 admission::~admission() = default;
 
-auto admission::implementation::coldRate() const -> double {
-  const auto *Rule =
-      State.Routes ? State.Routes->findService(Target.Service) : nullptr;
-  const auto &Bounds = State.Settings.Bounds;
-  auto Configured = Rule == nullptr ? ToldColdCallsPerSecond
-                                    : std::optional(Rule->ColdCallsPerSecond);
-  return Configured ? dispatch::coldRateLimit(
-                          *Configured, Bounds.ColdRateFactor, Bounds.ColdSlack)
-                    : UnknownColdRate;
-}
-
-auto admission::implementation::coldRateSource() const -> const char * {
-  if (State.Routes && State.Routes->findService(Target.Service) != nullptr) {
-    return "configuration";
-  }
-  return ToldColdCallsPerSecond ? "told" : "unknown";
-}
-
-void admission::implementation::countColdCall() {
-  if (ColdCalls.Calls++ == 0) {
-    State.Loop.addTimer(State.Loop.now() + ColdCallLogInterval,
-                        [this] { logColdCalls(); });
-  }
-  auto Delay = State.Loop.clockTime() - State.Loop.now();
-  ColdCalls.LoopDelay = std::max(ColdCalls.LoopDelay, Delay);
-}
-
-void admission::implementation::logColdCalls() {
-  State.Log.write(log_class::State, "target.cold_calls",
-                  {{"target", Target.Id.Value},
-                   {"calls", ColdCalls.Calls},
-                   {"limit_per_ks", static_cast<std::int64_t>(
-                                        std::min(coldRate() * 1e3, 1e15))},
-                   {"limit_from", coldRateSource()},
-                   {"loop_delay_us", ColdCalls.LoopDelay.count()},
-                   {"write_delay_us", ColdCalls.WriteDelay.count()},
-                   {"cold", std::int64_t{isCold() ? 1 : 0}}});
-  ColdCalls = cold_call_count();
-}
-
-void admission::implementation::adoptColdRate(const forward_message &Forward) {
-  auto &Known = ToldColdCallsPerSecond;
-  auto Told = Forward.ColdCallsPerSecond;
-  if (!Told || Forward.Service != State.Settings.Service) {
-    return;
-  }
-  // Nodes may have different configurations; the strictest limit counts.
-  auto IsStricter = Known && *Told > 0 && (*Known <= 0 || *Told < *Known);
-  if (!Known || IsStricter) {
-    Known = Told;
-    State.Log.write(log_class::State, "target.cold_limit_told",
-                    {{"calls_per_ks",
-                      static_cast<std::int64_t>(std::min(*Told * 1e3, 1e15))},
-                     {"configured", std::int64_t{State.Routes ? 1 : 0}}});
-  }
-}
-
-auto admission::implementation::capacity() const -> dispatch::target_capacity {
-  auto Capacity = dispatch::target_capacity();
-  Capacity.Slots = Target.Slots;
-  Capacity.Running = Running;
-  Capacity.MeanRun = MeanRun;
-  auto CallsPerSecond = isCold() ? coldRate() : 0;
-  if (CallsPerSecond > 0) {
-    Capacity.StartWaits =
-        dispatch::coldCallWaits(Rate, CallsPerSecond, State.Loop.now());
-    Capacity.RateWindow = dispatch::coldWindow();
-  }
-  auto Named = StartLimit.CallsPerSecond;
-  if (Named && (CallsPerSecond <= 0 || *Named < CallsPerSecond)) {
-    Capacity.StartWaits = dispatch::startWaits(StartLimit, State.Loop.now());
-    Capacity.RateWindow = dispatch::limitedWindow(StartLimit);
-  }
-  return Capacity;
-}
-
-auto admission::implementation::nextCallTime() const -> steady_time {
-  auto Now = State.Loop.now();
-  auto Next = dispatch::nextStartTime(StartLimit, Now);
-  auto ColdRate = isCold() ? coldRate() : 0;
-  return ColdRate > 0
-             ? std::max(Next, dispatch::nextColdCallTime(Rate, ColdRate, Now))
-             : Next;
-}
-
-auto admission::implementation::load() const -> dispatch::load_report {
-  auto Load = dispatch::load_report();
-  Load.Running = Running;
-  Load.Queued = static_cast<std::uint32_t>(Queue.size());
-  Load.Slots = Target.Slots;
-  Load.MeanRun = MeanRun;
-  Load.FailurePpm = static_cast<std::uint32_t>(FailureShare * 1e6);
-  Load.Cold = isCold();
-  auto Capacity = capacity();
-  Load.Wait = dispatch::expectedWait(Capacity, Queue.size());
-  if (!Capacity.StartWaits.empty()) {
-    Load.StartGap = Capacity.RateWindow /
-                    static_cast<std::int64_t>(Capacity.StartWaits.size());
-  }
-  Load.LinkKbps = static_cast<std::uint32_t>(State.Settings.LinkMbps * 1e3);
-  Load.LinkBusyPpm = static_cast<std::uint32_t>(State.LinkUtilization * 1e6);
-  Load.BulkPpm = static_cast<std::uint32_t>(State.BulkShare * 1e6);
-  return Load;
-}
-
 auto admission::implementation::refusalReason(
     const forward_message &Forward) const -> const char * {
   if (Target.State != mesh::target_state::Ready) {
@@ -231,9 +120,9 @@
        {"run_us", (Started ? Now - Call.StartedAt : micros(0)).count()},
        {"running", std::int64_t{Outcome.Load.Running}},
        {"queued", std::int64_t{Outcome.Load.Queued}}});
-  auto RouteMean = RouteMeans.find(Call.Forward.Route);
-  if (RouteMean != RouteMeans.end()) {
-    Outcome.MeanRouteRunTime = RouteMean->second;
+  auto Known = Routes.find(Call.Forward.Route);
+  if (Known != Routes.end()) {
+    Outcome.MeanRouteRunTime = usualRun(Known->second.Mean);
   }
   Call.Forward.Request = http::request();
   KeptOutcomes.emplace_back(State.Loop.now(), Call.Serial);
@@ -307,6 +196,9 @@
   if (!endsBeforeStop(State, Call->DeadlineAt)) {
     return Impl->refuseCall(*Call, "node stopping");
   }
+  if (Impl->isTooSlowNow(Call->Forward, Waiting)) {
+    return Impl->refuseCall(*Call, "target slow now");
+  }
   if (!Impl->Queue.push(Waiting, Impl->capacity(), Now)) {
     return Impl->refuseCall(*Call, "no room in time");
   }
@@ -363,7 +255,7 @@
 
 void admission::implementation::runQueue() {
   auto Now = State.Loop.now();
-  while (Queue.size() > 0 && Running < std::max(1U, Target.Slots)) {
+  while (Queue.size() > 0 && Running < std::max(1U, allowedCalls())) {
     auto NextStart = nextCallTime();
     if (NextStart > Now) {
       scheduleQueueRun(NextStart);
@@ -450,7 +342,9 @@
     Self.StartLimit = dispatch::start_limit();
     Self.IsTargetLeaving = false;
     Self.MeanRun = InitialMeanRun;
-    Self.RouteMeans.clear();
+    Self.Routes.clear();
+    Self.Speed = dispatch::work_speed();
+    Self.Limit = dispatch::concurrency_limit();
     Self.FailureShare = 0;
     Self.CallsWithoutResponse = 0;
     Self.Brake = rollout::brake_window();
--- a/src/sidecar/admission_state.h
+++ b/src/sidecar/admission_state.h
@@ -7,7 +7,9 @@
 #include "sidecar/target_pool.h"
 #include "sycamorelb/dispatch/call_queue.h"
 #include "sycamorelb/dispatch/cold_rate.h"
+#include "sycamorelb/dispatch/concurrency_limit.h"
 #include "sycamorelb/dispatch/start_limit.h"
+#include "sycamorelb/dispatch/work_speed.h"
 
 #include <deque>
 #include <map>
@@ -29,6 +31,13 @@
   micros WriteDelay{0}; // Longest time from a start to the last byte written.
 };
 
+/** Run times of one route at the target, at full speed if it reports work
+ * figures. */
+struct route_run_time {
+  micros Mean{0};      // Recent mean; predicts run times.
+  double Baseline = 0; // Slow mean in microseconds; compares calls of a route.
+};
+
 enum class call_stage : std::uint8_t { Queued, Running, Done };
 
 /** A call submitted to admission. */
@@ -47,6 +56,8 @@
   event::timer_id Timer{0};
   inner::reply_message Outcome;
   bool WasCold = false;
+  double WorkAtStart = 0;           // Work figure then; 0 if unknown.
+  std::uint32_t RunningAtStart = 0; // Calls that ran then, with this one.
   std::uint64_t TargetStart = 0; // Value of TargetStarts when it was started.
 };
 
@@ -80,7 +91,9 @@
   std::uint32_t Running = 0;
   std::uint32_t CallsWithoutResponse = 0;
   micros MeanRun = InitialMeanRun;
-  std::map<route_id, micros> RouteMeans;
+  std::map<route_id, route_run_time> Routes;
+  dispatch::work_speed Speed;        // Work figures of Target.
+  dispatch::concurrency_limit Limit; // Learned for Target.
   double FailureShare = 0;
   rollout::version_evidence Evidence;
   rollout::brake_window Brake;
@@ -100,6 +113,18 @@
   /** @return the earliest time at which the next call may start. */
   auto nextCallTime() const -> steady_time;
   auto capacity() const -> dispatch::target_capacity;
+  /** @return the calls that may run at once: the slots, or the learned limit of
+   * a target that reports work figures. */
+  auto allowedCalls() const -> std::uint32_t;
+  /** @return a run time at full speed as it usually is at the target. */
+  auto usualRun(micros RunAtFullSpeed) const -> micros;
+  /** @return the momentary run time relative to the usual one. */
+  auto speedFactor() const -> double;
+  /** Moves the latest starts of a call to those at the current speed.
+   * @return whether the target is so slow at this moment that the answer would
+   * be late. */
+  auto isTooSlowNow(const inner::forward_message &Forward,
+                    dispatch::queued_call &Waiting) const -> bool;
   /** @return why a call may not run here, or null if it may. */
   auto refusalReason(const inner::forward_message &Forward) const -> const
       char *;
@@ -132,6 +157,11 @@
   void recordNotice(const admitted_call &Call,
                     const platform::response_header &Header);
   void recordRun(const admitted_call &Call, bool Failed, micros RunTime);
+  /** Takes over the work figure of an answer. */
+  void recordWork(const admitted_call &Call,
+                  const platform::response_header &Header);
+  /** Updates the mean run times and the learned limit from an answer. */
+  void recordRunTime(const admitted_call &Call, micros RunTime);
   /** Refuses calls until the next heartbeat of the target. */
   void markTargetLost(const char *Reason);
   /** Drops a queued call or aborts a running idempotent one. */
--- a/src/sidecar/call_dispatch.cpp
+++ b/src/sidecar/call_dispatch.cpp
@@ -2,6 +2,8 @@
  */
 #include "platform/call_header.h"
 #include "sidecar/entry_state.h"
+#include "sycamorelb/dispatch/call_queue.h"
+#include "sycamorelb/dispatch/work_speed.h"
 
 #include <algorithm>
 #include <utility>
@@ -18,9 +20,6 @@
  * its latency objective is missed. */
 static constexpr auto MissedObjectiveWaitShare = 0.5;
 
-/** Minimum time to start that is granted to the target's node. */
-static constexpr auto MinTimeToStart = micros(15'000);
-
 auto entry::implementation::pickHost(const call_ref &Call)
     -> const mesh::host_record * {
   auto Now = State.Loop.now();
@@ -76,6 +75,11 @@
   Forward.Request = Call.Request;
   Forward.Kind = Call.Route->Kind;
   Forward.Priority = Call.Route->Priority;
+  auto View = Balancer.Views.find(Host.Node);
+  if (View != Balancer.Views.end() && dispatch::reportsWork(View->second)) {
+    // The target's node knows its speed at this moment, and takes it off.
+    RunTime = dispatch::scaled(RunTime, View->second.RelativeRunTime);
+  }
   Forward.TimeToStartOnTime = Call.ObjectiveAt - Now - RunTime;
   Forward.TimeLeft = Call.DeadlineAt - Now;
   auto Notice = Balancer.Notices.find(Host.Node);
@@ -88,7 +92,7 @@
   }
   auto Slack = static_cast<double>((Forward.TimeLeft - RunTime).count());
   Forward.TimeToLatestStart = std::max(
-      MinTimeToStart,
+      dispatch::MinTimeToStart,
       Call.ObjectiveMissed
           ? micros(static_cast<std::int64_t>(Slack * MissedObjectiveWaitShare))
           : Forward.TimeToStartOnTime);
--- a/src/sidecar/target_board.cpp
+++ b/src/sidecar/target_board.cpp
@@ -9,6 +9,9 @@
 static constexpr auto RunTimeWeight = 0.05;
 /** Weight of a new sample in the relative run time of a target. */
 static constexpr auto RelativeRunTimeWeight = 0.3;
+/** The same for a target whose run times are normalised by work figures: they
+ * vary less, and each of many entry nodes sees few of them. */
+static constexpr auto NormalisedRunTimeWeight = 0.6;
 /** Bounds of one sample of the relative run time of a target. */
 static constexpr auto MinRelativeRunTime = 0.2;
 static constexpr auto MaxRelativeRunTime = 20.0;
@@ -136,9 +139,7 @@
     return;
   }
   View.SilentConnections = 0;
-  View.Load = Reply.Load;
-  View.ReportedAt = Now;
-  View.SinceReport = 0;
+  dispatch::applyReport(View, Reply.Load, Now);
   if (Reply.MeanRouteRunTime <= micros(0)) {
     return;
   }
@@ -154,7 +155,8 @@
   View.RelativeRunTime =
       movingAverage(View.RelativeRunTime,
                     std::clamp(Ratio, MinRelativeRunTime, MaxRelativeRunTime),
-                    RelativeRunTimeWeight);
+                    dispatch::reportsWork(View) ? NormalisedRunTimeWeight
+                                                : RelativeRunTimeWeight);
 }
 
 void recordUnreachableHost(balancer_state &Balancer, const node_id &Node,
--- a/src/sidecar/target_exchange.cpp
+++ b/src/sidecar/target_exchange.cpp
@@ -13,6 +13,10 @@
 /** Weight of a new sample in the moving averages of run times. */
 static constexpr auto RunTimeWeight = 0.1;
 
+/** Weight of a new sample in the baseline of a route: slow, so that a busy
+ * period of some seconds shows against it. */
+static constexpr auto BaselineWeight = 0.02;
+
 /** Weight of a new sample in the moving average of failures. */
 static constexpr auto FailureWeight = 0.08;
 
@@ -34,6 +38,8 @@
   Call->WasCold = isCold();
   Call->TargetStart = TargetStarts;
   ++Running;
+  Call->WorkAtStart = Speed.Current;
+  Call->RunningAtStart = Running;
   if (Call->WasCold) {
     countColdCall();
   }
@@ -89,6 +95,45 @@
   runQueue();
 }
 
+void admission::implementation::recordWork(
+    const admitted_call &Call, const platform::response_header &Header) {
+  if (Header.HasMalformedLoad) {
+    ++State.Counters.BadInput["target"];
+  } else if (Header.Load && Header.Load->WorkPercent &&
+             Call.TargetStart == TargetStarts) {
+    dispatch::observeWork(Speed, *Header.Load->WorkPercent, State.Loop.now());
+  }
+}
+
+void admission::implementation::recordRunTime(const admitted_call &Call,
+                                              micros RunTime) {
+  auto Run = RunTime;
+  if (dispatch::isKnown(Speed)) {
+    auto AtStart = Call.WorkAtStart > 0 ? Call.WorkAtStart : Speed.Current;
+    Run = dispatch::scaled(RunTime, 200 / (AtStart + Speed.Current));
+  }
+  auto Average = [Run](micros Mean) {
+    auto Delta = static_cast<double>((Run - Mean).count()) * RunTimeWeight;
+    return Mean + micros(static_cast<std::int64_t>(Delta));
+  };
+  MeanRun = Average(MeanRun);
+  auto Micros = static_cast<double>(Run.count());
+  auto [Found, IsNew] =
+      Routes.try_emplace(Call.Forward.Route, route_run_time{Run, Micros});
+  if (IsNew) {
+    return;
+  }
+  auto &Known = Found->second;
+  Known.Mean = Average(Known.Mean);
+  if (dispatch::isKnown(Speed)) {
+    auto Concurrency = (Call.RunningAtStart + Running + 1) / 2.0;
+    dispatch::observeRun(Limit,
+                         {Micros / std::max(1.0, Known.Baseline), Concurrency},
+                         Target.Slots, State.Loop.now());
+    Known.Baseline += BaselineWeight * (Micros - Known.Baseline);
+  }
+}
+
 void admission::implementation::recordRun(const admitted_call &Call,
                                           bool Failed, micros RunTime) {
   FailureShare += FailureWeight * ((Failed ? 1.0 : 0.0) - FailureShare);
@@ -96,16 +141,7 @@
   ++Tally.Calls;
   Tally.Failures += Failed ? 1 : 0;
   if (!Failed) {
-    auto Average = [RunTime](micros Mean) {
-      auto Delta =
-          static_cast<double>((RunTime - Mean).count()) * RunTimeWeight;
-      return Mean + micros(static_cast<std::int64_t>(Delta));
-    };
-    MeanRun = Average(MeanRun);
-    auto [Mean, IsNew] = RouteMeans.try_emplace(Call.Forward.Route, RunTime);
-    if (!IsNew) {
-      Mean->second = Average(Mean->second);
-    }
+    recordRunTime(Call, RunTime);
     if (!Call.WasCold) {
       ++Tally.TimedCalls;
       Tally.RunMicros += static_cast<std::uint64_t>(RunTime.count());
@@ -187,6 +223,7 @@
   CallsWithoutResponse = 0;
   if (Response.Status != 421) {
     recordNotice(Call, Header);
+    recordWork(Call, Header);
   }
   if (Header.NotExecuted || Response.Status == 421) {
     ++State.Counters.Admissions["refused by target"];
--- a/test/platform_document_test.cpp
+++ b/test/platform_document_test.cpp
@@ -323,3 +323,26 @@
   cr_assert(Read({{"server-leaving", "1"}}).TargetLeaving);
   cr_assert(!Read({{"Server-Leaving", "0"}}).TargetLeaving);
 }
+
+// Guards against a false speed figure that takes a target's calls away: a
+// malformed load must change nothing but a counter.
+Test(platform_document, load_of_a_target_is_read_strictly) {
+  auto Read = [](const std::string &Text) {
+    return decodeResponseHeader({{"server-load", Text}});
+  };
+  cr_assert(Read("3,0,8").Load.has_value());
+  cr_assert(!Read("3,0,8").Load->WorkPercent);
+  auto Full = Read("9, 2, 12, 137.5").Load;
+  cr_assert(Full && Full->Running == 9 && Full->Waiting == 2);
+  cr_assert(Full->Slots == 12 && Full->WorkPercent.value_or(0) == 137.5);
+  for (const auto *Text :
+       {"", "3", "3,0", "3,0,0", "3,0,8,", "3,0,8,0", "3,0,8,-5", "3,0,8,1e400",
+        "3,0,8,100,1", "3,0,8,nan", "-1,0,8,100", "a,0,8,100", "3,,8,100"}) {
+    auto Header = Read(Text);
+    cr_assert(Header.HasMalformedLoad && !Header.Load, "%s", Text);
+  }
+  auto Twice = decodeResponseHeader(
+      {{"Server-Load", "3,0,8,100"}, {"Server-Load", "3,0,8,100"}});
+  cr_assert(Twice.HasMalformedLoad && !Twice.Load);
+  cr_assert(!decodeResponseHeader({}).HasMalformedLoad);
+}
