Feature: [Dispatch] Fair shares by customer and by kind of call

Cause: a burst of one customer could take all slots of a target, and kinds of low priority got next to nothing beside others. Change: waiting calls of one priority are ordered by how far their customer is above an equal share of the recent slot time, then by latest start. Calls of a customer above its share don't rise by waiting. Unused predictedRun() is removed from pick.h.

--- a/include/sycamorelb/dispatch/call_queue.h
+++ b/include/sycamorelb/dispatch/call_queue.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "sycamorelb/core/unit_type.h"
+#include "sycamorelb/dispatch/fair_share.h"
 
 #include <cstdint>
 #include <optional>
@@ -24,6 +25,8 @@
   steady_time LatestOnTimeStart{}; ///< Latest start for an answer on time.
   steady_time LatestStart{};       ///< Latest start at all.
   steady_time ArrivedAt{};         ///< When it was queued.
+  call_share Share;                ///< Classes of its customer and kind.
+  call_standing Standing;          ///< What they have used so far.
 };
 
 /** Capacity and load of the target; determines how fast the queue drains. */
@@ -54,6 +57,8 @@
       -> std::vector<queued_call>;
   /** Removes and returns the next call to start, if any. */
   auto pop(steady_time Now) -> std::optional<queued_call>;
+  /** Updates the standing of all calls. */
+  void updateStandings(fair_share &Share, steady_time Now);
   /** Removes a call. @return whether it was queued. */
   auto remove(std::uint64_t Key) -> bool;
   /** Removes and returns all calls. */
@@ -69,7 +74,8 @@
 };
 
 /** @return whether Left starts before Right: calls that can still be on time
- * come first, then priority decides, then the earlier time limit. */
+ * come first, then priority decides, then the use of the customers, then the
+ * earlier time limit. */
 auto startsBefore(const queued_call &Left, const queued_call &Right,
                   steady_time Now) -> bool;
 
--- a/include/sycamorelb/dispatch/pick.h
+++ b/include/sycamorelb/dispatch/pick.h
@@ -72,11 +72,6 @@
 /** @return whether the target reports how long work takes at the moment. */
 auto reportsWork(const target_view &View) -> bool;
 
-/** @return the expected run time of a call at the target: MeanRun at its own
- * speed and at that of the moment, if it reports work figures. */
-auto predictedRun(const target_view &View, micros MeanRun, steady_time Now)
-    -> micros;
-
 /** @return the expected wait until the call starts at the target: for a free
  * slot and, while starts are rate-limited, for the rate limit. */
 auto predictedWait(const target_view &View, steady_time Now) -> micros;
--- a/src/dispatch/call_queue.cpp
+++ b/src/dispatch/call_queue.cpp
@@ -29,18 +29,26 @@
                                Capacity.RateWindow * Windows);
 }
 
-/** @return the priority of a call after aging. */
+/** @return the priority of a call after aging. A customer above its share
+ * doesn't gain by waiting, since the backlog of its burst would overtake later
+ * calls of the others. A starved customer or kind counts as one of the highest
+ * priority, not more, until it is served again. */
 static auto agedPriority(const queued_call &Call, steady_time Now)
     -> std::int64_t {
-  return static_cast<std::int64_t>(Call.Priority) -
-         (Now - Call.ArrivedAt) / AgingStep;
+  auto Priority =
+      static_cast<std::int64_t>(Call.Standing.IsStarved ? 0 : Call.Priority);
+  if (Call.Standing.Level > 0 && !Call.Standing.IsStarved) {
+    return Priority;
+  }
+  return Priority - (Now - Call.ArrivedAt) / AgingStep;
 }
 
 auto startsBefore(const queued_call &Left, const queued_call &Right,
                   steady_time Now) -> bool {
   auto SortKey = [Now](const queued_call &Call) {
     auto Late = Call.LatestOnTimeStart < Now;
-    return std::make_tuple(Late, agedPriority(Call, Now),
+    auto Level = Call.Standing.IsStarved ? 0 : Call.Standing.Level;
+    return std::make_tuple(Late, agedPriority(Call, Now), Level,
                            Late ? Call.LatestStart : Call.LatestOnTimeStart,
                            Call.Key);
   };
@@ -99,6 +107,23 @@
   return Call;
 }
 
+void call_queue::updateStandings(fair_share &Share, steady_time Now) {
+  auto HasChanged = false;
+  for (auto &Call : Calls) {
+    auto Standing = standingOf(Share, Call.Share, Now);
+    HasChanged = HasChanged || Standing != Call.Standing;
+    Call.Standing = Standing;
+  }
+  if (!HasChanged) {
+    return;
+  }
+  // push() searches for the position of a new call.
+  std::sort(Calls.begin(), Calls.end(),
+            [Now](const queued_call &Left, const queued_call &Right) {
+              return startsBefore(Left, Right, Now);
+            });
+}
+
 auto call_queue::remove(std::uint64_t Key) -> bool {
   return std::erase_if(Calls, [Key](const queued_call &Call) {
            return Call.Key == Key;
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -146,6 +146,12 @@
   finishCall(Call, std::move(Outcome));
 }
 
+void admission::implementation::refuseForCapacity(admitted_call &Call,
+                                                  const char *Reason) {
+  dispatch::recordRefusal(Share, Call.Share, State.Loop.now());
+  refuseCall(Call, Reason);
+}
+
 void admission::implementation::replaceReply(admitted_call &Call,
                                              reply_handler Reply,
                                              source_connection Source) {
@@ -199,8 +205,13 @@
   if (Impl->isTooSlowNow(Call->Forward, Waiting)) {
     return Impl->refuseCall(*Call, "target slow now");
   }
+  Call->Share = dispatch::shareOf(Impl->Share, Call->Forward.Customer,
+                                  Call->Forward.Route, Now);
+  Waiting.Share = Call->Share;
+  Waiting.Standing = dispatch::standingOf(Impl->Share, Call->Share, Now);
+  Impl->Queue.updateStandings(Impl->Share, Now);
   if (!Impl->Queue.push(Waiting, Impl->capacity(), Now)) {
-    return Impl->refuseCall(*Call, "no room in time");
+    return Impl->refuseForCapacity(*Call, "no room in time");
   }
   Impl->runQueue();
 }
@@ -255,6 +266,7 @@
 
 void admission::implementation::runQueue() {
   auto Now = State.Loop.now();
+  Queue.updateStandings(Share, Now);
   while (Queue.size() > 0 && Running < std::max(1U, allowedCalls())) {
     auto NextStart = nextCallTime();
     if (NextStart > Now) {
@@ -264,13 +276,13 @@
     auto Next = Queue.pop(Now);
     auto Call = Calls.at(Next->Key);
     if (Next->LatestStart < Now && Next->ArrivedAt < Now) {
-      refuseCall(*Call, "start too late");
+      refuseForCapacity(*Call, "start too late");
     } else {
       startCall(Call);
     }
   }
   for (const auto &Expired : Queue.shedLateCalls(capacity(), Now)) {
-    refuseCall(*Calls.at(Expired.Key), "overtaken");
+    refuseForCapacity(*Calls.at(Expired.Key), "overtaken");
   }
   if (auto Expiry = Queue.nextExpiry()) {
     scheduleQueueRun(std::max(*Expiry, Now + micros(1000)));
@@ -343,6 +355,7 @@
     Self.IsTargetLeaving = false;
     Self.MeanRun = InitialMeanRun;
     Self.Routes.clear();
+    Self.Share = dispatch::fair_share();
     Self.Speed = dispatch::work_speed();
     Self.Limit = dispatch::concurrency_limit();
     Self.FailureShare = 0;
@@ -380,7 +393,7 @@
       Impl->refuseCall(Call, Reason);
     } else if (!Impl->Queue.push(Waiting, Impl->capacity(),
                                  Impl->State.Loop.now())) {
-      Impl->refuseCall(Call, "no room in time");
+      Impl->refuseForCapacity(Call, "no room in time");
     }
   }
   Impl->runQueue();
--- a/src/sidecar/admission_state.h
+++ b/src/sidecar/admission_state.h
@@ -8,6 +8,7 @@
 #include "sycamorelb/dispatch/call_queue.h"
 #include "sycamorelb/dispatch/cold_rate.h"
 #include "sycamorelb/dispatch/concurrency_limit.h"
+#include "sycamorelb/dispatch/fair_share.h"
 #include "sycamorelb/dispatch/start_limit.h"
 #include "sycamorelb/dispatch/work_speed.h"
 
@@ -47,7 +48,8 @@
   admission::reply_handler Reply;
   admission::source_connection Source = nullptr; // Connection that Reply uses.
   call_stage Stage = call_stage::Queued;
-  std::uint64_t Serial = 0; // Key in implementation::Calls.
+  std::uint64_t Serial = 0;   // Key in implementation::Calls.
+  dispatch::call_share Share; // Classes of its customer and kind.
   steady_time ArrivedAt{};
   steady_time DeadlineAt{};
   steady_time StartedAt{};
@@ -74,6 +76,7 @@
   dispatch::start_limit StartLimit; // Enforces NamedLimit.
   bool IsTargetLeaving = false;     // Target said so in an answer.
   dispatch::call_queue Queue;
+  dispatch::fair_share Share; // Use of Target.
   dispatch::call_rate_window Rate;
   steady_time ColdUntil{};
   bool IsColdTimeKnown = false;
@@ -135,6 +138,9 @@
                     source_connection Source);
   /** Ends a call: logs, keeps and sends its outcome. */
   void finishCall(admitted_call &Call, inner::reply_message Outcome);
+  /** Ends a call as not run because it would start too late, which counts
+   * against the service of its customer and kind. */
+  void refuseForCapacity(admitted_call &Call, const char *Reason);
   /** Ends a call as not run. */
   void refuseCall(admitted_call &Call, const char *Reason);
   void startCall(const std::shared_ptr<admitted_call> &Call);
--- a/src/sidecar/target_exchange.cpp
+++ b/src/sidecar/target_exchange.cpp
@@ -45,6 +45,10 @@
   }
   dispatch::recordSentCall(Rate, Now);
   dispatch::recordStart(StartLimit, Now);
+  auto Known = Routes.find(Forward.Route);
+  dispatch::recordStart(Share, Call->Share,
+                        Known == Routes.end() ? MeanRun : Known->second.Mean,
+                        Now);
   auto Header = platform::target_header();
   Header.TimeLeft = Call->DeadlineAt - Now;
   Header.Target = Target.Id;
--- a/test/dispatch_speed_test.cpp
+++ b/test/dispatch_speed_test.cpp
@@ -46,6 +46,31 @@
   cr_assert_lt(relativeWorkPercent(Speed, Start + micros(90'000)), 145U);
 }
 
+// Guards against predictions by the speed of some seconds ago: after a step of
+// the speed to 0.6 or 1.4, or in a ramp, a mean run time must be off by less
+// than the reserve of a call (half of it) after two answers, and stay so while
+// the usual figure follows.
+Test(dispatch_speed, prediction_follows_steps_and_ramps) {
+  for (auto Work : {100 / 0.6, 100 / 1.4}) {
+    auto Speed = work_speed();
+    auto Now = Start;
+    for (auto Answer = 0; Answer < 300; ++Answer) {
+      auto Figure = Answer < 100 ? 100 : Work;
+      observeWork(Speed, Figure, Now += micros(30'000));
+      auto Predicted = Speed.Usual * relativeWorkPercent(Speed, Now) / 100;
+      cr_assert(Answer == 100 || std::abs(Predicted / Figure - 1) < 0.25,
+                "answer %d: %f", Answer, Predicted);
+    }
+  }
+  auto Speed = work_speed();
+  auto Now = Start;
+  for (auto Figure = 60.0; Figure < 250; Figure += 2) {
+    observeWork(Speed, Figure, Now += micros(30'000));
+    auto Predicted = Speed.Usual * relativeWorkPercent(Speed, Now) / 100;
+    cr_assert_float_eq(Predicted / Figure, 1, 0.1);
+  }
+}
+
 /** Target whose run times grow by Slope for each call beyond Knee. */
 struct limit_load {
   concurrency_limit Limit;
