Feature: [Sidecar] Abandoned calls at a target; metrics of its speed and limit

Cause: some targets never answer a request that they can't queue; calls that were cancelled or timed out may still run there, unseen by the node. Change: from as many abandoned calls as slots on, each takes a slot until its mean run time is over (only at targets that report work figures).

--- a/include/sycamorelb/dispatch/call_queue.h
+++ b/include/sycamorelb/dispatch/call_queue.h
@@ -25,8 +25,8 @@
   steady_time LatestOnTimeStart{}; ///< Latest start for an answer on time.
   steady_time LatestStart{};       ///< Latest start at all.
   steady_time ArrivedAt{};         ///< When it was queued.
-  call_share Share;                ///< Classes of its customer and kind.
-  call_standing Standing;          ///< What they have used so far.
+  call_share Share{};              ///< Classes of its customer and kind.
+  call_standing Standing{};        ///< What they have used so far.
 };
 
 /** Capacity and load of the target; determines how fast the queue drains. */
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -267,7 +267,7 @@
 void admission::implementation::runQueue() {
   auto Now = State.Loop.now();
   Queue.updateStandings(Share, Now);
-  while (Queue.size() > 0 && Running < std::max(1U, allowedCalls())) {
+  while (Queue.size() > 0 && occupiedSlots() < std::max(1U, allowedCalls())) {
     auto NextStart = nextCallTime();
     if (NextStart > Now) {
       scheduleQueueRun(NextStart);
@@ -284,6 +284,9 @@
   for (const auto &Expired : Queue.shedLateCalls(capacity(), Now)) {
     refuseForCapacity(*Calls.at(Expired.Key), "overtaken");
   }
+  if (Queue.size() > 0 && !AbandonedUntil.empty()) {
+    scheduleQueueRun(std::max(AbandonedUntil.front(), Now + micros(1000)));
+  }
   if (auto Expiry = Queue.nextExpiry()) {
     scheduleQueueRun(std::max(*Expiry, Now + micros(1000)));
   }
@@ -300,6 +303,7 @@
     if (Call.Forward.Kind == mesh::call_kind::Idempotent) {
       Call.Connection->close();
       --Running;
+      recordAbandoned();
       auto Outcome = reply_message();
       Outcome.Outcome = reply_outcome::Unknown;
       Outcome.ReachedTarget = true;
@@ -356,6 +360,7 @@
     Self.MeanRun = InitialMeanRun;
     Self.Routes.clear();
     Self.Share = dispatch::fair_share();
+    Self.AbandonedUntil.clear();
     Self.Speed = dispatch::work_speed();
     Self.Limit = dispatch::concurrency_limit();
     Self.FailureShare = 0;
--- a/src/sidecar/admission_load.cpp
+++ b/src/sidecar/admission_load.cpp
@@ -80,6 +80,22 @@
              : Target.Slots;
 }
 
+auto admission::implementation::occupiedSlots() -> std::uint32_t {
+  while (!AbandonedUntil.empty() &&
+         AbandonedUntil.front() <= State.Loop.now()) {
+    AbandonedUntil.pop_front();
+  }
+  // The targets queue more calls than they have slots.
+  auto Abandoned = static_cast<std::uint32_t>(AbandonedUntil.size());
+  return Running + (Abandoned > Target.Slots ? Abandoned - Target.Slots : 0);
+}
+
+void admission::implementation::recordAbandoned() {
+  if (dispatch::isKnown(Speed)) {
+    AbandonedUntil.push_back(State.Loop.now() + capacity().MeanRun);
+  }
+}
+
 auto admission::implementation::usualRun(micros RunAtFullSpeed) const
     -> micros {
   return dispatch::isKnown(Speed)
--- a/src/sidecar/admission_state.h
+++ b/src/sidecar/admission_state.h
@@ -92,6 +92,9 @@
   std::deque<std::pair<steady_time, call_key>> EndedKeyTimes;
   std::uint64_t NextSerial = 1;
   std::uint32_t Running = 0;
+  /** When calls that were given up should end at a target that reports work
+   * figures, in order of giving up. */
+  std::deque<steady_time> AbandonedUntil;
   std::uint32_t CallsWithoutResponse = 0;
   micros MeanRun = InitialMeanRun;
   std::map<route_id, route_run_time> Routes;
@@ -119,6 +122,12 @@
   /** @return the calls that may run at once: the slots, or the learned limit of
    * a target that reports work figures. */
   auto allowedCalls() const -> std::uint32_t;
+  /** @return the calls that use slots: those that run, and abandoned ones that
+   * would take places in the target's own queue. Some targets never answer a
+   * call that they can't queue. */
+  auto occupiedSlots() -> std::uint32_t;
+  /** Notes that a call was given up that may still run at the target. */
+  void recordAbandoned();
   /** @return a run time at full speed as it usually is at the target. */
   auto usualRun(micros RunAtFullSpeed) const -> micros;
   /** @return the momentary run time relative to the usual one. */
--- a/src/sidecar/node_counters.cpp
+++ b/src/sidecar/node_counters.cpp
@@ -142,6 +142,13 @@
                       static_cast<double>(Gauges.Running)),
       makeGaugeFamily("sycamorelb_target_queued", "Calls that wait for a slot.",
                       static_cast<double>(Gauges.Queued)),
+      makeGaugeFamily("sycamorelb_target_concurrency",
+                      "Learned limit on the calls at the target; 0 if none.",
+                      static_cast<double>(Gauges.Concurrency)),
+      makeGaugeFamily("sycamorelb_target_work_percent",
+                      "Work time at the target now, in percent of usual; 0 if "
+                      "unknown.",
+                      static_cast<double>(Gauges.WorkPercent)),
       makeGaugeFamily("sycamorelb_open_calls",
                       "Calls of own callers in progress.",
                       static_cast<double>(Gauges.OpenCalls)),
--- a/src/sidecar/node_counters.h
+++ b/src/sidecar/node_counters.h
@@ -54,6 +54,8 @@
   std::uint64_t Hosts = 0;         ///< Known hosts.
   std::uint64_t Running = 0;       ///< Calls at the target.
   std::uint64_t Queued = 0;        ///< Calls queued for a slot.
+  std::uint64_t Concurrency = 0;   ///< Learned limit of the target, or 0.
+  std::uint64_t WorkPercent = 0;   ///< Work time of the target now, or 0.
   std::uint64_t OpenCalls = 0;     ///< Local callers' calls.
   std::uint64_t Suppressed = 0;    ///< Log lines dropped.
   std::uint64_t Pipelined = 0;     ///< Requests begun beside earlier ones.
--- a/src/sidecar/state_view.cpp
+++ b/src/sidecar/state_view.cpp
@@ -32,6 +32,8 @@
   Json["target"] = {{"running", View.Load.Running},
                     {"queued", View.Load.Queued},
                     {"slots", View.Load.Slots},
+                    {"concurrency", View.Load.Concurrency},
+                    {"work_percent", View.Load.WorkPercent},
                     {"mean_run_us", View.Load.MeanRun.count()},
                     {"failure_ppm", View.Load.FailurePpm},
                     {"cold", View.Load.Cold}};
@@ -63,6 +65,8 @@
   Gauges.Hosts = State.Hosts.records().size();
   Gauges.Running = View.Load.Running;
   Gauges.Queued = View.Load.Queued;
+  Gauges.Concurrency = View.Load.Concurrency;
+  Gauges.WorkPercent = View.Load.WorkPercent;
   Gauges.OpenCalls = View.OpenCalls;
   Gauges.Pipelined = View.Pipelining.Pipelined;
   Gauges.HeldResponses = View.Pipelining.HeldResponses;
--- a/src/sidecar/target_exchange.cpp
+++ b/src/sidecar/target_exchange.cpp
@@ -273,6 +273,9 @@
                    {"target", Target.Id.Value},
                    {"run_us", Outcome.RunTime.count()}});
   recordRun(Call, true, Outcome.RunTime);
+  if (Failure.Connected) {
+    recordAbandoned();
+  }
   if (!Failure.ResponseStarted) {
     ++CallsWithoutResponse;
   }
--- a/test/sidecar_admission_test.cpp
+++ b/test/sidecar_admission_test.cpp
@@ -1,7 +1,9 @@
 /** @file sidecar_admission_test.cpp Tests of call admission and of the outcomes
  * that a node reports. */
 #include "sidecar/admission.h"
+#include "sycamorelb/dispatch/call_queue.h"
 
+#include <algorithm>
 #include <criterion/criterion.h>
 #include <functional>
 #include <memory>
@@ -316,3 +318,90 @@
   Node.Admission.setTarget(Target, std::nullopt);
   cr_assert_not(Node.Admission.coldTimeLeft(), "counts as warm");
 }
+
+/** Sends calls to a target one after the other, which reports each of Loads
+ * with one answer, then one call that has 10 ms left to start on time.
+ * @return how that one ended. */
+static auto endOfUrgentCall(admission_fixture &Node,
+                            const std::vector<std::string> &Loads,
+                            micros TimeToLatestStart) -> std::string {
+  Node.start();
+  Node.State.Settings.TargetAddress = targetAddress();
+  auto Streams = std::vector<std::shared_ptr<event::stream>>();
+  auto Answers = std::size_t{0};
+  auto Target = event::listener::open(
+      Node.Loop, Node.State.Settings.TargetAddress,
+      [&](const std::shared_ptr<event::stream> &Stream) {
+        auto *Raw = Stream.get();
+        Stream->OnData = [&, Raw] {
+          Raw->consume(Raw->input().size());
+          Node.Loop.addTimer(Node.Loop.now() + micros(20'000), [&, Raw] {
+            Raw->send("HTTP/1.1 200 OK\r\nRequest-Id: r-1\r\nServer-Load: " +
+                      Loads[std::min(Answers++, Loads.size() - 1)] +
+                      "\r\nResponse-Signature: s\r\nContent-Length: 0\r\n\r\n");
+          });
+        };
+        Streams.push_back(Stream);
+      });
+  cr_assert(isOk(Target));
+  auto End = std::string("none");
+  std::function<void(std::uint64_t)> Run = [&](std::uint64_t Number) {
+    auto IsUrgent = Number > Loads.size();
+    auto Forward = admission_fixture::forward(micros(3'000'000));
+    Forward.TimeToStartOnTime = micros(IsUrgent ? 10'000 : 2'000'000);
+    Forward.TimeToLatestStart =
+        IsUrgent ? TimeToLatestStart : Forward.TimeToStartOnTime;
+    Forward.Call = {Number};
+    Forward.Request.Method = "POST";
+    Forward.Request.Target = "/a/";
+    Forward.Request.Headers = {{"Request-Id", "r-1"}};
+    Node.Admission.submit({{"node-2"}, {1}, {Number}}, Forward,
+                          [&, Number, IsUrgent](const auto &Reply) {
+                            End = Reply.Outcome == reply_outcome::Answered
+                                      ? "answered"
+                                      : Reply.Reason;
+                            Node.Loop.defer([&, Number, IsUrgent] {
+                              IsUrgent ? Node.Loop.stop() : Run(Number + 1);
+                            });
+                          });
+  };
+  Run(1);
+  Node.Loop.addTimer(Node.Loop.now() + micros(5'000'000),
+                     [&Node] { Node.Loop.stop(); });
+  Node.Loop.run();
+  return End;
+}
+
+// Guards against a call that is late because it runs on a machine that is slow
+// at this moment while others are not, and against one that is refused
+// everywhere although it could still meet its deadline.
+Test(sidecar_admission, call_that_would_be_late_now_is_refused) {
+  auto Loads = std::vector<std::string>(10, "1,0,1,100");
+  Loads.insert(Loads.end(), 3, "1,0,1,250");
+  auto Slow = admission_fixture();
+  cr_assert_str_eq(
+      endOfUrgentCall(Slow, Loads, dispatch::MinTimeToStart).c_str(),
+      "target slow now");
+  cr_assert_eq(Slow.Admission.load().Concurrency, 1U);
+  cr_assert_gt(Slow.Admission.load().WorkPercent, 100U);
+  auto LastAttempt = admission_fixture();
+  cr_assert_str_eq(
+      endOfUrgentCall(LastAttempt, Loads, micros(1'000'000)).c_str(),
+      "answered");
+}
+
+// Guards against another behaviour where targets report no or malformed work
+// figures.
+Test(sidecar_admission, target_without_work_figures_is_used_as_before) {
+  for (const auto *Load : {"1,0,1", "1,0,1,0", "1,0,1,250,1", "1,0,1,1e400"}) {
+    auto Node = admission_fixture();
+    auto Loads = std::vector<std::string>(4, Load);
+    cr_assert_str_eq(
+        endOfUrgentCall(Node, Loads, dispatch::MinTimeToStart).c_str(),
+        "answered");
+    cr_assert_eq(Node.Admission.load().Concurrency, 0U);
+    cr_assert_eq(Node.Admission.load().WorkPercent, 0U);
+    cr_assert_eq(Node.State.Counters.BadInput["target"],
+                 std::string_view(Load) == "1,0,1" ? 0U : 5U);
+  }
+}
