--- a/src/sidecar/admission_state.h
+++ b/src/sidecar/admission_state.h
@@ -7,7 +7,10 @@
 #include "sidecar/target_pool.h"
 #include "sycamorelb/dispatch/call_queue.h"
 #include "sycamorelb/dispatch/cold_rate.h"
+#include "sycamorelb/dispatch/concurrency_limit.h"
+#include "sycamorelb/dispatch/fair_share.h"
 #include "sycamorelb/dispatch/start_limit.h"
+#include "sycamorelb/dispatch/work_speed.h"
 
 #include <deque>
 #include <map>
@@ -29,6 +32,13 @@
   micros WriteDelay{0}; // Longest time from a start to the last byte written.
 };
 
+/** Run times of one route at the target, at full speed if it reports work
+ * figures. */
+struct route_run_time {
+  micros Mean{0};      // Recent mean; predicts run times.
+  double Baseline = 0; // Slow mean in microseconds; compares calls of a route.
+};
+
 enum class call_stage : std::uint8_t { Queued, Running, Done };
 
 /** A call submitted to admission. */
@@ -38,7 +48,8 @@
   admission::reply_handler Reply;
   admission::source_connection Source = nullptr; // Connection that Reply uses.
   call_stage Stage = call_stage::Queued;
-  std::uint64_t Serial = 0; // Key in implementation::Calls.
+  std::uint64_t Serial = 0;   // Key in implementation::Calls.
+  dispatch::call_share Share; // Classes of its customer and kind.
   steady_time ArrivedAt{};
   steady_time DeadlineAt{};
   steady_time StartedAt{};
@@ -47,6 +58,8 @@
   event::timer_id Timer{0};
   inner::reply_message Outcome;
   bool WasCold = false;
+  double WorkAtStart = 0;           // Work figure then; 0 if unknown.
+  std::uint32_t RunningAtStart = 0; // Calls that ran then, with this one.
   std::uint64_t TargetStart = 0; // Value of TargetStarts when it was started.
 };
 
@@ -63,6 +76,7 @@
   dispatch::start_limit StartLimit; // Enforces NamedLimit.
   bool IsTargetLeaving = false;     // Target said so in an answer.
   dispatch::call_queue Queue;
+  dispatch::fair_share Share; // Use of Target.
   dispatch::call_rate_window Rate;
   steady_time ColdUntil{};
   bool IsColdTimeKnown = false;
@@ -78,9 +92,14 @@
   std::deque<std::pair<steady_time, call_key>> EndedKeyTimes;
   std::uint64_t NextSerial = 1;
   std::uint32_t Running = 0;
+  /** When calls that were given up should end at a target that reports work
+   * figures, in order of giving up. */
+  std::deque<steady_time> AbandonedUntil;
   std::uint32_t CallsWithoutResponse = 0;
   micros MeanRun = InitialMeanRun;
-  std::map<route_id, micros> RouteMeans;
+  std::map<route_id, route_run_time> Routes;
+  dispatch::work_speed Speed;        // Work figures of Target.
+  dispatch::concurrency_limit Limit; // Learned for Target.
   double FailureShare = 0;
   rollout::version_evidence Evidence;
   rollout::brake_window Brake;
@@ -100,6 +119,24 @@
   /** @return the earliest time at which the next call may start. */
   auto nextCallTime() const -> steady_time;
   auto capacity() const -> dispatch::target_capacity;
+  /** @return the calls that may run at once: the slots, or the learned limit of
+   * a target that reports work figures. */
+  auto allowedCalls() const -> std::uint32_t;
+  /** @return the calls that use slots: those that run, and abandoned ones that
+   * would take places in the target's own queue. Some targets never answer a
+   * call that they can't queue. */
+  auto occupiedSlots() -> std::uint32_t;
+  /** Notes that a call was given up that may still run at the target. */
+  void recordAbandoned();
+  /** @return a run time at full speed as it usually is at the target. */
+  auto usualRun(micros RunAtFullSpeed) const -> micros;
+  /** @return the momentary run time relative to the usual one. */
+  auto speedFactor() const -> double;
+  /** Moves the latest starts of a call to those at the current speed.
+   * @return whether the target is so slow at this moment that the answer would
+   * be late. */
+  auto isTooSlowNow(const inner::forward_message &Forward,
+                    dispatch::queued_call &Waiting) const -> bool;
   /** @return why a call may not run here, or null if it may. */
   auto refusalReason(const inner::forward_message &Forward) const -> const
       char *;
@@ -110,6 +147,9 @@
                     source_connection Source);
   /** Ends a call: logs, keeps and sends its outcome. */
   void finishCall(admitted_call &Call, inner::reply_message Outcome);
+  /** Ends a call as not run because it would start too late, which counts
+   * against the service of its customer and kind. */
+  void refuseForCapacity(admitted_call &Call, const char *Reason);
   /** Ends a call as not run. */
   void refuseCall(admitted_call &Call, const char *Reason);
   void startCall(const std::shared_ptr<admitted_call> &Call);
@@ -132,6 +172,11 @@
   void recordNotice(const admitted_call &Call,
                     const platform::response_header &Header);
   void recordRun(const admitted_call &Call, bool Failed, micros RunTime);
+  /** Takes over the work figure of an answer. */
+  void recordWork(const admitted_call &Call,
+                  const platform::response_header &Header);
+  /** Updates the mean run times and the learned limit from an answer. */
+  void recordRunTime(const admitted_call &Call, micros RunTime);
   /** Refuses calls until the next heartbeat of the target. */
   void markTargetLost(const char *Reason);
   /** Drops a queued call or aborts a running idempotent one. */
