Fix: [Http] An answer without length is cut if its request was; no statuses above 599

An upload answered early by a 200 without length, cut by a reset while the upload was still being written: a failed write takes the error of the connection, so the read that follows sees the end of the stream, and the part counted as the whole body. The sidecar saw the reset, but took the end of the stream before a reset for the end of the body. Both now take such an answer as cut if the writing of the request had begun and ended early, and a stream reports a reset after a failed write.

Statuses under 100 and of two or four digits were rejected before; 600 to 999 were passed on and are rejected now.

--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -94,6 +94,9 @@
   bool Paused = false;
   bool ClosingAfterOutput = false;
   bool CountsAsLinkTraffic = true;
+  /** A write failed. The kernel reports the error of a connection only once, so
+   * a read afterwards sees the end of the stream instead of the reset. */
+  bool WriteFailed = false;
   std::uint32_t Events = 0;
   std::string InputBuffer;
   std::size_t InputOffset = 0;
@@ -142,7 +145,8 @@
       auto Sent = ::send(Descriptor, OutputBuffer.data() + OutputOffset,
                          OutputBuffer.size() - OutputOffset, MSG_NOSIGNAL);
       if (Sent < 0) {
-        return errno == EAGAIN || errno == EINTR;
+        WriteFailed = errno != EAGAIN && errno != EINTR;
+        return !WriteFailed;
       }
       OutputOffset += static_cast<std::size_t>(Sent);
       if (CountsAsLinkTraffic) {
@@ -246,6 +250,9 @@
   }
   auto SizeBefore = Impl->InputBuffer.size();
   auto End = Impl->receiveAvailable();
+  if (End && Impl->WriteFailed) {
+    End = close_reason::Reset;
+  }
   if (Impl->InputBuffer.size() > SizeBefore && OnData) {
     // Copied, since the callback may replace OnData.
     auto Callback = OnData;
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -265,8 +265,12 @@
   if (!Impl->Handler) {
     return;
   }
-  if (Reason == event::close_reason::EndOfStream && Impl->ReadingBody &&
-      !Impl->SkippingBody) {
+  // A server that closes while the request is still being written may also have
+  // reset the connection, which shows only later. The end of the connection
+  // then doesn't prove the end of the body.
+  auto RequestSent = Impl->Stream->pendingOutput() == 0;
+  if (Reason == event::close_reason::EndOfStream && RequestSent &&
+      Impl->ReadingBody && !Impl->SkippingBody) {
     Impl->Decoder.handleClose();
     if (Impl->Decoder.isComplete()) {
       auto Response =
--- a/src/proxy/attempt.cpp
+++ b/src/proxy/attempt.cpp
@@ -86,6 +86,7 @@
       Pooled.Connection->write(Request.Head, Content, Limits, Outcome.BytesOut);
   Outcome.Started = Outcome.BytesOut > 0;
   RequestSent = Status == io_status::Ok && Body.Complete;
+  RequestCut = Status != io_status::Ok;
   return Status;
 }
 
@@ -157,6 +158,7 @@
     }
   }
   RequestSentAt = steadyNow();
+  RequestCut = !RequestSent;
   if (Status == io_status::TimedOut || Status == io_status::CallerLeft) {
     return fail(Status, "send_body");
   }
@@ -270,7 +272,9 @@
       continue;
     }
     if (auto Status = flushAndReceive(limits()); Status != io_status::Ok) {
-      if (Status == io_status::Closed) {
+      // A failed write takes the error of a reset connection, so that the read
+      // sees its end, which then doesn't prove the end of the body.
+      if (Status == io_status::Closed && !RequestCut) {
         Decoder.handleClose();
       }
       if (!Decoder.isComplete()) {
--- a/src/proxy/attempt.h
+++ b/src/proxy/attempt.h
@@ -88,6 +88,7 @@
   response_head Response;
   bool HasResponseHead = false;  // Response holds the final head.
   bool RequestSent = false;      // The whole request was written.
+  bool RequestCut = false;       // Its writing began and ended early.
   bool ContinueReceived = false; // 100 Continue was received.
   bool ChunkEndPending = false;  // A chunk was written without its CRLF.
 };
--- a/src/proxy/message_head.cpp
+++ b/src/proxy/message_head.cpp
@@ -294,7 +294,7 @@
   }
   MinorVersion = parseVersion(Line.substr(0, 8));
   auto Status = parseDecimal(Line.substr(9, 3));
-  if (MinorVersion < 0 || !Status || *Status < 100) {
+  if (MinorVersion < 0 || !Status || *Status < 100 || *Status > 599) {
     return false;
   }
   Head.Status = static_cast<int>(*Status);
