--- a/include/sycamorelb/http/client_connection.h
+++ b/include/sycamorelb/http/client_connection.h
@@ -32,6 +32,8 @@
   millis ConnectTimeout{1000};  ///< Time to establish a connection.
   std::size_t MaxBodyBytes = 0; ///< Longer response bodies are a failure.
   bool SameHost = false;        ///< The server is on this host.
+  /** Called once when the connection is established, if set. */
+  std::function<void()> OnConnected = nullptr;
   /** Shared limit; null for none. A response that exceeds it is a failure. */
   std::shared_ptr<body_budget> Budget;
 };
--- a/include/sycamorelb/sidecar/settings_type.h
+++ b/include/sycamorelb/sidecar/settings_type.h
@@ -21,6 +21,19 @@
   double ColdSlack = 5;        ///< Calls per second allowed on top of it.
 };
 
+/** Usage reports to the platform. */
+struct usage_settings {
+  millis Window{0};       ///< Length of a window; 0 for no reports.
+  double MaxError = 0.05; ///< Allowed relative error of a customer's count.
+  millis Late{10000};     ///< Time after its end at which a report is due.
+  millis Lease{3000};     ///< Time between acts of different holders.
+  millis Thaw{300};       ///< Acts that long after a pause don't count.
+  bool FencingRequired = true; ///< The platform refuses lower tokens.
+  millis Revoke{5000};     ///< Time for a former holder to be without effect.
+  event::endpoint Address; ///< Server of the call; port 0 for no reports.
+  double CallsPerSecond = 50; ///< Limit on calls, over all nodes.
+};
+
 /** Settings of a node. */
 struct node_settings {
   node_id Node;                     ///< Name of the host.
@@ -40,6 +53,7 @@
   double LinkMbps = 1000;         ///< Bandwidth of the host's link in Mbit/s.
   double CpuShare = 1;            ///< CPU of the host, in cores.
   mesh_bounds Bounds;             ///< Limits guaranteed by the deployment.
+  usage_settings Usage;           ///< Usage reports.
   bool FirstStart = false;        ///< All hosts start for the first time.
   http::pipeline_limits Pipeline; ///< Limits on pipelined requests.
   /** Responses of pipelined requests on hold, over all connections. */
--- a/include/sycamorelb/usage/count.h
+++ b/include/sycamorelb/usage/count.h
@@ -33,6 +33,10 @@
 void countStart(usage_counter &Counter, const customer_id &Customer,
                 std::int64_t Window);
 
+/** Removes a call that turned out not to have run. */
+void removeStart(usage_counter &Counter, const customer_id &Customer,
+                 std::int64_t Window);
+
 /** @return the windows whose counts must be sent now, and whether each is over.
  * A window is due once in its middle and once soon after its end, if it has
  * counts that weren't sent.
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -106,6 +106,9 @@
   Stream->OnConnected = [Weak] {
     if (auto Self = Weak.lock()) {
       Self->Impl->Established = true;
+      if (auto Callback = std::exchange(Self->Impl->Options.OnConnected, {})) {
+        Callback();
+      }
     }
   };
   Stream->OnOutputWritten = [Weak] {
--- a/src/sidecar/admission.h
+++ b/src/sidecar/admission.h
@@ -28,6 +28,12 @@
   std::function<void()> OnTargetLeaving;
   /** The target's version is being rolled out and fails too often. */
   std::function<void()> OnBrake;
+  /** A call of a customer starts at the target. */
+  std::function<void(const customer_id &)> OnCallStarted =
+      [](const customer_id &) {};
+  /** A call that started at that time wasn't run by the target. */
+  std::function<void(const customer_id &, steady_time)> OnCallRejected =
+      [](const customer_id &, steady_time) {};
 };
 
 /**
--- a/src/sidecar/gossip.cpp
+++ b/src/sidecar/gossip.cpp
@@ -88,6 +88,7 @@
   for (const auto &[Service, Rollout] : State.Rollouts) {
     Message.Rollouts.push_back(Rollout);
   }
+  Events.AddUsage(Message);
   return Message;
 }
 
@@ -266,6 +267,13 @@
   Impl->Links.send(Node, Message);
 }
 
+void gossip::sendUsage(const node_id &Node, std::vector<usage_counts> Counts) {
+  auto Message = Impl->buildMessage();
+  Message.Rollouts.clear();
+  Message.Usage = std::move(Counts);
+  Impl->Links.send(Node, Message);
+}
+
 void gossip::mergeHost(const mesh::host_record &Record) {
   auto &State = Impl->State;
   if (Record.Node == State.Own.Node) {
@@ -430,6 +438,7 @@
   for (const auto &Report : Message.Evidence) {
     Impl->Events.OnEvidence(Report);
   }
+  Impl->Events.OnUsage(Message);
   if (Message.RelayToZone && Message.Sender.Zone != State.Own.Zone) {
     Impl->relayToOwnZone(Message);
   }
--- a/src/sidecar/gossip.h
+++ b/src/sidecar/gossip.h
@@ -21,6 +21,10 @@
   std::function<void(const rollout::rollout_state &)> OnRolloutProgress;
   /** Another node sent its call statistics for a rollout. */
   std::function<void(const inner::rollout_evidence_report &)> OnEvidence;
+  /** Another node sent a message that may concern usage reports. */
+  std::function<void(const inner::gossip_message &)> OnUsage;
+  /** Adds what this node tells about usage reports with each message. */
+  std::function<void(inner::gossip_message &)> AddUsage;
 };
 
 /** Replicates state with the other nodes. */
@@ -64,6 +68,9 @@
   /** Sends call statistics for a rollout to another node. */
   void sendEvidence(const node_id &Node,
                     const inner::rollout_evidence_report &Report);
+  /** Sends a message about usage reports to another node, without the progress
+   * of rollouts. */
+  void sendUsage(const node_id &Node, std::vector<inner::usage_counts> Counts);
   /** Handles a gossip message.
    * @param SendReply sends a reply on the connection that carried the message.
    */
--- a/src/sidecar/node_counters.cpp
+++ b/src/sidecar/node_counters.cpp
@@ -148,6 +148,18 @@
       makeGaugeFamily("sycamorelb_store_lost",
                       "1 while the store can't be read.",
                       Gauges.StoreLost ? 1 : 0),
+      makeCounterFamily("sycamorelb_usage_windows_total",
+                        "Usage windows of which this node was the holder.",
+                        "result", Counters.UsageWindows),
+      makeGaugeFamily("sycamorelb_usage_holder",
+                      "1 while this node sends the usage reports.",
+                      Gauges.IsUsageHolder ? 1 : 0),
+      makeGaugeFamily("sycamorelb_usage_token",
+                      "Highest fencing token of usage reports known.",
+                      static_cast<double>(Gauges.UsageToken)),
+      makeGaugeFamily("sycamorelb_usage_era",
+                      "Era of the store known to this node.",
+                      static_cast<double>(Gauges.UsageEra)),
       makeLatencyFamily(Counters.Latency)};
   return prometheus::TextSerializer().Serialize(Families);
 }
--- a/src/sidecar/node_counters.h
+++ b/src/sidecar/node_counters.h
@@ -43,8 +43,9 @@
   std::uint64_t LinksLost = 0; ///< Peer connections lost.
   /** By kind, and whether the other node is in the same zone. */
   std::map<std::pair<std::string_view, bool>, message_counts> PeerTraffic;
-  std::uint64_t TargetConnections = 0;           ///< Opened to the target.
-  std::map<route_id, latency_histogram> Latency; ///< By route.
+  std::uint64_t TargetConnections = 0;               ///< Opened to the target.
+  std::map<std::string, std::uint64_t> UsageWindows; ///< By result.
+  std::map<route_id, latency_histogram> Latency;     ///< By route.
 };
 
 /** Gauges that are sampled when the metrics are rendered. */
@@ -60,6 +61,9 @@
   std::uint64_t HeldResponses = 0; ///< Responses that waited for earlier ones.
   std::uint64_t HeldBytes = 0;     ///< Size of those that wait now.
   bool StoreLost = false;          ///< The store is unreachable.
+  bool IsUsageHolder = false;      ///< This node sends the usage reports.
+  std::uint64_t UsageToken = 0;    ///< Highest token known.
+  std::uint64_t UsageEra = 0;      ///< Era of the store as its holders know it.
 };
 
 /** @return the metrics in the Prometheus text format. */
--- a/src/sidecar/peer_links.cpp
+++ b/src/sidecar/peer_links.cpp
@@ -34,6 +34,9 @@
     if (!Gossip->Hosts.empty() || !Gossip->Summary.empty()) {
       return "hosts";
     }
+    if (!Gossip->Usage.empty()) {
+      return "usage";
+    }
     return Gossip->Evidence.empty() ? "gossip" : "evidence";
   }
   if (std::holds_alternative<forward_message>(Message)) {
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -122,6 +122,12 @@
   Events.OnEvidence = [this](const rollout_evidence_report &Report) {
     Rollouts.mergeEvidence(Report);
   };
+  Events.OnUsage = [this](const gossip_message &Message) {
+    Usage.handleMessage(Message);
+  };
+  Events.AddUsage = [this](gossip_message &Message) {
+    Usage.addToMessage(Message);
+  };
   return Events;
 }
 
@@ -269,7 +275,8 @@
 }
 
 auto sidecar::implementation::stateView() const -> state_view {
-  return {State, Admission.load(), Entry.openCalls(), Entry.pipelining()};
+  return {State, Admission.load(), Entry.openCalls(), Entry.pipelining(),
+          Usage.holder()};
 }
 
 auto sidecar::implementation::answerMetrics(const http::request &Request)
@@ -438,6 +445,7 @@
     Self.Store.start();
   }
   Self.Gossip.start();
+  Self.Usage.start();
   Self.reloadIfChanged();
   Self.runPeriodicChecks();
   Self.measureLink();
--- a/src/sidecar/sidecar_state.h
+++ b/src/sidecar/sidecar_state.h
@@ -11,6 +11,7 @@
 #include "sidecar/stop_signal.h"
 #include "sidecar/store_feed.h"
 #include "sidecar/target_watch.h"
+#include "sidecar/usage_control.h"
 #include "sycamorelb/core/hash_func.h"
 #include "sycamorelb/sidecar/sidecar.h"
 
@@ -29,11 +30,17 @@
         State(Loop, Settings, hash64(Settings.Node.Value, Incarnation)),
         Admission(State, {[this] { publishTargetLost(); },
                           [this] { handleTargetLeaving(); },
-                          [this] { brakeRollout(); }}),
+                          [this] { brakeRollout(); },
+                          [this](const customer_id &Customer) {
+                            Usage.countStart(Customer);
+                          },
+                          [this](const customer_id &Customer, steady_time At) {
+                            Usage.removeStart(Customer, At);
+                          }}),
         Links(State, makePeerEvents()), Entry(State, Admission, Links),
         Gossip(State, Links, makeGossipEvents()),
         Store(State, makeStoreEvents()),
-        Rollouts(State, Admission, Gossip, Store) {
+        Rollouts(State, Admission, Gossip, Store), Usage(State, Gossip, Store) {
     State.Own.Incarnation = Incarnation;
     publishOwnRecord(State);
   }
@@ -52,6 +59,7 @@
   gossip Gossip;
   store_feed Store;
   rollout_control Rollouts;
+  usage_control Usage;
   std::unique_ptr<http_endpoint> ReadinessEndpoint;
   std::unique_ptr<http_endpoint> HeartbeatEndpoint;
   std::unique_ptr<http_endpoint> MetricsEndpoint;
--- a/src/sidecar/state_view.cpp
+++ b/src/sidecar/state_view.cpp
@@ -44,6 +44,14 @@
         {"offset", Rollout.OrderOffset.Value},
         {"stage", static_cast<int>(Rollout.Stage)}};
   }
+  if (const auto &Holder = View.Usage.Known) {
+    Json["usage"] = {{"holder", Holder->Node.Value},
+                     {"process", Holder->Process.Value},
+                     {"token", Holder->Token},
+                     {"era", View.Usage.Era.Value},
+                     {"window", Holder->Window},
+                     {"stage", static_cast<int>(View.Usage.Stage)}};
+  }
   Json["evacuated"] = nlohmann::json::array();
   for (const auto &Zone : State.EvacuatedZones) {
     Json["evacuated"].push_back(Zone.Value);
@@ -69,6 +77,9 @@
   Gauges.HeldBytes = View.Pipelining.HeldBytes;
   Gauges.Suppressed = State.Log.suppressed();
   Gauges.StoreLost = State.Own.StoreLost;
+  Gauges.IsUsageHolder = View.Usage.Stage == usage::holder_stage::Holding;
+  Gauges.UsageToken = View.Usage.Known ? View.Usage.Known->Token : 0;
+  Gauges.UsageEra = View.Usage.Era.Value;
   return Gauges;
 }
 
--- a/src/sidecar/state_view.h
+++ b/src/sidecar/state_view.h
@@ -4,6 +4,7 @@
 #include "sidecar/node_state.h"
 #include "sycamorelb/dispatch/pick.h"
 #include "sycamorelb/http/pipeline_type.h"
+#include "sycamorelb/usage/holder.h"
 
 #include <string>
 
@@ -15,6 +16,7 @@
   dispatch::load_report Load;       ///< Load of the target.
   std::size_t OpenCalls = 0;        ///< Open calls from callers on this host.
   http::pipeline_budget Pipelining; ///< Their pipelined requests.
+  usage::holder_state Usage;        ///< Usage reports.
 };
 
 /** @return the state as JSON. */
--- a/src/sidecar/target_exchange.cpp
+++ b/src/sidecar/target_exchange.cpp
@@ -39,6 +39,7 @@
   }
   dispatch::recordSentCall(Rate, Now);
   dispatch::recordStart(StartLimit, Now);
+  Events.OnCallStarted(Forward.Customer);
   auto Header = platform::target_header();
   Header.TimeLeft = Call->DeadlineAt - Now;
   Header.Target = Target.Id;
@@ -190,6 +191,7 @@
   }
   if (Header.NotExecuted || Response.Status == 421) {
     ++State.Counters.Admissions["refused by target"];
+    Events.OnCallRejected(Call.Forward.Customer, Call.StartedAt);
     recordRun(Call, true, RunTime);
     Outcome.Outcome = reply_outcome::NotRun;
     Outcome.Reason = "target refused";
@@ -232,6 +234,9 @@
                    {"target", Target.Id.Value},
                    {"run_us", Outcome.RunTime.count()}});
   recordRun(Call, true, Outcome.RunTime);
+  if (!Failure.Connected) {
+    Events.OnCallRejected(Call.Forward.Customer, Call.StartedAt);
+  }
   if (!Failure.ResponseStarted) {
     ++CallsWithoutResponse;
   }
--- a/src/usage/count.cpp
+++ b/src/usage/count.cpp
@@ -44,6 +44,20 @@
   }
 }
 
+void removeStart(usage_counter &Counter, const customer_id &Customer,
+                 std::int64_t Window) {
+  auto Found = Counter.Windows.find(Window);
+  if (Found == Counter.Windows.end()) {
+    return;
+  }
+  auto &Entry = Found->second;
+  auto Count = Entry.Counts.find(Customer);
+  if (Count != Entry.Counts.end() && Count->second > 0) {
+    --Count->second;
+    --Entry.Total;
+  }
+}
+
 auto takeDueCounts(usage_counter &Counter, std::int64_t TrueMillis,
                    millis Length, bool Stopping)
     -> std::vector<std::pair<std::int64_t, bool>> {
@@ -93,7 +107,7 @@
   auto Found = Window.find(Key);
   if (Found != Window.end()) {
     // Messages may overtake each other on different connections.
-    if (total(Counts) >= total(Found->second)) {
+    if (Counts.Final || total(Counts) >= total(Found->second)) {
       Found->second = Counts;
     }
   } else if (Window.size() < MaxProcesses) {
--- a/test/sidecar_sim.cpp
+++ b/test/sidecar_sim.cpp
@@ -219,8 +219,10 @@
   Started.Target->start(Started.TargetAddress, Started.HeartbeatAddress);
 }
 
-mesh_sim::mesh_sim(int Zones, int NodesPerZone, bool FirstStart)
-    : ZoneCount(Zones), FirstStart(FirstStart), Store(Loop) {
+mesh_sim::mesh_sim(int Zones, int NodesPerZone, bool FirstStart,
+                   sidecar::usage_settings Usage)
+    : ZoneCount(Zones), FirstStart(FirstStart), Usage(std::move(Usage)),
+      Store(Loop) {
   // The nodes log to the standard output; SIM_LOG names a file to keep that.
   const auto *LogFile = std::getenv("SIM_LOG"); // NOLINT: one thread.
   auto Log = ::open(LogFile == nullptr ? "/dev/null" : LogFile,
@@ -265,6 +267,7 @@
   Settings.Zone = {"zone-" + std::to_string(zoneOf(Index) + 1)};
   Settings.Service = {"svc"};
   Settings.FirstStart = FirstStart;
+  Settings.Usage = Usage;
   auto Port =
       static_cast<std::uint16_t>(7000 + 10 * (Index / MaxNodesOfAddress));
   for (auto *Endpoint :
--- a/test/sidecar_sim.h
+++ b/test/sidecar_sim.h
@@ -119,7 +119,8 @@
 class mesh_sim {
 public:
   /** @param FirstStart whether all nodes start for the first time. */
-  mesh_sim(int Zones, int NodesPerZone, bool FirstStart = false);
+  mesh_sim(int Zones, int NodesPerZone, bool FirstStart = false,
+           sidecar::usage_settings Usage = {});
   ~mesh_sim();
   mesh_sim(const mesh_sim &) = delete;
   auto operator=(const mesh_sim &) -> mesh_sim & = delete;
@@ -204,6 +205,7 @@
   event::loop Loop;
   int ZoneCount;
   bool FirstStart;
+  sidecar::usage_settings Usage;
   store_stand_in Store;
   std::vector<node> Nodes;
   std::set<std::pair<int, int>> Cuts;
--- a/test/usage_holder_test.cpp
+++ b/test/usage_holder_test.cpp
@@ -125,6 +125,18 @@
   }
 }
 
+// Guards against a token that is used again after 409, and against a deployment
+// that never reports again after it.
+Test(usage_holder, goes_on_with_a_higher_token_after_409) {
+  auto Sim = usage_sim(5, {true, 0, {}});
+  Sim.run(30 * Second);
+  Sim.raiseToken();
+  Sim.run(40 * Second);
+  cr_assert_not(Sim.FencedTokens.empty());
+  cr_assert_eq(Sim.findViolation(), "");
+  cr_assert_geq(acceptedSince(Sim, Sim.now() - 20 * Second), 4);
+}
+
 // Guards against a report that is repeated with other counts, or given up,
 // while the platform limits calls.
 Test(usage_holder, repeats_the_same_report_after_429) {
--- a/test/usage_sim.h
+++ b/test/usage_sim.h
@@ -57,6 +57,8 @@
   void stopStore(micros Time) { StoreDownUntil = Now + Time; }
   void slowPlatform(micros Time) { PlatformSlowUntil = Now + Time; }
   void limitPlatform(micros Time) { PlatformLimitedUntil = Now + Time; }
+  /** The platform has seen a token above all others. */
+  void raiseToken() { MaxToken += 1; }
   /** The store loses its last records, and its era rises. */
   void rewind(std::size_t Records);
   void stepClock(int Node, millis Step);
