--- a/src/sidecar/node_counters.cpp
+++ b/src/sidecar/node_counters.cpp
@@ -161,6 +161,18 @@
       makeGaugeFamily("sycamorelb_store_era",
                       "Newest era of the store seen; 0 if unknown.",
                       static_cast<double>(Gauges.StoreEra)),
+      makeCounterFamily("sycamorelb_usage_windows_total",
+                        "Usage windows of which this node was the holder.",
+                        "result", Counters.UsageWindows),
+      makeGaugeFamily("sycamorelb_usage_holder",
+                      "1 while this node sends the usage reports.",
+                      Gauges.IsUsageHolder ? 1 : 0),
+      makeGaugeFamily("sycamorelb_usage_token",
+                      "Highest fencing token of usage reports known.",
+                      static_cast<double>(Gauges.UsageToken)),
+      makeGaugeFamily("sycamorelb_usage_era",
+                      "Era of the store known to this node.",
+                      static_cast<double>(Gauges.UsageEra)),
       makeLatencyFamily(Counters.Latency)};
   return prometheus::TextSerializer().Serialize(Families);
 }
--- a/src/sidecar/target_exchange.cpp
+++ b/src/sidecar/target_exchange.cpp
@@ -49,6 +49,7 @@
   dispatch::recordStart(Share, Call->Share,
                         Known == Routes.end() ? MeanRun : Known->second.Mean,
                         Now);
+  Events.OnCallStarted(Forward.Customer);
   auto Header = platform::target_header();
   Header.TimeLeft = Call->DeadlineAt - Now;
   Header.Target = Target.Id;
@@ -234,6 +235,7 @@
   }
   if (Header.NotExecuted || Response.Status == 421) {
     ++State.Counters.Admissions["refused by target"];
+    Events.OnCallRejected(Call.Forward.Customer, Call.StartedAt);
     recordRun(Call, true, RunTime);
     Outcome.Outcome = reply_outcome::NotRun;
     Outcome.Reason = "target refused";
@@ -278,6 +280,8 @@
   recordRun(Call, true, Outcome.RunTime);
   if (Failure.Connected) {
     recordAbandoned();
+  } else {
+    Events.OnCallRejected(Call.Forward.Customer, Call.StartedAt);
   }
   if (!Failure.ResponseStarted) {
     ++CallsWithoutResponse;
