Fix: [Dispatch] Calls without a customer are no large customer; floors by kind where they were asked for

Calls that targets make have no customer, and counted together as one that is above its share, so that they went last although their callers' runs need them. Floors by kind change the order on deployments without customers and without work figures, which are to be served as before; they need one of both now.

--- a/include/sycamorelb/dispatch/fair_share.h
+++ b/include/sycamorelb/dispatch/fair_share.h
@@ -9,6 +9,7 @@
 #include "sycamorelb/core/unit_type.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -62,14 +63,17 @@
 
 /** Classes of one call. */
 struct call_share {
-  std::uint32_t Customer = 0; ///< Class of its customer.
-  std::uint32_t Kind = 0;     ///< Class of its route.
+  /** Class of its customer; nothing without one. Calls that targets make have
+   * none, and must not count as those of one large customer. */
+  std::optional<std::uint32_t> Customer;
+  std::uint32_t Kind = 0; ///< Class of its route.
 };
 
 /** Use of a target by customers and kinds. */
 struct fair_share {
-  share_table Customers; ///< Calls without a customer count as one.
-  share_table Kinds;     ///< By route.
+  share_table Customers;      ///< By customer.
+  share_table Kinds;          ///< By route.
+  bool HasKindFloors = false; ///< Kinds that are starved go first.
 };
 
 auto shareOf(fair_share &Share, const customer_id &Customer,
--- a/src/dispatch/fair_share.cpp
+++ b/src/dispatch/fair_share.cpp
@@ -122,18 +122,26 @@
 
 auto shareOf(fair_share &Share, const customer_id &Customer,
              const route_id &Route, steady_time Now) -> call_share {
-  return {Share.Customers.classOf(Customer.Value, Now),
-          Share.Kinds.classOf(Route.Value, Now)};
+  auto Call = call_share();
+  if (!Customer.Value.empty()) {
+    Call.Customer = Share.Customers.classOf(Customer.Value, Now);
+  }
+  Call.Kind = Share.Kinds.classOf(Route.Value, Now);
+  return Call;
 }
 
 void recordStart(fair_share &Share, const call_share &Call, micros Run,
                  steady_time Now) {
-  Share.Customers.recordStart(Call.Customer, Run, Now);
+  if (Call.Customer) {
+    Share.Customers.recordStart(*Call.Customer, Run, Now);
+  }
   Share.Kinds.recordStart(Call.Kind, Run, Now);
 }
 
 void recordRefusal(fair_share &Share, const call_share &Call, steady_time Now) {
-  Share.Customers.recordRefusal(Call.Customer, Now);
+  if (Call.Customer) {
+    Share.Customers.recordRefusal(*Call.Customer, Now);
+  }
   Share.Kinds.recordRefusal(Call.Kind, Now);
 }
 
@@ -141,9 +149,15 @@
     -> call_standing {
   Share.Customers.update(Now);
   Share.Kinds.update(Now);
-  const auto &Customer = Share.Customers.use(Call.Customer);
-  const auto &Kind = Share.Kinds.use(Call.Kind);
-  return {Customer.Level, Customer.IsStarved || Kind.IsStarved};
+  auto Standing = call_standing();
+  if (Call.Customer) {
+    const auto &Customer = Share.Customers.use(*Call.Customer);
+    Standing = {Customer.Level, Customer.IsStarved};
+  }
+  Standing.IsStarved =
+      Standing.IsStarved ||
+      (Share.HasKindFloors && Share.Kinds.use(Call.Kind).IsStarved);
+  return Standing;
 }
 
 } // namespace sycamorelb::dispatch
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -205,6 +205,9 @@
   if (Impl->isTooSlowNow(Call->Forward, Waiting)) {
     return Impl->refuseCall(*Call, "target slow now");
   }
+  Impl->Share.HasKindFloors =
+      dispatch::isKnown(Impl->Speed) ||
+      (State.Routes && State.Routes->customers().hasCustomers());
   Call->Share = dispatch::shareOf(Impl->Share, Call->Forward.Customer,
                                   Call->Forward.Route, Now);
   Waiting.Share = Call->Share;
--- a/test/dispatch_fair_test.cpp
+++ b/test/dispatch_fair_test.cpp
@@ -30,7 +30,7 @@
 struct target_load {
   std::vector<offered_calls> Sources;
   call_queue Queue;
-  fair_share Share;
+  fair_share Share{{}, {}, true};
   std::multimap<steady_time, int> Ends;
   std::map<std::uint64_t, std::pair<std::size_t, call_share>> Calls;
   std::uint64_t NextKey = 1;
@@ -161,5 +161,5 @@
   }
   // A name gets its own class again once others are idle.
   auto Later = Start + micros(60'000'000);
-  cr_assert_lt(shareOf(Share, {"new"}, {"k"}, Later).Customer, 64U);
+  cr_assert_lt(shareOf(Share, {"new"}, {"k"}, Later).Customer.value(), 64U);
 }
