--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 BUILD ?= build
 JOBS ?= $(shell nproc)
 
-.PHONY: all build test soak cold-soak format format-check lint schema schema-check demo bench bench-report clean
+.PHONY: all build test soak cold-soak crowd-test format format-check lint schema schema-check demo bench bench-report clean
 
 all: build
 
@@ -45,6 +45,10 @@
 cold-soak: build
 	python3 soak/cold_soak.py $(BUILD) --seed $(SEED) --rounds $(ROUNDS)
 
+# Crowds of untrusted callers; one run at a time, apart from other load.
+crowd-test: build
+	python3 soak/crowd_test.py $(BUILD)
+
 bench: build
 	bench/run.sh $(BUILD)
 
--- a/include/sycamorelb/event/loop.h
+++ b/include/sycamorelb/event/loop.h
@@ -4,6 +4,7 @@
 
 #include "sycamorelb/core/id_type.h"
 #include "sycamorelb/core/unit_type.h"
+#include "sycamorelb/event/memory_budget.h"
 
 #include <cstdint>
 #include <functional>
@@ -45,6 +46,9 @@
   auto receivedBytes() const -> std::uint64_t;
   /** @return the bytes sent over the network link since the start. */
   auto sentBytes() const -> std::uint64_t;
+  /** @return the account of the buffers of this loop's streams, and of what is
+   * made of them. */
+  auto memory() const -> const std::shared_ptr<memory_budget> &;
   /** Counts the streams that close once their output is written. */
   void countLingering(int Change);
   /** @return the number of such streams now. */
--- a/include/sycamorelb/event/stream.h
+++ b/include/sycamorelb/event/stream.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -62,8 +63,15 @@
   auto input() const -> std::string_view;
   /** Removes bytes from the front of input(). */
   void consume(std::size_t Count);
+  /** Makes room for Size bytes of input, so that a long message that is
+   * received needs no further memory. Its first byte is then at an address 4
+   * bytes before a multiple of 8: the content after a length of 4 bytes can be
+   * decoded in place. */
+  void reserveInput(std::size_t Size);
   /** Queues bytes and writes as many as the socket accepts. */
   void send(std::string_view Bytes);
+  /** Like send(), but takes large buffers over without a copy. */
+  void sendOwned(std::string Bytes);
   /** @return the number of queued bytes that are not written yet. */
   auto pendingOutput() const -> std::size_t;
   /** @return whether the connection is established and not closed. */
@@ -73,6 +81,18 @@
   void excludeFromLinkTraffic();
   /** Stops or resumes reading, to bound the size of input(). */
   void pauseReading(bool Paused);
+  /** Makes reading stop while the memory budget is under pressure.
+   * @param IsLarge whether this connection already holds much, so that it stops
+   * before others. */
+  void yieldToPressure(bool IsLarge);
+  /** @return since when reading has stopped for memory, if it has. */
+  auto heldBackSince() const -> std::optional<steady_time>;
+  /** Reads on despite pressure, at least Bytes. */
+  void readOn(std::size_t Bytes);
+  /** @return when a byte was last received or sent. */
+  auto lastActivityAt() const -> steady_time;
+  /** @return the memory of the buffers. */
+  auto heldBytes() const -> std::size_t;
   /** Closes at once; queued output is discarded. */
   void close();
   /** Closes once all output is written, or after a short timeout. */
@@ -85,6 +105,7 @@
   void handleReady(std::uint32_t Ready);
   void finishConnecting();
   void reportOutputWritten();
+  void writeOutput();
   std::unique_ptr<implementation> Impl;
 };
 
--- a/include/sycamorelb/http/client_connection.h
+++ b/include/sycamorelb/http/client_connection.h
@@ -63,7 +63,7 @@
   /** Sends a request. Handler is called once, never from within this method.
    * @param OnSent called once when the request has been written to the end,
    * also from within this method. */
-  void exchange(const request &Request, result_handler Handler,
+  void exchange(request Request, result_handler Handler,
                 std::function<void()> OnSent = nullptr);
   /** @return whether another request can be sent. */
   auto isReusable() const -> bool;
--- a/include/sycamorelb/http/message_type.h
+++ b/include/sycamorelb/http/message_type.h
@@ -1,6 +1,7 @@
 /** @file message_type.h Complete HTTP/1.1 messages. */
 #pragma once
 
+#include "sycamorelb/event/memory_budget.h"
 #include "sycamorelb/proxy/call_type.h"
 
 #include <string>
@@ -16,19 +17,30 @@
   proxy::header_list Headers; ///< All header fields.
   std::string Body;           ///< Body without transfer coding.
   bool HasBody = false;       ///< The message has a body, maybe an empty one.
+  event::memory_charge Charge{}; ///< For the memory of Body.
 };
 
 /** A response with its complete body. */
 struct response {
-  int Status = 0;             ///< HTTP status.
-  std::string Reason;         ///< Reason phrase; empty for the standard one.
-  proxy::header_list Headers; ///< Header fields; framing fields are ignored.
-  std::string Body;           ///< Body without transfer coding.
+  int Status = 0;                ///< HTTP status.
+  std::string Reason;            ///< Reason phrase; empty for the standard one.
+  proxy::header_list Headers;    ///< Header fields; framing fields are ignored.
+  std::string Body;              ///< Body without transfer coding.
+  event::memory_charge Charge{}; ///< For the memory of Body.
 };
 
 /** @return the serialized request, framed by Content-Length. */
 auto renderRequest(const request &Request) -> std::string;
 
+/** @return the start line and headers of that, and the empty line. */
+auto renderRequestHead(const request &Request) -> std::string;
+
+/** @return whether the response to this method carries a body. */
+auto hasBody(const response &Response, std::string_view Method) -> bool;
+
+/** @return the start line and headers of a response, and the empty line. */
+auto renderResponseHead(const response &Response, bool Close) -> std::string;
+
 /** @return the serialized response, framed by Content-Length.
  * @param Method method of the request; a response to HEAD has no body.
  * @param Close whether the connection closes after the response. */
--- a/include/sycamorelb/http/server_connection.h
+++ b/include/sycamorelb/http/server_connection.h
@@ -7,6 +7,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace sycamorelb::http {
 
@@ -16,6 +17,18 @@
   std::size_t MaxBodyBytes = std::size_t{64} * 1024 * 1024; ///< Body.
 };
 
+/** What a connection holds, and how its current request goes on. */
+struct connection_progress {
+  bool ReadingBody = false;       ///< A body has arrived in part.
+  std::size_t HeldBytes = 0;      ///< Memory of buffers and of that body.
+  std::uint64_t Requests = 0;     ///< Whole requests so far.
+  std::size_t BodyBytes = 0;      ///< Size of that body so far.
+  std::size_t RemainingBytes = 0; ///< What follows of that body; a first
+                                  ///< part if its length is unknown.
+  steady_time LastActivityAt{};   ///< When a byte was received or sent.
+  std::optional<steady_time> PausedSince; ///< Waits for memory since.
+};
+
 /** Options of a connection. */
 struct server_options {
   server_limits Limits;     ///< Limits on each request.
@@ -25,6 +38,9 @@
   /** Tells whether a request may run beside others of its connection; without
    * it, all requests run one at a time. */
   std::function<bool(const request &)> MayRunBeside;
+  /** The memory budget; null for one without limit. Reading stops under
+   * pressure until resumeReading(). */
+  std::shared_ptr<event::memory_budget> Memory;
 };
 
 /**
@@ -66,6 +82,13 @@
   /** @return the time of the last change between reading a request, busy and
    * idle. */
   auto stateChangedAt() const -> steady_time;
+  /** @return what the connection holds. */
+  auto progress() const -> connection_progress;
+  /** Reads on after a stop for memory: Bytes may arrive despite pressure. */
+  void resumeReading(std::size_t Bytes);
+  /** Answers the request that has arrived in part, which is not passed to the
+   * handler, after those before it; then closes. */
+  void refuseUnfinished(const std::function<response(const request &)> &Make);
   /** Closes the connection at once. */
   void close();
 
--- a/include/sycamorelb/inner/mesh_message_type.h
+++ b/include/sycamorelb/inner/mesh_message_type.h
@@ -160,6 +160,10 @@
 inline constexpr std::size_t MaxMeshMessageBytes =
     std::size_t{72} * 1024 * 1024;
 
+/** @return the size of the message, with its length prefix, that begins with
+ * these bytes, if they tell one within the limit. */
+auto messageSize(std::string_view Bytes) -> std::optional<std::size_t>;
+
 /** @return the encoded message with its length prefix.
  * @param Now current time: the send time, and base of elapsed times. */
 auto encodeMeshMessage(const mesh_message &Message, steady_time Now)
--- a/src/event/loop.cpp
+++ b/src/event/loop.cpp
@@ -43,6 +43,7 @@
   steady_time Now = bootTime();
   std::uint64_t Received = 0;
   std::uint64_t Sent = 0;
+  std::shared_ptr<memory_budget> Memory = std::make_shared<memory_budget>();
   int Lingering = 0;
   std::map<std::pair<steady_time, std::uint64_t>, callback> Timers;
   std::unordered_map<std::uint64_t, steady_time> TimerTimes;
@@ -127,6 +128,10 @@
 
 auto loop::receivedBytes() const -> std::uint64_t { return Impl->Received; }
 
+auto loop::memory() const -> const std::shared_ptr<memory_budget> & {
+  return Impl->Memory;
+}
+
 void loop::countLingering(int Change) { Impl->Lingering += Change; }
 
 auto loop::lingeringStreams() const -> int { return Impl->Lingering; }
--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -7,6 +7,7 @@
 #include <cerrno>
 #include <charconv>
 #include <cstring>
+#include <deque>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <optional>
@@ -27,8 +28,13 @@
 /** Memory that an empty buffer keeps: most connections are idle mostly, and a
  * host has hundreds. */
 static constexpr auto MaxIdleBufferBytes = std::size_t{4} * 1024;
+/** Smallest output that is taken over instead of copied: below, one system
+ * call for it and the bytes before it is worth more than the copy. */
+static constexpr auto MinOwnedBytes = std::size_t{64} * 1024;
 /** Maximum number of connections that wait to be accepted. */
 static constexpr auto ListenBacklog = 512;
+/** Time without accepting while no descriptor is free. */
+static constexpr auto AcceptPause = micros(100'000);
 /** Maximum number of connections accepted for one event. */
 static constexpr auto MaxAcceptsPerEvent = 64;
 /** Seconds of silence before a keep-alive probe, and between probes. */
@@ -99,11 +105,39 @@
   std::size_t InputOffset = 0;
   std::string OutputBuffer;
   std::size_t OutputOffset = 0;
+  std::deque<std::string> OutputQueue; // Follows OutputBuffer.
+  std::size_t QueuedBytes = 0;         // Size of OutputQueue.
+  memory_charge InputCharge{Loop.memory(), 0};
+  memory_charge OutputCharge{Loop.memory(), 0};
+  bool YieldsToPressure = false;
+  bool IsLarge = false;
+  std::optional<steady_time> HeldBackSince;
+  std::size_t GrantedBytes = 0; // Read also under pressure.
+  steady_time LastActivityAt = Loop.now();
   timer_id Timer{0};
 
+  void updateCharges() {
+    InputCharge.resize(InputBuffer.capacity());
+    OutputCharge.resize(OutputBuffer.capacity() + QueuedBytes);
+  }
+
+  /** @return whether other connections need the memory more. */
+  auto mustHoldBack() const -> bool {
+    if (!YieldsToPressure || GrantedBytes > 0) {
+      return false;
+    }
+    auto Pressure = pressureOn(*Loop.memory());
+    return Pressure == memory_pressure::Full ||
+           (Pressure == memory_pressure::Large && IsLarge);
+  }
+
+  auto hasOutput() const -> bool {
+    return OutputOffset < OutputBuffer.size() || !OutputQueue.empty();
+  }
+
   auto wantedEvents() const -> std::uint32_t {
-    auto Wanted = std::uint32_t{Paused ? 0U : EPOLLIN};
-    if (Connecting || OutputOffset < OutputBuffer.size()) {
+    auto Wanted = std::uint32_t{Paused || HeldBackSince ? 0U : EPOLLIN};
+    if (Connecting || hasOutput()) {
       Wanted |= EPOLLOUT;
     }
     return Wanted;
@@ -138,19 +172,28 @@
 
   /** Writes queued output. @return false if the connection failed. */
   auto flush() -> bool {
-    while (OutputOffset < OutputBuffer.size()) {
+    while (hasOutput()) {
+      if (OutputOffset >= OutputBuffer.size()) {
+        OutputBuffer = std::move(OutputQueue.front());
+        OutputQueue.pop_front();
+        QueuedBytes -= OutputBuffer.size();
+        OutputOffset = 0;
+        continue;
+      }
       auto Sent = ::send(Descriptor, OutputBuffer.data() + OutputOffset,
                          OutputBuffer.size() - OutputOffset, MSG_NOSIGNAL);
       if (Sent < 0) {
         return errno == EAGAIN || errno == EINTR;
       }
       OutputOffset += static_cast<std::size_t>(Sent);
+      LastActivityAt = Loop.now();
       if (CountsAsLinkTraffic) {
         Loop.countTraffic(0, static_cast<std::size_t>(Sent));
       }
     }
     OutputOffset = 0;
     release(OutputBuffer);
+    updateCharges();
     return true;
   }
 
@@ -163,6 +206,8 @@
       if (Got > 0) {
         InputBuffer.append(Buffer.data(), static_cast<std::size_t>(Got));
         Total += static_cast<std::size_t>(Got);
+        GrantedBytes -= std::min(GrantedBytes, static_cast<std::size_t>(Got));
+        LastActivityAt = Loop.now();
         if (CountsAsLinkTraffic) {
           Loop.countTraffic(static_cast<std::size_t>(Got), 0);
         }
@@ -232,20 +277,24 @@
   if (HadOutput) {
     reportOutputWritten();
   }
-  if (Impl->ClosingAfterOutput &&
-      Impl->OutputOffset >= Impl->OutputBuffer.size()) {
+  if (Impl->ClosingAfterOutput && !Impl->hasOutput()) {
     return close();
   }
   Impl->updateEvents();
   auto Broken = (Ready & (EPOLLHUP | EPOLLERR)) != 0U;
-  if (Impl->Paused && Broken) {
+  if ((Impl->Paused || Impl->HeldBackSince) && Broken) {
     return closeAndReport(*this, close_reason::Reset);
   }
   if (Impl->Paused || ((Ready & EPOLLIN) == 0U && !Broken)) {
     return;
   }
+  if (Impl->HeldBackSince || (!Broken && Impl->mustHoldBack())) {
+    Impl->HeldBackSince = Impl->HeldBackSince.value_or(Impl->Loop.now());
+    return Impl->updateEvents();
+  }
   auto SizeBefore = Impl->InputBuffer.size();
   auto End = Impl->receiveAvailable();
+  Impl->updateCharges();
   if (Impl->InputBuffer.size() > SizeBefore && OnData) {
     // Copied, since the callback may replace OnData.
     auto Callback = OnData;
@@ -316,13 +365,50 @@
     Impl->InputBuffer.erase(0, Impl->InputOffset);
     Impl->InputOffset = 0;
   }
+  Impl->updateCharges();
+}
+
+void stream::reserveInput(std::size_t Size) {
+  static constexpr auto Padding = std::size_t{4};
+  auto Aligned = Impl->InputOffset % 8 == Padding;
+  if (Aligned && Impl->InputBuffer.capacity() >= Impl->InputOffset + Size) {
+    return;
+  }
+  auto Buffer = std::string();
+  Buffer.reserve(Padding + Size);
+  Buffer.append(Padding, '\0').append(input());
+  Impl->InputBuffer = std::move(Buffer);
+  Impl->InputOffset = Padding;
+  Impl->updateCharges();
 }
 
 void stream::send(std::string_view Bytes) {
   if (Impl->Descriptor < 0) {
     return;
   }
-  Impl->OutputBuffer.append(Bytes);
+  if (Impl->OutputQueue.empty()) {
+    Impl->OutputBuffer.append(Bytes);
+  } else {
+    Impl->OutputQueue.back().append(Bytes);
+    Impl->QueuedBytes += Bytes.size();
+  }
+  writeOutput();
+}
+
+void stream::sendOwned(std::string Bytes) {
+  if (Bytes.size() < MinOwnedBytes) {
+    return send(Bytes);
+  }
+  if (Impl->Descriptor < 0) {
+    return;
+  }
+  Impl->QueuedBytes += Bytes.size();
+  Impl->OutputQueue.push_back(std::move(Bytes));
+  writeOutput();
+}
+
+void stream::writeOutput() {
+  Impl->updateCharges();
   if (Impl->Connecting) {
     return;
   }
@@ -341,7 +427,7 @@
 }
 
 auto stream::pendingOutput() const -> std::size_t {
-  return Impl->OutputBuffer.size() - Impl->OutputOffset;
+  return Impl->OutputBuffer.size() - Impl->OutputOffset + Impl->QueuedBytes;
 }
 
 auto stream::isOpen() const -> bool {
@@ -357,6 +443,36 @@
   }
 }
 
+void stream::yieldToPressure(bool IsLarge) {
+  Impl->YieldsToPressure = true;
+  Impl->IsLarge = IsLarge;
+  if (!IsLarge) {
+    Impl->GrantedBytes = 0;
+  }
+}
+
+auto stream::heldBackSince() const -> std::optional<steady_time> {
+  return Impl->HeldBackSince;
+}
+
+void stream::readOn(std::size_t Bytes) {
+  Impl->GrantedBytes = std::max(Impl->GrantedBytes, Bytes);
+  Impl->HeldBackSince = std::nullopt;
+  // Waiting for memory is no silence of the peer.
+  Impl->LastActivityAt = Impl->Loop.now();
+  if (!Impl->Connecting) {
+    Impl->updateEvents();
+  }
+}
+
+auto stream::lastActivityAt() const -> steady_time {
+  return Impl->LastActivityAt;
+}
+
+auto stream::heldBytes() const -> std::size_t {
+  return Impl->InputCharge.bytes() + Impl->OutputCharge.bytes();
+}
+
 void stream::close() {
   OnClosed = nullptr;
   Impl->closeDescriptor();
@@ -385,11 +501,24 @@
   int Descriptor;
   accept_callback Accept;
 
+  timer_id Timer{0};
+
+  /** Stops for a moment: the waiting connections would be reported at once
+   * again, although none can be accepted. */
+  void pauseAccepting() {
+    Loop.modifyWatch(Descriptor, 0);
+    Timer = Loop.addTimer(Loop.now() + AcceptPause,
+                          [this] { Loop.modifyWatch(Descriptor, EPOLLIN); });
+  }
+
   void acceptReady() {
     for (auto Count = 0; Count < MaxAcceptsPerEvent; ++Count) {
       auto Accepted =
           ::accept4(Descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (Accepted < 0) {
+        if (errno == EMFILE || errno == ENFILE || errno == ENOMEM) {
+          pauseAccepting();
+        }
         return;
       }
       Accept(stream::adopt(Loop, Accepted));
@@ -401,6 +530,7 @@
     : Impl(std::move(Impl)) {}
 
 listener::~listener() {
+  Impl->Loop.cancelTimer(Impl->Timer);
   Impl->Loop.unwatch(Impl->Descriptor);
   ::close(Impl->Descriptor);
 }
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -4,6 +4,7 @@
 #include "proxy/body_decoder.h"
 #include "proxy/message_head.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace sycamorelb::http {
@@ -15,6 +16,9 @@
  * ignored in one exchange: several late responses of usual size. */
 static constexpr auto MaxIgnoredBytes = std::size_t{1024} * 1024;
 
+/** Size from which a request body is written separately from its head. */
+static constexpr auto SeparateBodyBytes = std::size_t{64} * 1024;
+
 struct client_connection::implementation {
   implementation(event::loop &Loop, client_options Options)
       : Loop(Loop), Options(std::move(Options)) {}
@@ -32,6 +36,7 @@
   bool Unusable = false;
   proxy::response_head Head;
   std::string Body;
+  event::memory_charge BodyCharge{Loop.memory(), 0};
   std::size_t IgnoredBytes = 0; // In this exchange.
   std::size_t BudgetBytes = 0;  // Of Body, counted in Options.Budget.
   proxy::body_decoder Decoder;
@@ -55,6 +60,7 @@
   /** Adds bytes to Body. @return false if the budget is exhausted. */
   auto appendBody(std::string_view Bytes) -> bool {
     Body.append(Bytes);
+    BodyCharge.resize(Body.capacity());
     if (!Options.Budget) {
       return true;
     }
@@ -137,7 +143,7 @@
   }
 }
 
-void client_connection::exchange(const request &Request, result_handler Handler,
+void client_connection::exchange(request Request, result_handler Handler,
                                  std::function<void()> OnSent) {
   Impl->Handler = std::move(Handler);
   Impl->OnSent = std::move(OnSent);
@@ -145,7 +151,16 @@
   Impl->ReadingBody = false;
   Impl->Body.clear();
   Impl->IgnoredBytes = 0;
-  Impl->Stream->send(renderRequest(Request));
+  // A large body follows the head without a copy; a small one goes with it.
+  auto Body = std::string();
+  if (Request.Body.size() >= SeparateBodyBytes) {
+    Impl->Stream->send(renderRequestHead(Request));
+    Body = std::move(Request.Body);
+    Request.Charge = event::memory_charge();
+    Impl->Stream->sendOwned(std::move(Body));
+  } else {
+    Impl->Stream->sendOwned(renderRequest(Request));
+  }
   if (Impl->Stream->isOpen() && Impl->Stream->pendingOutput() == 0) {
     reportSent();
   }
@@ -183,6 +198,11 @@
   Decoder = proxy::body_decoder(Head.Body, Options.MaxBodyBytes);
   ReadingBody = true;
   Body.clear();
+  if (Head.Body.Kind == proxy::body_kind::Length && !SkippingBody) {
+    // Exact, as the body is kept in this buffer until it is delivered.
+    Body.reserve(static_cast<std::size_t>(
+        std::min<std::uint64_t>(Head.Body.Length, Options.MaxBodyBytes)));
+  }
   return true;
 }
 
@@ -231,9 +251,10 @@
   auto Failure = std::string();
   if (Impl->parseInput(Failure)) {
     Impl->parseIdleTimeout();
-    auto Response =
-        response{Impl->Head.Status, std::move(Impl->Head.Reason),
-                 std::move(Impl->Head.Headers), std::move(Impl->Body)};
+    auto Response = response{
+        Impl->Head.Status, std::move(Impl->Head.Reason),
+        std::move(Impl->Head.Headers), std::move(Impl->Body),
+        event::memory_charge(Impl->Loop.memory(), Impl->BodyCharge.bytes())};
     // If the server responds before it has read the whole request, it still
     // expects the remainder, so the connection cannot carry another request.
     auto Reusable = Impl->Head.KeepAlive && Impl->Stream->input().empty() &&
@@ -250,6 +271,7 @@
   Impl->OnSent = nullptr;
   Impl->releaseBudget();
   Impl->Body = std::string();
+  Impl->BodyCharge.resize(0);
   Impl->IdleSince = Impl->Loop.now();
   if (!Reusable) {
     Impl->Unusable = true;
@@ -269,9 +291,10 @@
       !Impl->SkippingBody) {
     Impl->Decoder.handleClose();
     if (Impl->Decoder.isComplete()) {
-      auto Response =
-          response{Impl->Head.Status, std::move(Impl->Head.Reason),
-                   std::move(Impl->Head.Headers), std::move(Impl->Body)};
+      auto Response = response{
+          Impl->Head.Status, std::move(Impl->Head.Reason),
+          std::move(Impl->Head.Headers), std::move(Impl->Body),
+          event::memory_charge(Impl->Loop.memory(), Impl->BodyCharge.bytes())};
       return finish(std::move(Response), false);
     }
   }
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -11,9 +11,8 @@
   }
 }
 
-auto renderRequest(const request &Request) -> std::string {
-  auto Out = std::string();
-  Out.reserve(512 + Request.Body.size());
+/** Appends everything before the body of a request. */
+static void appendRequestHead(std::string &Out, const request &Request) {
   Out.append(Request.Method).append(" ").append(Request.Target);
   Out.append(" HTTP/1.1\r\n");
   appendHeaders(Out, Request.Headers);
@@ -21,21 +20,40 @@
     proxy::appendHeader(Out, "Content-Length",
                         std::to_string(Request.Body.size()));
   }
-  Out.append("\r\n").append(Request.Body);
+  Out.append("\r\n");
+}
+
+auto renderRequestHead(const request &Request) -> std::string {
+  auto Out = std::string();
+  appendRequestHead(Out, Request);
   return Out;
 }
 
-auto renderResponse(const response &Response, std::string_view Method,
-                    bool Close) -> std::string {
+auto renderRequest(const request &Request) -> std::string {
   auto Out = std::string();
-  Out.reserve(512 + Response.Body.size());
+  Out.reserve(512 + Request.Body.size());
+  appendRequestHead(Out, Request);
+  Out.append(Request.Body);
+  return Out;
+}
+
+static auto mayHaveBody(const response &Response) -> bool {
+  return Response.Status != 204 && Response.Status != 304;
+}
+
+auto hasBody(const response &Response, std::string_view Method) -> bool {
+  return mayHaveBody(Response) && Method != "HEAD";
+}
+
+/** Appends everything before the body of a response. */
+static void appendResponseHead(std::string &Out, const response &Response,
+                               bool Close) {
   Out.append("HTTP/1.1 ").append(std::to_string(Response.Status)).append(" ");
   Out.append(Response.Reason.empty() ? proxy::reasonPhrase(Response.Status)
                                      : std::string_view(Response.Reason));
   Out.append("\r\n");
   appendHeaders(Out, Response.Headers);
-  auto OmitsBody = Response.Status == 204 || Response.Status == 304;
-  if (!OmitsBody) {
+  if (mayHaveBody(Response)) {
     proxy::appendHeader(Out, "Content-Length",
                         std::to_string(Response.Body.size()));
   }
@@ -43,7 +61,20 @@
     proxy::appendHeader(Out, "Connection", "close");
   }
   Out.append("\r\n");
-  if (!OmitsBody && Method != "HEAD") {
+}
+
+auto renderResponseHead(const response &Response, bool Close) -> std::string {
+  auto Out = std::string();
+  appendResponseHead(Out, Response, Close);
+  return Out;
+}
+
+auto renderResponse(const response &Response, std::string_view Method,
+                    bool Close) -> std::string {
+  auto Out = std::string();
+  Out.reserve(512 + Response.Body.size());
+  appendResponseHead(Out, Response, Close);
+  if (hasBody(Response, Method)) {
     Out.append(Response.Body);
   }
   return Out;
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -5,6 +5,7 @@
 #include "proxy/message_head.h"
 #include "sycamorelb/http/pipeline_func.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace sycamorelb::http {
@@ -12,6 +13,23 @@
 /** Unread input of a busy connection above which it stops reading. */
 static constexpr auto MaxPipelinedBytes = std::size_t{64} * 1024;
 
+/** Unsent output above which no further request begins: a caller that does not
+ * read its answers gets no more of them. */
+static constexpr auto MaxUnsentBytes = std::size_t{256} * 1024;
+/** Size from which a body yields to others under memory pressure; most requests
+ * are smaller. */
+static constexpr auto LargeBodyBytes = std::size_t{64} * 1024;
+/** Capacity from which a body of unknown length grows by BodyGrowth: its
+ * memory is then mapped and takes no room until it is written. */
+static constexpr auto MappedBodyBytes = std::size_t{256} * 1024;
+/** Factor of the growth; the copy adds 1 / BodyGrowth for a moment. */
+static constexpr auto BodyGrowth = std::size_t{4};
+/** Copies of a body that the process holds at times, at least: one to repeat
+ * the call, and one that is being sent. */
+static constexpr auto MinBodyCopies = std::size_t{2};
+/** Bytes beyond a body up to the next word, for its encoding in place. */
+static constexpr auto WordBytes = std::size_t{8};
+
 struct server_connection::implementation {
   /** What has been received of the next request. */
   enum class read_stage : std::uint8_t { None, Head, Body, Complete };
@@ -26,6 +44,8 @@
   bool NextAwaitsContinue = false;
   bool InReadLoop = false;
   proxy::body_decoder Decoder;
+  std::size_t BodyLength = 0; // Of the next request, at most.
+  bool IsLengthKnown = false; // BodyLength is exact.
   steady_time StateChangedAt = event::bootTime();
 
   void setStage(read_stage Reached) {
@@ -42,11 +62,43 @@
       if (Step.Consumed == 0) {
         return;
       }
-      Next.Body.append(Step.Data);
+      appendBody(Step.Data);
       Stream->consume(Step.Consumed);
     }
   }
 
+  void appendBody(std::string_view Bytes) {
+    auto &Body = Next.Body;
+    auto Size = Body.size() + Bytes.size();
+    if (Size > Body.capacity() && Size > MappedBodyBytes) {
+      Body.reserve(std::min(Options.Limits.MaxBodyBytes, BodyGrowth * Size) +
+                   WordBytes);
+    }
+    Body.append(Bytes);
+    if (Options.Memory && Size > Next.Charge.bytes()) {
+      Next.Charge.resize(Size);
+    }
+    if (Options.Memory && Size >= LargeBodyBytes) {
+      Stream->yieldToPressure(true);
+    }
+  }
+
+  /** Reserves the memory of the next body, which takes no room before it is
+   * written if it is large, and charges its beginning. */
+  void reserveBody(const proxy::body_framing &Framing) {
+    IsLengthKnown = Framing.Kind == proxy::body_kind::Length;
+    if (IsLengthKnown) {
+      BodyLength = static_cast<std::size_t>(Framing.Length);
+      Next.Body.reserve(BodyLength + WordBytes);
+    } else {
+      BodyLength = Next.HasBody ? Options.Limits.MaxBodyBytes : 0;
+    }
+    if (Options.Memory) {
+      Next.Charge = event::memory_charge(Options.Memory,
+                                         std::min(BodyLength, LargeBodyBytes));
+    }
+  }
+
   void setNext(proxy::request_head Head) {
     NextKeepsAlive = Head.KeepAlive;
     NextAwaitsContinue = Head.ExpectContinue;
@@ -56,8 +108,14 @@
     Next.Path = std::move(Head.Path);
     Next.Headers = std::move(Head.Headers);
     Next.HasBody = Head.Body.Kind != proxy::body_kind::None;
+    reserveBody(Head.Body);
     Decoder = proxy::body_decoder(Head.Body, Options.Limits.MaxBodyBytes);
     setStage(read_stage::Body);
+    if (Options.Memory && Head.Body.Kind == proxy::body_kind::Length &&
+        Options.Memory->LimitBytes > 0 &&
+        BodyLength > Options.Memory->LimitBytes / MinBodyCopies) {
+      reject(413, "body larger than the memory of this host allows");
+    }
   }
 
   /** Answers an invalid request; nothing after it can be read. */
@@ -66,6 +124,7 @@
     completeExchange(Pipeline, *Options.Budget, Number,
                      response{Status, "", {}, Reason + "\n"}, true);
     setStage(read_stage::None);
+    Next = request();
   }
 
   void readHead() {
@@ -133,6 +192,14 @@
   auto Connection = std::shared_ptr<server_connection>(
       new server_connection(std::move(Impl)));
   auto Weak = Connection->weak_from_this();
+  if (Connection->Impl->Options.Memory) {
+    Connection->Impl->Stream->yieldToPressure(false);
+  }
+  Connection->Impl->Stream->OnOutputWritten = [Weak] {
+    if (auto Self = Weak.lock()) {
+      Self->readRequests();
+    }
+  };
   Connection->Impl->Stream->OnData = [Weak] {
     if (auto Self = Weak.lock()) {
       Self->readRequests();
@@ -158,7 +225,8 @@
   Impl->InReadLoop = true;
   auto &Pipeline = Impl->Pipeline;
   auto &Options = Impl->Options;
-  while (mayReadNext(Pipeline, Options.Pipeline, *Options.Budget)) {
+  while (mayReadNext(Pipeline, Options.Pipeline, *Options.Budget) &&
+         Impl->Stream->pendingOutput() <= MaxUnsentBytes) {
     if (Impl->Stage != implementation::read_stage::Complete) {
       Impl->readNext();
     }
@@ -172,19 +240,32 @@
     auto Number = beginExchange(Pipeline, *Options.Budget, Impl->Next.Method,
                                 RunsAlone, !Impl->NextKeepsAlive);
     Impl->setStage(implementation::read_stage::None);
+    if (Options.Memory) {
+      Impl->Stream->yieldToPressure(false);
+    }
     Impl->Handler(Self, Number, std::exchange(Impl->Next, request()));
   }
   Impl->InReadLoop = false;
-  Impl->Stream->pauseReading(isBusy() &&
-                             Impl->Stream->input().size() > MaxPipelinedBytes);
+  Impl->Stream->pauseReading(
+      (isBusy() || Impl->Stream->pendingOutput() > MaxUnsentBytes) &&
+      Impl->Stream->input().size() > MaxPipelinedBytes);
   sendReady();
 }
 
 void server_connection::sendReady() {
   for (auto &Ready : takeReady(Impl->Pipeline, *Impl->Options.Budget)) {
     Impl->StateChangedAt = event::bootTime();
-    Impl->Stream->send(
-        renderResponse(Ready.Response, Ready.Method, Ready.Close));
+    auto Body = std::string();
+    if (Ready.Response.Body.size() >= LargeBodyBytes &&
+        hasBody(Ready.Response, Ready.Method)) {
+      // A large body follows the head without a copy.
+      Impl->Stream->send(renderResponseHead(Ready.Response, Ready.Close));
+      Body = std::move(Ready.Response.Body);
+      Ready.Response.Charge = event::memory_charge();
+    } else {
+      Body = renderResponse(Ready.Response, Ready.Method, Ready.Close);
+    }
+    Impl->Stream->sendOwned(std::move(Body));
     if (Ready.Close) {
       Impl->Stream->closeAfterOutput();
       if (auto Callback = std::exchange(OnClosed, nullptr)) {
@@ -221,6 +302,50 @@
   return Impl->StateChangedAt;
 }
 
+auto server_connection::progress() const -> connection_progress {
+  auto Progress = connection_progress();
+  const auto &Next = Impl->Next;
+  Progress.ReadingBody = Impl->Stage == implementation::read_stage::Body;
+  Progress.HeldBytes = Impl->Stream->heldBytes() + Next.Charge.bytes() +
+                       Impl->Pipeline.HeldBytes;
+  Progress.Requests = Impl->Pipeline.Last.Value;
+  Progress.BodyBytes = Next.Body.size();
+  if (Progress.ReadingBody) {
+    auto Size = Next.Body.size();
+    Progress.RemainingBytes =
+        Impl->BodyLength - std::min(Impl->BodyLength, Size);
+    if (!Impl->IsLengthKnown) {
+      // Chunked bodies get memory step by step.
+      Progress.RemainingBytes =
+          std::min(Progress.RemainingBytes, std::max(MappedBodyBytes, Size));
+    }
+  }
+  Progress.LastActivityAt = Impl->Stream->lastActivityAt();
+  Progress.PausedSince = Impl->Stream->heldBackSince();
+  return Progress;
+}
+
+void server_connection::resumeReading(std::size_t Bytes) {
+  Impl->Stream->readOn(Bytes);
+}
+
+void server_connection::refuseUnfinished(
+    const std::function<response(const request &)> &Make) {
+  auto Self = shared_from_this();
+  if (Impl->Stage == implementation::read_stage::None ||
+      Impl->Pipeline.Ending) {
+    return;
+  }
+  auto Number =
+      beginExchange(Impl->Pipeline, *Impl->Options.Budget, "POST", false, true);
+  auto Response = Make(Impl->Next);
+  Impl->Next = request();
+  Impl->setStage(implementation::read_stage::None);
+  completeExchange(Impl->Pipeline, *Impl->Options.Budget, Number,
+                   std::move(Response), true);
+  sendReady();
+}
+
 void server_connection::close() {
   clearPipeline(Impl->Pipeline, *Impl->Options.Budget);
   Impl->Stream->close();
--- a/src/inner/mesh_codec.cpp
+++ b/src/inner/mesh_codec.cpp
@@ -6,7 +6,9 @@
 #include <algorithm>
 #include <capnp/message.h>
 #include <capnp/serialize.h>
+#include <cstdint>
 #include <cstring>
+#include <kj/io.h>
 
 namespace sycamorelb::inner {
 
@@ -52,6 +54,30 @@
   return Notice;
 }
 
+/** Smallest body that is referenced instead of copied into the message. */
+constexpr auto MinReferencedBytes = std::size_t{64} * 1024;
+
+/** @return whether the memory of a body can be part of a message: it begins at
+ * a word, and the string owns its last word as a whole. */
+auto isReferable(const std::string &Body) -> bool {
+  auto Words = (Body.size() + sizeof(capnp::word) - 1) / sizeof(capnp::word);
+  return Body.size() >= MinReferencedBytes &&
+         reinterpret_cast<std::uintptr_t>(Body.data()) % sizeof(capnp::word) ==
+             0 &&
+         Body.capacity() + 1 >= Words * sizeof(capnp::word);
+}
+
+/** Writes the body of a request or response, which outlives the message. */
+template <class Builder> void writeBody(Builder Out, const std::string &Body) {
+  if (isReferable(Body)) {
+    Out.adoptBody(
+        capnp::Orphanage::getForMessageContaining(Out).referenceExternalData(
+            asData(Body)));
+  } else {
+    Out.setBody(asData(Body));
+  }
+}
+
 void writeForward(mesh_wire::Forward::Builder Out,
                   const forward_message &Message) {
   Out.setCall(Message.Call.Value);
@@ -64,7 +90,7 @@
   Out.setTarget(Request.Target);
   writeHeaders(Out.initHeaders(static_cast<unsigned>(Request.Headers.size())),
                Request.Headers);
-  Out.setBody(asData(Request.Body));
+  writeBody(Out, Request.Body);
   Out.setHasBody(Request.HasBody);
   Out.setKind(static_cast<std::uint16_t>(Message.Kind));
   Out.setPriority(Message.Priority);
@@ -149,7 +175,7 @@
   Out.setStatus(static_cast<std::uint32_t>(Response.Status));
   writeHeaders(Out.initHeaders(static_cast<unsigned>(Response.Headers.size())),
                Response.Headers);
-  Out.setBody(asData(Response.Body));
+  writeBody(Out, Response.Body);
   Out.setReason(Message.Reason);
   writeLoad(Out.initLoad(), Message.Load);
   Out.setRunMicros(static_cast<std::uint32_t>(Message.RunTime.count()));
@@ -177,6 +203,18 @@
   return Message;
 }
 
+/** Appends what is written to a string. */
+class string_output final : public kj::OutputStream {
+public:
+  explicit string_output(std::string &Out) : Out(Out) {}
+  void write(const void *Bytes, std::size_t Size) override {
+    Out.append(static_cast<const char *>(Bytes), Size);
+  }
+
+private:
+  std::string &Out;
+};
+
 /** Writes a mesh_message into the union of the Cap'n Proto message. */
 struct message_writer {
   mesh_wire::Message::Builder Out;
@@ -250,15 +288,29 @@
   auto Root = Builder.initRoot<mesh_wire::Message>();
   Root.setSentAt(Now.time_since_epoch().count());
   std::visit(message_writer{Root, Now}, Message);
-  auto Flat = capnp::messageToFlatArray(Builder);
-  auto Bytes = Flat.asChars();
-  auto Out = std::string(LengthBytes + Bytes.size(), '\0');
-  auto Length = static_cast<std::uint32_t>(Bytes.size());
-  std::memcpy(Out.data(), &Length, LengthBytes);
-  std::memcpy(Out.data() + LengthBytes, Bytes.begin(), Bytes.size());
+  // Written once into the result: bodies are large.
+  auto Segments = Builder.getSegmentsForOutput();
+  auto Length = static_cast<std::uint32_t>(
+      capnp::computeSerializedSizeInWords(Segments) * sizeof(capnp::word));
+  auto Out = std::string();
+  Out.reserve(LengthBytes + Length);
+  Out.append(reinterpret_cast<const char *>(&Length), LengthBytes);
+  auto Sink = string_output(Out);
+  capnp::writeMessage(Sink, Segments);
   return Out;
 }
 
+auto messageSize(std::string_view Bytes) -> std::optional<std::size_t> {
+  auto Length = std::uint32_t{0};
+  if (Bytes.size() < LengthBytes) {
+    return std::nullopt;
+  }
+  std::memcpy(&Length, Bytes.data(), LengthBytes);
+  return Length > MaxMeshMessageBytes
+             ? std::nullopt
+             : std::optional(LengthBytes + std::size_t{Length});
+}
+
 auto decodeMeshMessage(std::string_view Bytes, steady_time Now)
     -> result<std::optional<decoded_mesh_message>> {
   auto Length = std::uint32_t{0};
@@ -272,8 +324,16 @@
   if (Bytes.size() < LengthBytes + Length) {
     return std::optional<decoded_mesh_message>();
   }
-  auto Words = kj::heapArray<capnp::word>(Length / sizeof(capnp::word));
-  std::memcpy(Words.begin(), Bytes.data() + LengthBytes, Length);
+  const auto *Content = Bytes.data() + LengthBytes;
+  auto Copy = kj::Array<capnp::word>();
+  auto Words = kj::ArrayPtr<const capnp::word>(
+      reinterpret_cast<const capnp::word *>(Content),
+      Length / sizeof(capnp::word));
+  if (reinterpret_cast<std::uintptr_t>(Content) % sizeof(capnp::word) != 0) {
+    Copy = kj::heapArray<capnp::word>(Words.size());
+    std::memcpy(Copy.begin(), Content, Length);
+    Words = Copy;
+  }
   try {
     auto Options = capnp::ReaderOptions();
     Options.traversalLimitInWords = 4 * Words.size() + 1024;
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -21,6 +21,18 @@
  * with large bodies must not exhaust the memory of the host. */
 static constexpr auto MaxKeptOutcomeBytes = std::size_t{16} * 1024 * 1024;
 
+/** Share of the memory budget that they may take, if that is less. */
+static constexpr auto KeptOutcomeShare = std::size_t{8};
+
+/** @return the maximum size of the bodies of kept outcomes. */
+static auto maxKeptOutcomeBytes(const event::memory_budget &Budget)
+    -> std::size_t {
+  return Budget.LimitBytes == 0
+             ? MaxKeptOutcomeBytes
+             : std::min(MaxKeptOutcomeBytes,
+                        Budget.LimitBytes / KeptOutcomeShare);
+}
+
 /** Time for which the key of an ended call is kept, so that a delayed copy of
  * it does not run. No copy arrives later, as a connection with unacknowledged
  * data is closed sooner. */
@@ -184,7 +196,7 @@
 void admission::implementation::dropOldOutcomes() {
   while (!KeptOutcomes.empty() &&
          (KeptOutcomes.size() > MaxKeptOutcomes ||
-          KeptOutcomeBytes > MaxKeptOutcomeBytes ||
+          KeptOutcomeBytes > maxKeptOutcomeBytes(*State.Loop.memory()) ||
           KeptOutcomes.front().first + OutcomeRetention < State.Loop.now())) {
     auto Found = Calls.find(KeptOutcomes.front().second);
     if (Found != Calls.end()) {
@@ -301,6 +313,12 @@
   if (const auto *Reason = Impl->refusalReason(Call->Forward)) {
     return Impl->refuseCall(*Call, Reason);
   }
+  // The entry has decided about the calls of callers beside this node.
+  if (Key.Node != State.Own.Node &&
+      event::refusesCalls(*State.Loop.memory(),
+                          Call->Forward.Request.Body.size())) {
+    return Impl->refuseCall(*Call, "no memory");
+  }
   if (Call->DeadlineAt <= Now) {
     return Impl->refuseCall(*Call, "deadline passed on the way");
   }
@@ -349,6 +367,16 @@
   Reply(Outcome);
 }
 
+auto admission::implementation::lacksMemoryFor(const admitted_call &Call) const
+    -> bool {
+  const auto &Memory = *State.Loop.memory();
+  auto Expected = event::memory_budget();
+  Expected.LimitBytes = Memory.LimitBytes;
+  Expected.UsedBytes = Memory.UsedBytes + Running * RecentAnswerBytes;
+  // The entry on this host holds the body once more.
+  return event::refusesCalls(Expected, Call.Forward.Request.Body.size() * 2);
+}
+
 void admission::implementation::scheduleQueueRun(steady_time At) {
   if (QueueTimerAt != steady_time() && QueueTimerAt <= At) {
     return;
@@ -373,6 +401,8 @@
     auto Call = Calls.at(Next->Key);
     if (Next->LatestStart < Now && Next->ArrivedAt < Now) {
       refuseCall(*Call, "start too late");
+    } else if (lacksMemoryFor(*Call)) {
+      refuseCall(*Call, "no memory");
     } else {
       startCall(Call);
     }
--- a/src/sidecar/admission_state.h
+++ b/src/sidecar/admission_state.h
@@ -78,6 +78,9 @@
   std::deque<std::pair<steady_time, call_key>> EndedKeyTimes;
   std::uint64_t NextSerial = 1;
   std::uint32_t Running = 0;
+  /** Size of the last large answers, for the memory that running calls still
+   * need. */
+  std::size_t RecentAnswerBytes = 0;
   std::uint32_t CallsWithoutResponse = 0;
   micros MeanRun = InitialMeanRun;
   std::map<route_id, micros> RouteMeans;
@@ -104,6 +107,9 @@
   auto refusalReason(const inner::forward_message &Forward) const -> const
       char *;
   auto load() const -> dispatch::load_report;
+  /** @return whether a call can't start, since the buffers and the answers of
+   * the running calls take nearly all memory. */
+  auto lacksMemoryFor(const admitted_call &Call) const -> bool;
   /** Replaces the reply handler of a known call; a finished call replies at
    * once. */
   void replaceReply(admitted_call &Call, reply_handler Reply,
--- a/src/sidecar/call_dispatch.cpp
+++ b/src/sidecar/call_dispatch.cpp
@@ -73,7 +73,6 @@
   Forward.Version = Host.Target.Version;
   Forward.Route = Call.Route->Name;
   Forward.CallerService = State.Settings.Service;
-  Forward.Request = Call.Request;
   Forward.Kind = Call.Route->Kind;
   Forward.Priority = Call.Route->Priority;
   Forward.TimeToStartOnTime = Call.ObjectiveAt - Now - RunTime;
@@ -107,6 +106,7 @@
   auto Forward = makeForward(*Call, Host);
   recordCallSent(Balancer, Node, Call->Request.Body.size());
   if (Node == State.Own.Node) {
+    Forward.Request = Call->Request;
     auto Key = call_key{Node, State.Own.Process, Call->Attempt};
     auto Weak = std::weak_ptr<open_call>(Call);
     Admission.submit(Key, std::move(Forward),
@@ -117,7 +117,13 @@
                      });
     return;
   }
-  if (!Links.send(Node, Forward)) {
+  // Encoded without a copy of the request, which the call keeps for another
+  // attempt.
+  Forward.Request = std::move(Call->Request);
+  auto Message = mesh_message(std::move(Forward));
+  auto IsSent = Links.send(Node, Message);
+  Call->Request = std::move(std::get<forward_message>(Message).Request);
+  if (!IsSent) {
     auto Reply = reply_message();
     Reply.Reason = "host can't be reached";
     recordUnreachableHost(Balancer, Node, State.Loop.now());
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -16,10 +16,6 @@
 /** Retry delay sent to callers whose calls might outlast a shutdown. */
 static constexpr auto StoppingRetryDelay = micros(250'000);
 
-/** Interval of the checks for connections that exceed their timeouts, and thus
- * the most by which a connection can exceed them. */
-static constexpr auto ConnectionCheckInterval = micros(2'000'000);
-
 entry::entry(node_state &State, admission &Admission, peer_links &Links)
     : Impl(std::make_unique<implementation>(State, Admission, Links)) {}
 
@@ -37,11 +33,16 @@
   }
   Impl->Listener = std::move(valueOf(Opened));
   Impl->closeExpiredConnections();
+  Impl->watchMemory();
   return done();
 }
 
 void entry::implementation::accept(std::shared_ptr<event::stream> Stream) {
+  if (!makeRoomForCaller()) {
+    return Stream->close();
+  }
   auto Options = http::server_options();
+  Options.Memory = State.Loop.memory();
   if (State.Routes) {
     Options.Limits.MaxHeadBytes = State.Routes->config().Limits.MaxHeadBytes;
     Options.Limits.MaxBodyBytes = State.Routes->config().Limits.MaxBodyBytes;
@@ -99,6 +100,11 @@
     return rejectRequest(Caller, Exchange, Header.Id, 404, std::nullopt,
                          "no route");
   }
+  // An attempt needs the memory of the body once more.
+  if (!event::hasRoom(*State.Loop.memory(), Request.Body.size())) {
+    return rejectRequest(Caller, Exchange, Header.Id, 503, DefaultRetryDelay,
+                         "no memory");
+  }
   auto TimeLeft = std::min<micros>(Header.TimeLeft.value_or(Route->Timeout),
                                    Route->Timeout);
   if (!endsBeforeStop(State, Now + TimeLeft)) {
@@ -170,28 +176,6 @@
   }
 }
 
-void entry::implementation::closeExpiredConnections() {
-  auto Limits =
-      State.Routes ? State.Routes->config().Limits : mesh::caller_limits();
-  auto Now = State.Loop.now();
-  auto Expired = std::vector<std::shared_ptr<http::server_connection>>();
-  for (const auto &[Connection, Serials] : Connections) {
-    auto Age = Now - Connection->stateChangedAt();
-    auto Limit =
-        Connection->isReading() ? Limits.HeadTimeout * 2 : Limits.IdleTimeout;
-    if (!Connection->isBusy() && !Connection->hasUnsentOutput() &&
-        Age > Limit) {
-      Expired.push_back(Connection);
-    }
-  }
-  for (const auto &Connection : Expired) {
-    Connection->close();
-    Connections.erase(Connection);
-  }
-  State.Loop.addTimer(Now + ConnectionCheckInterval,
-                      [this] { closeExpiredConnections(); });
-}
-
 void entry::closeIdleConnections() {
   auto Idle = std::vector<std::shared_ptr<http::server_connection>>();
   for (const auto &[Connection, Serials] : Impl->Connections) {
@@ -226,6 +210,10 @@
       [](const auto &Entry) { return Entry.first->hasUnsentOutput(); });
 }
 
+auto entry::callerConnections() const -> std::size_t {
+  return Impl->Connections.size();
+}
+
 auto entry::openCalls() const -> std::size_t { return Impl->Calls.size(); }
 
 } // namespace sycamorelb::sidecar
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -37,6 +37,8 @@
   void endCalls();
   /** @return the number of calls in progress. */
   auto openCalls() const -> std::size_t;
+  /** @return the number of connections of callers. */
+  auto callerConnections() const -> std::size_t;
   /** @return whether a part of an answer to a caller waits to be written. */
   auto hasUnsentOutput() const -> bool;
   /** @return counts of the pipelined requests of callers. */
--- a/src/sidecar/entry_state.h
+++ b/src/sidecar/entry_state.h
@@ -1,6 +1,7 @@
 /** @file entry_state.h Internal state of entry, for its sources only. */
 #pragma once
 
+#include "sidecar/caller_relief.h"
 #include "sidecar/entry.h"
 #include "sidecar/target_board.h"
 #include "sycamorelb/http/server_connection.h"
@@ -57,6 +58,10 @@
     Pipelining->MaxHeldBytes = State.Settings.MaxHeldBytes;
   }
 
+  ~implementation() { State.Loop.memory()->OnPressure = nullptr; }
+  implementation(const implementation &) = delete;
+  auto operator=(const implementation &) -> implementation & = delete;
+
   node_state &State;
   admission &Admission;
   peer_links &Links;
@@ -112,7 +117,18 @@
   /** Cancels the attempt in progress, if any, at its node. */
   void cancelAttempt(const call_ref &Call);
   auto retryDelay(const open_call &Call) -> micros;
+  /** Closes connections that exceed their timeouts, from time to time. */
   void closeExpiredConnections();
+  /** Makes connections of callers give way while memory is under pressure. */
+  void watchMemory();
+  void relieveCallers();
+  /** @return whether there is a descriptor for another caller; an idle
+   * connection gives way if there is none. */
+  auto makeRoomForCaller() -> bool;
+  /** Carries out decisions about connections. */
+  void applyRelief(
+      const std::vector<std::shared_ptr<http::server_connection>> &Callers,
+      const std::vector<relief_decision> &Decisions);
 };
 
 } // namespace sycamorelb::sidecar
--- a/src/sidecar/node_counters.h
+++ b/src/sidecar/node_counters.h
@@ -38,7 +38,9 @@
   std::map<std::string, std::uint64_t> Admissions; ///< By local outcome.
   std::map<std::string, std::uint64_t> StoreCalls; ///< By call and outcome.
   std::map<std::string, std::uint64_t> BadInput;   ///< By source.
-  std::uint64_t Retries = 0;                       ///< Retries of failed calls.
+  /** Connections closed to protect memory and descriptors, by cause. */
+  std::map<std::string, std::uint64_t> CallersClosed;
+  std::uint64_t Retries = 0;   ///< Retries of failed calls.
   std::uint64_t Bounces = 0;   ///< Attempts that were not run.
   std::uint64_t LinksLost = 0; ///< Peer connections lost.
   /** By kind, and whether the other node is in the same zone. */
@@ -59,6 +61,10 @@
   std::uint64_t Pipelined = 0;     ///< Requests begun beside earlier ones.
   std::uint64_t HeldResponses = 0; ///< Responses that waited for earlier ones.
   std::uint64_t HeldBytes = 0;     ///< Size of those that wait now.
+  std::uint64_t BufferBytes = 0;   ///< Charged to the memory budget.
+  std::uint64_t BufferPeak = 0;    ///< Most bytes ever charged to it.
+  std::uint64_t BufferLimit = 0;   ///< Its limit; 0 for none.
+  std::uint64_t Callers = 0;       ///< Connections of callers.
   bool StoreLost = false;          ///< The store is unreachable.
 };
 
--- a/src/sidecar/node_state.cpp
+++ b/src/sidecar/node_state.cpp
@@ -24,6 +24,9 @@
                        std::uint64_t Seed)
     : Loop(Loop), Settings(std::move(Settings)), Random(Seed),
       Log(Loop, this->Settings.Node), Compressor(sampleMessages()) {
+  if (this->Settings.MemoryMb > 0) {
+    Loop.memory()->LimitBytes = event::bufferLimit(this->Settings.MemoryMb);
+  }
   StartedAt = Loop.now();
   Own.Node = this->Settings.Node;
   Own.Process = drawProcessId();
--- a/src/sidecar/peer_links.cpp
+++ b/src/sidecar/peer_links.cpp
@@ -22,6 +22,9 @@
 static constexpr auto InitialReconnectDelay = micros(200'000);
 static constexpr auto MaxReconnectDelay = micros(3'000'000);
 
+/** Smallest message for which the input buffer is made large enough at once. */
+static constexpr auto MinReservedBytes = std::size_t{64} * 1024;
+
 /** Largest body of a call or reply, in bytes, that is compressed. */
 static constexpr auto MaxCompressedBody = std::size_t{4096};
 
@@ -74,7 +77,7 @@
 
 void sendOnSession(node_state &State, const peer_session &Session,
                    const mesh_message &Message) {
-  Session.Stream->send(
+  Session.Stream->sendOwned(
       encodeFor(State, Session.Peer.Zone, Session.Peer.Compression, Message));
 }
 
@@ -110,6 +113,26 @@
   return Decoded;
 }
 
+/** Charges the body of a received message to the memory budget. */
+static void chargeBody(node_state &State, mesh_message &Message) {
+  auto Charge = [&State](std::size_t Bytes) {
+    return event::memory_charge(State.Loop.memory(), Bytes);
+  };
+  if (auto *Forward = std::get_if<forward_message>(&Message)) {
+    Forward->Request.Charge = Charge(Forward->Request.Body.size());
+  } else if (auto *Reply = std::get_if<reply_message>(&Message)) {
+    Reply->Response.Charge = Charge(Reply->Response.Body.size());
+  }
+}
+
+/** @return whether a message that arrives in part no longer fits: its
+ * connection gives way, and its sender offers the call elsewhere. */
+static auto exceedsMemory(const node_state &State, const event::stream &Stream)
+    -> bool {
+  return !event::hasRoom(*State.Loop.memory(), 0) &&
+         Stream.input().size() >= MinReservedBytes;
+}
+
 /** Decodes all complete messages at the front of a stream, until Handle returns
  * false.
  * @return false if the bytes can't be decoded. */
@@ -122,8 +145,15 @@
       return false;
     }
     if (!valueOf(Decoded)) {
+      auto Size = isCompressedFrame(Stream.input())
+                      ? std::nullopt
+                      : messageSize(Stream.input());
+      if (Size && *Size >= MinReservedBytes) {
+        Stream.reserveInput(*Size);
+      }
       return true;
     }
+    chargeBody(State, valueOf(Decoded)->Message);
     Stream.consume(valueOf(Decoded)->EncodedBytes);
     if (!Handle(std::move(*valueOf(Decoded)))) {
       return true;
@@ -233,6 +263,13 @@
         }
         return Session->Stream->isOpen();
       });
+  if (Valid && exceedsMemory(State, *Session->Stream)) {
+    ++State.Counters.CallersClosed["peer: no memory"];
+    State.Log.write(log_class::State, "peer.no_memory",
+                    {{"peer", Session->Peer.Node.Value}});
+    Session->Stream->close();
+    return endSession(Session);
+  }
   if (!Valid) {
     ++State.Counters.BadInput["peer"];
     State.Log.write(log_class::State, "peer.malformed",
@@ -337,7 +374,7 @@
   if (!Link.Stream && !Impl->openLink(Node, Link)) {
     return false;
   }
-  Link.Stream->send(
+  Link.Stream->sendOwned(
       encodeFor(Impl->State, Link.Zone, Link.Compression, Message));
   return true;
 }
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -6,7 +6,9 @@
 
 #include <algorithm>
 #include <fstream>
+#include <malloc.h>
 #include <sstream>
+#include <sys/prctl.h>
 #include <sys/stat.h>
 
 namespace sycamorelb::sidecar {
@@ -269,7 +271,8 @@
 }
 
 auto sidecar::implementation::stateView() const -> state_view {
-  return {State, Admission.load(), Entry.openCalls(), Entry.pipelining()};
+  return {State, Admission.load(), Entry.openCalls(), Entry.pipelining(),
+          Entry.callerConnections()};
 }
 
 auto sidecar::implementation::answerMetrics(const http::request &Request)
@@ -395,6 +398,10 @@
                    {"needs_restart", std::int64_t{NeedsRestart ? 1 : 0}}});
 }
 
+/** Size from which a block of memory is mapped by itself, in bytes: the usual
+ * default of the allocator. */
+static constexpr auto LargeBlockBytes = 128 * 1024;
+
 auto sidecar::create(event::loop &Loop, const node_settings &Settings,
                      const std::string &SettingsPath, std::uint64_t Incarnation)
     -> result<std::unique_ptr<sidecar>> {
@@ -443,11 +450,23 @@
   Self.measureLink();
 }
 
+/** Makes freed buffers return to the system at once, so that the memory of the
+ * process follows the memory budget. */
+static void configureAllocator() {
+  // Fixed thresholds: by default they grow with the largest freed block, and
+  // large blocks then leave holes in the heap.
+  mallopt(M_MMAP_THRESHOLD, LargeBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, LargeBlockBytes);
+  // A huge page would make a body that has just begun take 2 MB.
+  prctl(PR_SET_THP_DISABLE, 1, 0, 0, 0);
+}
+
 void sidecar::run() {
   auto &Self = *Impl;
   Self.Signals = std::make_unique<signal_events>(
       Self.Loop, [&Self] { Self.beginStop([&Self] { Self.Loop.stop(); }); },
       [&Self] { Self.reload(); });
+  configureAllocator();
   start();
   Self.Loop.run();
 }
--- a/src/sidecar/state_view.cpp
+++ b/src/sidecar/state_view.cpp
@@ -67,6 +67,11 @@
   Gauges.Pipelined = View.Pipelining.Pipelined;
   Gauges.HeldResponses = View.Pipelining.HeldResponses;
   Gauges.HeldBytes = View.Pipelining.HeldBytes;
+  const auto &Memory = *State.Loop.memory();
+  Gauges.BufferBytes = Memory.UsedBytes;
+  Gauges.BufferPeak = Memory.PeakBytes;
+  Gauges.BufferLimit = Memory.LimitBytes;
+  Gauges.Callers = View.Callers;
   Gauges.Suppressed = State.Log.suppressed();
   Gauges.StoreLost = State.Own.StoreLost;
   return Gauges;
--- a/src/sidecar/state_view.h
+++ b/src/sidecar/state_view.h
@@ -15,6 +15,7 @@
   dispatch::load_report Load;       ///< Load of the target.
   std::size_t OpenCalls = 0;        ///< Open calls from callers on this host.
   http::pipeline_budget Pipelining; ///< Their pipelined requests.
+  std::size_t Callers = 0;          ///< Their connections.
 };
 
 /** @return the state as JSON. */
--- a/src/sidecar/target_exchange.cpp
+++ b/src/sidecar/target_exchange.cpp
@@ -53,7 +53,7 @@
     return Id.Value.empty() || Answered == Id;
   });
   Call->Connection->exchange(
-      Forward.Request,
+      std::move(Forward.Request),
       [this, Weak](http::exchange_result Result) {
         if (auto Self = Weak.lock()) {
           handleResult(*Self, std::move(Result));
@@ -63,7 +63,7 @@
         auto Delay = WasCold ? State.Loop.clockTime() - Now : micros(0);
         ColdCalls.WriteDelay = std::max(ColdCalls.WriteDelay, Delay);
       });
-  Forward.Request.Body = std::string();
+  Forward.Request = http::request();
   Call->Timer =
       State.Loop.addTimer(Call->DeadlineAt + DeadlineMargin, [this, Weak] {
         if (auto Self = Weak.lock()) {
@@ -185,6 +185,9 @@
   Outcome.ReachedTarget = true;
   Outcome.RunTime = RunTime;
   CallsWithoutResponse = 0;
+  // Falls slowly, so that one small answer doesn't hide the large ones.
+  RecentAnswerBytes =
+      std::max(Response.Body.size(), RecentAnswerBytes - RecentAnswerBytes / 8);
   if (Response.Status != 421) {
     recordNotice(Call, Header);
   }
--- a/src/sidecar/target_pool.cpp
+++ b/src/sidecar/target_pool.cpp
@@ -25,9 +25,22 @@
  * memory of the host. */
 static constexpr auto MaxReceivedBytes = std::size_t{48} * 1024 * 1024;
 
+/** Share of the memory budget that they may take, if that is less. */
+static constexpr auto ReceivedShare = std::size_t{3};
+
+/** @return the maximum size of all response bodies while they are received;
+ * one of the maximum size always fits. */
+static auto maxReceivedBytes(std::size_t Budget) -> std::size_t {
+  return Budget == 0
+             ? MaxReceivedBytes
+             : std::min(MaxReceivedBytes,
+                        std::max(MaxResponseBytes + 1, Budget / ReceivedShare));
+}
+
 target_pool::target_pool(node_state &State)
-    : State(State), Budget(std::make_shared<http::body_budget>(
-                        http::body_budget{MaxReceivedBytes, 0})) {}
+    : State(State),
+      Budget(std::make_shared<http::body_budget>(http::body_budget{
+          maxReceivedBytes(State.Loop.memory()->LimitBytes), 0})) {}
 
 /** @return the idle time up to which a connection is used. */
 static auto maxIdleTime(const http::client_connection &Connection) -> micros {
