--- a/include/sycamorelb/sidecar/settings_type.h
+++ b/include/sycamorelb/sidecar/settings_type.h
@@ -54,6 +54,8 @@
   double CpuShare = 1;            ///< CPU of the host, in cores.
   mesh_bounds Bounds;             ///< Limits guaranteed by the deployment.
   usage_settings Usage;           ///< Usage reports.
+  std::size_t MemoryMb = 0;        ///< Memory of the host; 0 for no limit.
+  std::size_t FileDescriptors = 0; ///< Of the process; 0 for no limit.
   bool FirstStart = false;        ///< All hosts start for the first time.
   http::pipeline_limits Pipeline; ///< Limits on pipelined requests.
   /** Responses of pipelined requests on hold, over all connections. */
--- a/src/sidecar/node_counters.h
+++ b/src/sidecar/node_counters.h
@@ -39,6 +39,8 @@
   std::map<std::string, std::uint64_t> StoreCalls;  ///< By call and outcome.
   std::map<std::string, std::uint64_t> BadInput;    ///< By source.
   std::map<std::string, std::uint64_t> KeyRefusals; ///< By reason.
+  /** Connections closed to protect memory and descriptors, by cause. */
+  std::map<std::string, std::uint64_t> CallersClosed;
   std::uint64_t Retries = 0;   ///< Retries of failed calls.
   std::uint64_t Bounces = 0;   ///< Attempts that were not run.
   std::uint64_t LinksLost = 0; ///< Peer connections lost.
@@ -64,6 +66,10 @@
   std::uint64_t HeldResponses = 0; ///< Responses that waited for earlier ones.
   std::uint64_t HeldBytes = 0;     ///< Size of those that wait now.
   std::uint64_t StoreEra = 0;      ///< Newest era of the store; 0: unknown.
+  std::uint64_t BufferBytes = 0;   ///< Charged to the memory budget.
+  std::uint64_t BufferPeak = 0;    ///< Most bytes ever charged to it.
+  std::uint64_t BufferLimit = 0;   ///< Its limit; 0 for none.
+  std::uint64_t Callers = 0;       ///< Connections of callers.
   bool StoreLost = false;          ///< The store is unreachable.
   bool IsUsageHolder = false;      ///< This node sends the usage reports.
   std::uint64_t UsageToken = 0;    ///< Highest token known.
--- a/src/sidecar/state_view.h
+++ b/src/sidecar/state_view.h
@@ -17,6 +17,7 @@
   std::size_t OpenCalls = 0;        ///< Open calls from callers on this host.
   http::pipeline_budget Pipelining; ///< Their pipelined requests.
   usage::holder_state Usage;        ///< Usage reports.
+  std::size_t Callers = 0;          ///< Their connections.
 };
 
 /** @return the state as JSON. */
