Fix: [Sidecar] Unread answers give way before the memory is used up

Change: with nearly all memory used, they are also made at the end of the iteration that delivered an answer, and any unread answer gives way.

--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -1,12 +1,10 @@
 /** @file stream.cpp Non-blocking TCP sockets. */
 #include "sycamorelb/event/stream.h"
+#include "event/socket_address.h"
 
 #include <algorithm>
-#include <arpa/inet.h>
 #include <array>
 #include <cerrno>
-#include <charconv>
-#include <cstring>
 #include <deque>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -31,12 +29,6 @@
 /** Smallest output that is taken over instead of copied: below, one system
  * call for it and the bytes before it is worth more than the copy. */
 static constexpr auto MinOwnedBytes = std::size_t{64} * 1024;
-/** Maximum number of connections that wait to be accepted. */
-static constexpr auto ListenBacklog = 512;
-/** Time without accepting while no descriptor is free. */
-static constexpr auto AcceptPause = micros(100'000);
-/** Maximum number of connections accepted for one event. */
-static constexpr auto MaxAcceptsPerEvent = 64;
 /** Seconds of silence before a keep-alive probe, and between probes. */
 static constexpr auto KeepAliveProbeSeconds = 1;
 /** Unanswered probes after which a connection is lost. */
@@ -46,37 +38,6 @@
 /** Time to write the remaining output of a closing connection. */
 static constexpr auto LingerTimeout = millis(5000);
 
-auto parseEndpoint(std::string_view Text) -> result<endpoint> {
-  auto Colon = Text.rfind(':');
-  auto Endpoint = endpoint();
-  auto Address = in_addr();
-  if (Colon != std::string_view::npos) {
-    Endpoint.Host = std::string(Text.substr(0, Colon));
-    auto Digits = Text.substr(Colon + 1);
-    auto Parsed = std::from_chars(Digits.data(), Digits.data() + Digits.size(),
-                                  Endpoint.Port);
-    if (Parsed.ec == std::errc() && Endpoint.Port != 0 &&
-        Parsed.ptr == Digits.data() + Digits.size() &&
-        inet_pton(AF_INET, Endpoint.Host.c_str(), &Address) == 1) {
-      return Endpoint;
-    }
-  }
-  return error{error_code::InvalidArgument, "parse_endpoint", "",
-               "\"" + std::string(Text) + "\" is not IP:PORT"};
-}
-
-auto formatEndpoint(const endpoint &Endpoint) -> std::string {
-  return Endpoint.Host + ":" + std::to_string(Endpoint.Port);
-}
-
-static auto socketAddress(const endpoint &Endpoint) -> sockaddr_in {
-  auto Address = sockaddr_in();
-  Address.sin_family = AF_INET;
-  Address.sin_port = htons(Endpoint.Port);
-  inet_pton(AF_INET, Endpoint.Host.c_str(), &Address.sin_addr);
-  return Address;
-}
-
 static void setOption(int Descriptor, int Level, int Name, int Value) {
   setsockopt(Descriptor, Level, Name, &Value, sizeof(Value));
 }
@@ -493,71 +454,4 @@
                                     [Self] { Self->close(); });
 }
 
-struct listener::implementation {
-  implementation(loop &Loop, int Descriptor, accept_callback Accept)
-      : Loop(Loop), Descriptor(Descriptor), Accept(std::move(Accept)) {}
-
-  loop &Loop;
-  int Descriptor;
-  accept_callback Accept;
-
-  timer_id Timer{0};
-
-  /** Stops for a moment: the waiting connections would be reported at once
-   * again, although none can be accepted. */
-  void pauseAccepting() {
-    Loop.modifyWatch(Descriptor, 0);
-    Timer = Loop.addTimer(Loop.now() + AcceptPause,
-                          [this] { Loop.modifyWatch(Descriptor, EPOLLIN); });
-  }
-
-  void acceptReady() {
-    for (auto Count = 0; Count < MaxAcceptsPerEvent; ++Count) {
-      auto Accepted =
-          ::accept4(Descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
-      if (Accepted < 0) {
-        if (errno == EMFILE || errno == ENFILE || errno == ENOMEM) {
-          pauseAccepting();
-        }
-        return;
-      }
-      Accept(stream::adopt(Loop, Accepted));
-    }
-  }
-};
-
-listener::listener(std::unique_ptr<implementation> Impl)
-    : Impl(std::move(Impl)) {}
-
-listener::~listener() {
-  Impl->Loop.cancelTimer(Impl->Timer);
-  Impl->Loop.unwatch(Impl->Descriptor);
-  ::close(Impl->Descriptor);
-}
-
-auto listener::open(loop &Loop, const endpoint &Address, accept_callback Accept)
-    -> result<std::unique_ptr<listener>> {
-  auto Descriptor = ::socket(
-      AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, IPPROTO_TCP);
-  auto BindAddress = socketAddress(Address);
-  setOption(Descriptor, SOL_SOCKET, SO_REUSEADDR, 1);
-  if (Descriptor < 0 ||
-      ::bind(Descriptor, reinterpret_cast<sockaddr *>(&BindAddress),
-             sizeof(BindAddress)) < 0 ||
-      ::listen(Descriptor, ListenBacklog) < 0) {
-    auto Cause = std::string(std::strerror(errno)); // NOLINT: one thread.
-    if (Descriptor >= 0) {
-      ::close(Descriptor);
-    }
-    return error{error_code::Unreachable, "listen", formatEndpoint(Address),
-                 Cause};
-  }
-  auto Listener = std::unique_ptr<listener>(new listener(
-      std::make_unique<implementation>(Loop, Descriptor, std::move(Accept))));
-  auto *State = Listener->Impl.get();
-  Loop.watch(Descriptor, EPOLLIN,
-             [State](std::uint32_t) { State->acceptReady(); });
-  return Listener;
-}
-
 } // namespace sycamorelb::event
--- a/src/sidecar/call_dispatch.cpp
+++ b/src/sidecar/call_dispatch.cpp
@@ -278,6 +278,7 @@
   if (auto Caller = Call->Caller.lock()) {
     Caller->respond(Call->Exchange, Response, State.Stopping);
   }
+  relieveIfFull();
 }
 
 void entry::implementation::cancelAttempt(const call_ref &Call) {
--- a/src/sidecar/caller_limits.cpp
+++ b/src/sidecar/caller_limits.cpp
@@ -121,10 +121,28 @@
   };
 }
 
+void entry::implementation::relieveOnce() {
+  auto [Callers, Views] = listCallers(Connections, State.Loop.now());
+  applyRelief(Callers, relieveMemory(Views, *State.Loop.memory()));
+}
+
+void entry::implementation::relieveIfFull() {
+  // On a busy host the timer is late, and many answers arrive meanwhile.
+  if (IsReliefDeferred ||
+      event::pressureOn(*State.Loop.memory()) != event::memory_pressure::Full) {
+    return;
+  }
+  IsReliefDeferred = true;
+  State.Loop.defer([this] {
+    IsReliefDeferred = false;
+    relieveOnce();
+  });
+}
+
 void entry::implementation::relieveCallers() {
   auto &Memory = *State.Loop.memory();
+  relieveOnce();
   auto [Callers, Views] = listCallers(Connections, State.Loop.now());
-  applyRelief(Callers, relieveMemory(Views, Memory));
   auto IsPaused = std::any_of(Views.begin(), Views.end(), [](const auto &View) {
     return View.ReadsPaused;
   });
--- a/src/sidecar/caller_relief.cpp
+++ b/src/sidecar/caller_relief.cpp
@@ -16,9 +16,6 @@
 /** Silence, under memory pressure, after which a transfer counts as stalled:
  * a few retransmissions. */
 static constexpr auto StallTime = micros(1'000'000);
-/** The same for an unread answer while nearly all memory is used: a caller that
- * reads at all takes bytes more often. */
-static constexpr auto FullStallTime = micros(100'000);
 /** Time for a whole body under memory pressure; also a body that arrives byte
  * by byte then frees its memory. */
 static constexpr auto MaxTightBodyTime = micros(30'000'000);
@@ -27,9 +24,6 @@
 static constexpr auto MaxMemoryWait = micros(2'000'000);
 /** Part of the memory that bodies leave to calls that begin and to answers. */
 static constexpr auto AnswerShare = std::size_t{10};
-/** Part of the memory that is taken for a moment while an answer is passed on,
- * as it is copied. */
-static constexpr auto TransientShare = std::size_t{20};
 /** Descriptors that the platform reserves for files. */
 static constexpr auto FileReserve = std::size_t{200};
 /** Share of the other descriptors that is kept for peers, the target, the
@@ -162,17 +156,12 @@
         }
       }
     }
-    // Close to the limit, also a caller that reads gives way.
-    auto MinSilence = event::hasRoom(Budget, Budget.LimitBytes / TransientShare)
-                          ? StallTime
-                          : micros(-1);
-    if (MinSilence == StallTime &&
-        event::pressureOn(Budget) == event::memory_pressure::Full) {
-      MinSilence = FullStallTime;
-    }
-    if (Decisions.empty() || MinSilence < micros(0)) {
-      Free += closeSilentReaders(Callers, MinSilence, Budget.LimitBytes / 4,
-                                 Decisions);
+    // With nearly all memory used, also a caller that reads gives way: answers
+    // that are under way fill the rest within milliseconds.
+    auto IsFull = event::pressureOn(Budget) == event::memory_pressure::Full;
+    if (IsFull || Decisions.empty()) {
+      Free += closeSilentReaders(Callers, IsFull ? micros(-1) : StallTime,
+                                 Budget.LimitBytes / 4, Decisions);
     }
   }
   // The others read on, in this order, if all that they miss has room.
--- a/src/sidecar/entry_state.h
+++ b/src/sidecar/entry_state.h
@@ -77,6 +77,7 @@
   std::unordered_map<std::uint64_t, call_ref> Attempts; // By Attempt.
   std::map<route_id, mesh::round_robin_state> RoundRobinStates;
   std::uint64_t NextNumber = 1;
+  bool IsReliefDeferred = false; // relieveIfFull() has deferred one.
 
   void accept(std::shared_ptr<event::stream> Stream);
   /** @return whether a request may run beside others of its connection. */
@@ -122,6 +123,10 @@
   /** Makes connections of callers give way while memory is under pressure. */
   void watchMemory();
   void relieveCallers();
+  /** Carries out the decisions about memory now. */
+  void relieveOnce();
+  /** Does so at the end of this iteration if nearly all memory is used. */
+  void relieveIfFull();
   /** @return whether there is a descriptor for another caller; an idle
    * connection gives way if there is none. */
   auto makeRoomForCaller() -> bool;
