--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -1,15 +1,11 @@
 /** @file sidecar.cpp Connects the components of a node; start-up. */
 #include "platform/heartbeat.h"
-#include "platform/settings_file.h"
 #include "sidecar/sidecar_state.h"
 #include "sycamorelb/core/clock_func.h"
 
 #include <algorithm>
-#include <fstream>
 #include <malloc.h>
-#include <sstream>
 #include <sys/prctl.h>
-#include <sys/stat.h>
 
 namespace sycamorelb::sidecar {
 
@@ -305,8 +301,12 @@
 }
 
 auto sidecar::implementation::stateView() const -> state_view {
-  return {State, Admission.load(), Entry.openCalls(), Entry.pipelining(),
-          Usage.holder(), Entry.callerConnections()};
+  return {State,
+          Admission.load(),
+          Entry.openCalls(),
+          Entry.pipelining(),
+          Usage.holder(),
+          Entry.callerConnections()};
 }
 
 auto sidecar::implementation::answerMetrics(const http::request &Request)
@@ -392,52 +392,6 @@
   Loop.addTimer(Loop.now() + LinkMeasureInterval, [this] { measureLink(); });
 }
 
-void sidecar::implementation::reloadIfChanged() {
-  struct stat Info = {};
-  if (SettingsPath.empty() || ::stat(SettingsPath.c_str(), &Info) != 0) {
-    return;
-  }
-  auto Changed = Info.st_mtim.tv_sec != SettingsModifiedAt.tv_sec ||
-                 Info.st_mtim.tv_nsec != SettingsModifiedAt.tv_nsec;
-  auto First = SettingsModifiedAt.tv_sec == 0;
-  SettingsModifiedAt = Info.st_mtim;
-  if (Changed && !First) {
-    reload();
-  }
-}
-
-void sidecar::implementation::reload() {
-  auto File = std::ifstream(SettingsPath);
-  auto Text = std::stringstream();
-  Text << File.rdbuf();
-  auto Update = platform::decodeSettings(Text.str());
-  if (!isOk(Update)) {
-    ++State.Counters.BadInput["settings"];
-    State.Log.write(
-        log_class::State, "settings.rejected",
-        {{"path", SettingsPath}, {"fault", errorOf(Update).Message}});
-    return;
-  }
-  auto &Current = State.Settings;
-  const auto &Value = valueOf(Update);
-  auto NeedsRestart = Value.Node != Current.Node ||
-                      !(Value.CallerAddress == Current.CallerAddress) ||
-                      !(Value.PeerAddress == Current.PeerAddress) ||
-                      !(Value.TargetAddress == Current.TargetAddress) ||
-                      Value.Service != Current.Service ||
-                      Value.Zone != Current.Zone;
-  Current.Bounds = Value.Bounds;
-  Current.HeartbeatInterval = Value.HeartbeatInterval;
-  Current.StoreAddress = Value.StoreAddress;
-  State.Log.write(log_class::State, "settings.reloaded",
-                  {{"path", SettingsPath},
-                   {"needs_restart", std::int64_t{NeedsRestart ? 1 : 0}}});
-}
-
-/** Size from which a block of memory is mapped by itself, in bytes: the usual
- * default of the allocator. */
-static constexpr auto LargeBlockBytes = 128 * 1024;
-
 auto sidecar::create(event::loop &Loop, const node_settings &Settings,
                      const std::string &SettingsPath, std::uint64_t Incarnation)
     -> result<std::unique_ptr<sidecar>> {
@@ -487,6 +441,10 @@
   Self.measureLink();
 }
 
+/** Size from which a block of memory is mapped by itself, in bytes: the usual
+ * default of the allocator. */
+static constexpr auto LargeBlockBytes = 128 * 1024;
+
 /** Makes freed buffers return to the system at once, so that the memory of the
  * process follows the memory budget. */
 static void configureAllocator() {
--- a/test/usage_mesh_test.cpp
+++ b/test/usage_mesh_test.cpp
@@ -77,6 +77,9 @@
 
   usage_run() {
     Platform.listen(Mesh.loop(), platformAddress());
+    // Without customers in the configuration nothing is reported.
+    Mesh.Customers = {{"customer-0", {"key"}}};
+    Mesh.publishConfig();
     Mesh.startTargets();
     Mesh.run(25 * Second);
     for (auto Node = 0; Node < Mesh.nodeCount(); ++Node) {
