--- a/src/sidecar/admission_state.h
+++ b/src/sidecar/admission_state.h
@@ -95,6 +95,9 @@
   /** When calls that were given up should end at a target that reports work
    * figures, in order of giving up. */
   std::deque<steady_time> AbandonedUntil;
+  /** Size of the last large answers, for the memory that running calls still
+   * need. */
+  std::size_t RecentAnswerBytes = 0;
   std::uint32_t CallsWithoutResponse = 0;
   micros MeanRun = InitialMeanRun;
   std::map<route_id, route_run_time> Routes;
@@ -141,6 +144,9 @@
   auto refusalReason(const inner::forward_message &Forward) const -> const
       char *;
   auto load() const -> dispatch::load_report;
+  /** @return whether a call can't start, since the buffers and the answers of
+   * the running calls take nearly all memory. */
+  auto lacksMemoryFor(const admitted_call &Call) const -> bool;
   /** Replaces the reply handler of a known call; a finished call replies at
    * once. */
   void replaceReply(admitted_call &Call, reply_handler Reply,
--- a/src/sidecar/entry_state.h
+++ b/src/sidecar/entry_state.h
@@ -1,6 +1,7 @@
 /** @file entry_state.h Internal state of entry, for its sources only. */
 #pragma once
 
+#include "sidecar/caller_relief.h"
 #include "sidecar/entry.h"
 #include "sidecar/target_board.h"
 #include "sycamorelb/http/server_connection.h"
@@ -59,6 +60,10 @@
     Pipelining->MaxHeldBytes = State.Settings.MaxHeldBytes;
   }
 
+  ~implementation() { State.Loop.memory()->OnPressure = nullptr; }
+  implementation(const implementation &) = delete;
+  auto operator=(const implementation &) -> implementation & = delete;
+
   node_state &State;
   admission &Admission;
   peer_links &Links;
@@ -74,6 +79,7 @@
   std::unordered_map<std::uint64_t, call_ref> Attempts; // By Attempt.
   std::map<route_id, mesh::round_robin_state> RoundRobinStates;
   std::uint64_t NextNumber = 1;
+  bool IsReliefDeferred = false; // relieveIfFull() has deferred one.
 
   void accept(std::shared_ptr<event::stream> Stream);
   /** @return whether a request may run beside others of its connection. */
@@ -131,7 +137,22 @@
   /** Cancels the attempt in progress, if any, at its node. */
   void cancelAttempt(const call_ref &Call);
   auto retryDelay(const open_call &Call) -> micros;
+  /** Closes connections that exceed their timeouts, from time to time. */
   void closeExpiredConnections();
+  /** Makes connections of callers give way while memory is under pressure. */
+  void watchMemory();
+  void relieveCallers();
+  /** Carries out the decisions about memory now. */
+  void relieveOnce();
+  /** Does so at the end of this iteration if nearly all memory is used. */
+  void relieveIfFull();
+  /** @return whether there is a descriptor for another caller; an idle
+   * connection gives way if there is none. */
+  auto makeRoomForCaller() -> bool;
+  /** Carries out decisions about connections. */
+  void applyRelief(
+      const std::vector<std::shared_ptr<http::server_connection>> &Callers,
+      const std::vector<relief_decision> &Decisions);
 };
 
 } // namespace sycamorelb::sidecar
--- a/src/sidecar/node_counters.h
+++ b/src/sidecar/node_counters.h
@@ -39,13 +39,16 @@
   std::map<std::string, std::uint64_t> StoreCalls;  ///< By call and outcome.
   std::map<std::string, std::uint64_t> BadInput;    ///< By source.
   std::map<std::string, std::uint64_t> KeyRefusals; ///< By reason.
+  /** Connections closed to protect memory and descriptors, by cause. */
+  std::map<std::string, std::uint64_t> CallersClosed;
   std::uint64_t Retries = 0;   ///< Retries of failed calls.
   std::uint64_t Bounces = 0;   ///< Attempts that were not run.
   std::uint64_t LinksLost = 0; ///< Peer connections lost.
   /** By kind, and whether the other node is in the same zone. */
   std::map<std::pair<std::string_view, bool>, message_counts> PeerTraffic;
-  std::uint64_t TargetConnections = 0;           ///< Opened to the target.
-  std::map<route_id, latency_histogram> Latency; ///< By route.
+  std::uint64_t TargetConnections = 0;               ///< Opened to the target.
+  std::map<std::string, std::uint64_t> UsageWindows; ///< By result.
+  std::map<route_id, latency_histogram> Latency;     ///< By route.
 };
 
 /** Gauges that are sampled when the metrics are rendered. */
@@ -63,7 +66,14 @@
   std::uint64_t HeldResponses = 0; ///< Responses that waited for earlier ones.
   std::uint64_t HeldBytes = 0;     ///< Size of those that wait now.
   std::uint64_t StoreEra = 0;      ///< Newest era of the store; 0: unknown.
+  std::uint64_t BufferBytes = 0;   ///< Charged to the memory budget.
+  std::uint64_t BufferPeak = 0;    ///< Most bytes ever charged to it.
+  std::uint64_t BufferLimit = 0;   ///< Its limit; 0 for none.
+  std::uint64_t Callers = 0;       ///< Connections of callers.
   bool StoreLost = false;          ///< The store is unreachable.
+  bool IsUsageHolder = false;      ///< This node sends the usage reports.
+  std::uint64_t UsageToken = 0;    ///< Highest token known.
+  std::uint64_t UsageEra = 0;      ///< Era of the store as its holders know it.
 };
 
 /** @return the metrics in the Prometheus text format. */
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -1,13 +1,11 @@
 /** @file sidecar.cpp Connects the components of a node; start-up. */
 #include "platform/heartbeat.h"
-#include "platform/settings_file.h"
 #include "sidecar/sidecar_state.h"
 #include "sycamorelb/core/clock_func.h"
 
 #include <algorithm>
-#include <fstream>
-#include <sstream>
-#include <sys/stat.h>
+#include <malloc.h>
+#include <sys/prctl.h>
 
 namespace sycamorelb::sidecar {
 
@@ -125,6 +123,12 @@
   Events.OnEvidence = [this](const rollout_evidence_report &Report) {
     Rollouts.mergeEvidence(Report);
   };
+  Events.OnUsage = [this](const gossip_message &Message) {
+    Usage.handleMessage(Message);
+  };
+  Events.AddUsage = [this](gossip_message &Message) {
+    Usage.addToMessage(Message);
+  };
   return Events;
 }
 
@@ -297,7 +301,12 @@
 }
 
 auto sidecar::implementation::stateView() const -> state_view {
-  return {State, Admission.load(), Entry.openCalls(), Entry.pipelining()};
+  return {State,
+          Admission.load(),
+          Entry.openCalls(),
+          Entry.pipelining(),
+          Usage.holder(),
+          Entry.callerConnections()};
 }
 
 auto sidecar::implementation::answerMetrics(const http::request &Request)
@@ -383,48 +392,6 @@
   Loop.addTimer(Loop.now() + LinkMeasureInterval, [this] { measureLink(); });
 }
 
-void sidecar::implementation::reloadIfChanged() {
-  struct stat Info = {};
-  if (SettingsPath.empty() || ::stat(SettingsPath.c_str(), &Info) != 0) {
-    return;
-  }
-  auto Changed = Info.st_mtim.tv_sec != SettingsModifiedAt.tv_sec ||
-                 Info.st_mtim.tv_nsec != SettingsModifiedAt.tv_nsec;
-  auto First = SettingsModifiedAt.tv_sec == 0;
-  SettingsModifiedAt = Info.st_mtim;
-  if (Changed && !First) {
-    reload();
-  }
-}
-
-void sidecar::implementation::reload() {
-  auto File = std::ifstream(SettingsPath);
-  auto Text = std::stringstream();
-  Text << File.rdbuf();
-  auto Update = platform::decodeSettings(Text.str());
-  if (!isOk(Update)) {
-    ++State.Counters.BadInput["settings"];
-    State.Log.write(
-        log_class::State, "settings.rejected",
-        {{"path", SettingsPath}, {"fault", errorOf(Update).Message}});
-    return;
-  }
-  auto &Current = State.Settings;
-  const auto &Value = valueOf(Update);
-  auto NeedsRestart = Value.Node != Current.Node ||
-                      !(Value.CallerAddress == Current.CallerAddress) ||
-                      !(Value.PeerAddress == Current.PeerAddress) ||
-                      !(Value.TargetAddress == Current.TargetAddress) ||
-                      Value.Service != Current.Service ||
-                      Value.Zone != Current.Zone;
-  Current.Bounds = Value.Bounds;
-  Current.HeartbeatInterval = Value.HeartbeatInterval;
-  Current.StoreAddress = Value.StoreAddress;
-  State.Log.write(log_class::State, "settings.reloaded",
-                  {{"path", SettingsPath},
-                   {"needs_restart", std::int64_t{NeedsRestart ? 1 : 0}}});
-}
-
 auto sidecar::create(event::loop &Loop, const node_settings &Settings,
                      const std::string &SettingsPath, std::uint64_t Incarnation)
     -> result<std::unique_ptr<sidecar>> {
@@ -468,16 +435,33 @@
     Self.Store.start();
   }
   Self.Gossip.start();
+  Self.Usage.start();
   Self.reloadIfChanged();
   Self.runPeriodicChecks();
   Self.measureLink();
 }
 
+/** Size from which a block of memory is mapped by itself, in bytes: the usual
+ * default of the allocator. */
+static constexpr auto LargeBlockBytes = 128 * 1024;
+
+/** Makes freed buffers return to the system at once, so that the memory of the
+ * process follows the memory budget. */
+static void configureAllocator() {
+  // Fixed thresholds: by default they grow with the largest freed block, and
+  // large blocks then leave holes in the heap.
+  mallopt(M_MMAP_THRESHOLD, LargeBlockBytes);
+  mallopt(M_TRIM_THRESHOLD, LargeBlockBytes);
+  // A huge page would make a body that has just begun take 2 MB.
+  prctl(PR_SET_THP_DISABLE, 1, 0, 0, 0);
+}
+
 void sidecar::run() {
   auto &Self = *Impl;
   Self.Signals = std::make_unique<signal_events>(
       Self.Loop, [&Self] { Self.beginStop([&Self] { Self.Loop.stop(); }); },
       [&Self] { Self.reload(); });
+  configureAllocator();
   start();
   Self.Loop.run();
 }
--- a/src/sidecar/state_view.cpp
+++ b/src/sidecar/state_view.cpp
@@ -47,6 +47,14 @@
         {"offset", Rollout.OrderOffset.Value},
         {"stage", static_cast<int>(Rollout.Stage)}};
   }
+  if (const auto &Holder = View.Usage.Known) {
+    Json["usage"] = {{"holder", Holder->Node.Value},
+                     {"process", Holder->Process.Value},
+                     {"token", Holder->Token},
+                     {"era", View.Usage.Era.Value},
+                     {"window", Holder->Window},
+                     {"stage", static_cast<int>(View.Usage.Stage)}};
+  }
   Json["evacuated"] = nlohmann::json::array();
   for (const auto &Zone : State.EvacuatedZones) {
     Json["evacuated"].push_back(Zone.Value);
@@ -72,9 +80,17 @@
   Gauges.Pipelined = View.Pipelining.Pipelined;
   Gauges.HeldResponses = View.Pipelining.HeldResponses;
   Gauges.HeldBytes = View.Pipelining.HeldBytes;
+  const auto &Memory = *State.Loop.memory();
+  Gauges.BufferBytes = Memory.UsedBytes;
+  Gauges.BufferPeak = Memory.PeakBytes;
+  Gauges.BufferLimit = Memory.LimitBytes;
+  Gauges.Callers = View.Callers;
   Gauges.Suppressed = State.Log.suppressed();
   Gauges.StoreEra = State.StoreEra.Value;
   Gauges.StoreLost = State.Own.StoreLost;
+  Gauges.IsUsageHolder = View.Usage.Stage == usage::holder_stage::Holding;
+  Gauges.UsageToken = View.Usage.Known ? View.Usage.Known->Token : 0;
+  Gauges.UsageEra = View.Usage.Era.Value;
   return Gauges;
 }
 
--- a/src/sidecar/target_exchange.cpp
+++ b/src/sidecar/target_exchange.cpp
@@ -49,6 +49,7 @@
   dispatch::recordStart(Share, Call->Share,
                         Known == Routes.end() ? MeanRun : Known->second.Mean,
                         Now);
+  Events.OnCallStarted(Forward.Customer);
   auto Header = platform::target_header();
   Header.TimeLeft = Call->DeadlineAt - Now;
   Header.Target = Target.Id;
@@ -66,7 +67,7 @@
     return Id.Value.empty() || Answered == Id;
   });
   Call->Connection->exchange(
-      Forward.Request,
+      std::move(Forward.Request),
       [this, Weak](http::exchange_result Result) {
         if (auto Self = Weak.lock()) {
           handleResult(*Self, std::move(Result));
@@ -76,7 +77,7 @@
         auto Delay = WasCold ? State.Loop.clockTime() - Now : micros(0);
         ColdCalls.WriteDelay = std::max(ColdCalls.WriteDelay, Delay);
       });
-  Forward.Request.Body = std::string();
+  Forward.Request = http::request();
   Call->Timer =
       State.Loop.addTimer(Call->DeadlineAt + DeadlineMargin, [this, Weak] {
         if (auto Self = Weak.lock()) {
@@ -228,12 +229,16 @@
   Outcome.ReachedTarget = true;
   Outcome.RunTime = RunTime;
   CallsWithoutResponse = 0;
+  // Falls slowly, so that one small answer doesn't hide the large ones.
+  RecentAnswerBytes =
+      std::max(Response.Body.size(), RecentAnswerBytes - RecentAnswerBytes / 8);
   if (Response.Status != 421) {
     recordNotice(Call, Header);
     recordWork(Call, Header);
   }
   if (Header.NotExecuted || Response.Status == 421) {
     ++State.Counters.Admissions["refused by target"];
+    Events.OnCallRejected(Call.Forward.Customer, Call.StartedAt);
     recordRun(Call, true, RunTime);
     Outcome.Outcome = reply_outcome::NotRun;
     Outcome.Reason = "target refused";
@@ -278,6 +283,8 @@
   recordRun(Call, true, Outcome.RunTime);
   if (Failure.Connected) {
     recordAbandoned();
+  } else {
+    Events.OnCallRejected(Call.Forward.Customer, Call.StartedAt);
   }
   if (!Failure.ResponseStarted) {
     ++CallsWithoutResponse;
