--- a/test/http_early_answer_test.cpp
+++ b/test/http_early_answer_test.cpp
@@ -37,7 +37,7 @@
   ::setsockopt(Fd, SOL_SOCKET, SO_LINGER, &Linger, sizeof(Linger));
   auto Address = sockaddr();
   Address.sa_family = AF_UNSPEC;
-  ::connect(Fd, &Address, sizeof(Address));
+  static_cast<void>(::connect(Fd, &Address, sizeof(Address)));
 }
 
 static void endConnection(int Fd, ending Ending) {
