--- a/include/sycamorelb/sidecar/settings_type.h
+++ b/include/sycamorelb/sidecar/settings_type.h
@@ -46,18 +46,18 @@
   /** Address other nodes connect to, if it differs from PeerAddress; port 0 if
    * not. */
   event::endpoint AdvertisedPeerAddress;
-  event::endpoint MetricsAddress; ///< Serves metrics and the state dump.
-  event::endpoint TargetAddress;  ///< Address of the target.
-  event::endpoint StoreAddress;   ///< Address of the platform's store.
-  millis HeartbeatInterval{1500}; ///< Interval of the target's heartbeats.
-  double LinkMbps = 1000;         ///< Bandwidth of the host's link in Mbit/s.
-  double CpuShare = 1;            ///< CPU of the host, in cores.
-  mesh_bounds Bounds;             ///< Limits guaranteed by the deployment.
-  usage_settings Usage;           ///< Usage reports.
+  event::endpoint MetricsAddress;  ///< Serves metrics and the state dump.
+  event::endpoint TargetAddress;   ///< Address of the target.
+  event::endpoint StoreAddress;    ///< Address of the platform's store.
+  millis HeartbeatInterval{1500};  ///< Interval of the target's heartbeats.
+  double LinkMbps = 1000;          ///< Bandwidth of the host's link in Mbit/s.
+  double CpuShare = 1;             ///< CPU of the host, in cores.
+  mesh_bounds Bounds;              ///< Limits guaranteed by the deployment.
+  usage_settings Usage;            ///< Usage reports.
   std::size_t MemoryMb = 0;        ///< Memory of the host; 0 for no limit.
   std::size_t FileDescriptors = 0; ///< Of the process; 0 for no limit.
-  bool FirstStart = false;        ///< All hosts start for the first time.
-  http::pipeline_limits Pipeline; ///< Limits on pipelined requests.
+  bool FirstStart = false;         ///< All hosts start for the first time.
+  http::pipeline_limits Pipeline;  ///< Limits on pipelined requests.
   /** Responses of pipelined requests on hold, over all connections. */
   std::size_t MaxHeldBytes = http::pipeline_budget().MaxHeldBytes;
 };
