--- a/test/platform_optional_test.cpp
+++ b/test/platform_optional_test.cpp
@@ -65,7 +65,7 @@
   Service.erase("warmup");
   Service.erase("coldPerS");
   auto Config = decode(Document);
-  cr_assert_eq(Config.Limits.MaxBodyBytes, 64U * 1024 * 1024);
+  cr_assert_eq(Config.Limits.MaxBodyBytes, std::size_t{64} * 1024 * 1024);
   cr_assert_eq(Config.Limits.IdleTimeout.count(), 15'000);
   cr_assert_eq(Config.Services[0].Warmup.count(), 0);
   cr_assert_float_eq(Config.Services[0].ColdCallsPerSecond, 0, 1e-9);
