Codechange: [Mesh] One election of hosts for duties; no shares computed where nobody asked

The candidates for the usage report were chosen by a copy of the choice of rollout deciders; both call mesh::chooseDutyHosts() now. An admission node computed the shares of 160 classes every 20 ms under load, also on deployments without customers and work figures, where the result was not used; standingOf() computes only those that decide. The time after which an abandoned call counts as ended came from a whole target_capacity, of which one member was used; currentMeanRun() serves both.

Decisions stay as they are.

--- a/src/dispatch/fair_share.cpp
+++ b/src/dispatch/fair_share.cpp
@@ -147,16 +147,17 @@
 
 auto standingOf(fair_share &Share, const call_share &Call, steady_time Now)
     -> call_standing {
-  Share.Customers.update(Now);
-  Share.Kinds.update(Now);
   auto Standing = call_standing();
   if (Call.Customer) {
+    Share.Customers.update(Now);
     const auto &Customer = Share.Customers.use(*Call.Customer);
     Standing = {Customer.Level, Customer.IsStarved};
   }
-  Standing.IsStarved =
-      Standing.IsStarved ||
-      (Share.HasKindFloors && Share.Kinds.use(Call.Kind).IsStarved);
+  if (Share.HasKindFloors) {
+    Share.Kinds.update(Now);
+    Standing.IsStarved =
+        Standing.IsStarved || Share.Kinds.use(Call.Kind).IsStarved;
+  }
   return Standing;
 }
 
--- a/src/sidecar/admission_load.cpp
+++ b/src/sidecar/admission_load.cpp
@@ -92,7 +92,7 @@
 
 void admission::implementation::recordAbandoned() {
   if (dispatch::isKnown(Speed)) {
-    AbandonedUntil.push_back(State.Loop.now() + capacity().MeanRun);
+    AbandonedUntil.push_back(State.Loop.now() + currentMeanRun());
   }
 }
 
@@ -108,6 +108,10 @@
       dispatch::relativeWorkPercent(Speed, State.Loop.now()), micros(0));
 }
 
+auto admission::implementation::currentMeanRun() const -> micros {
+  return dispatch::scaled(usualRun(MeanRun), speedFactor());
+}
+
 auto admission::implementation::isTooSlowNow(
     const forward_message &Forward, dispatch::queued_call &Waiting) const
     -> bool {
@@ -131,7 +135,7 @@
   auto Capacity = dispatch::target_capacity();
   Capacity.Slots = allowedCalls();
   Capacity.Running = Running;
-  Capacity.MeanRun = dispatch::scaled(usualRun(MeanRun), speedFactor());
+  Capacity.MeanRun = currentMeanRun();
   auto CallsPerSecond = isCold() ? coldRate() : 0;
   if (CallsPerSecond > 0) {
     Capacity.StartWaits =
--- a/src/sidecar/admission_state.h
+++ b/src/sidecar/admission_state.h
@@ -135,6 +135,8 @@
   auto usualRun(micros RunAtFullSpeed) const -> micros;
   /** @return the momentary run time relative to the usual one. */
   auto speedFactor() const -> double;
+  /** @return the mean run time of all calls at the current speed. */
+  auto currentMeanRun() const -> micros;
   /** Moves the latest starts of a call to those at the current speed.
    * @return whether the target is so slow at this moment that the answer would
    * be late. */
--- a/src/sidecar/rollout_control.cpp
+++ b/src/sidecar/rollout_control.cpp
@@ -2,7 +2,7 @@
 #include "sidecar/rollout_control.h"
 
 #include "platform/config_document.h"
-#include "sycamorelb/core/hash_func.h"
+#include "sycamorelb/mesh/duty_func.h"
 
 #include <algorithm>
 #include <map>
@@ -97,19 +97,7 @@
 
 auto rollout_control::implementation::selectDeciders(
     const service_id &Service) const -> std::vector<node_id> {
-  auto Ranked = std::vector<std::pair<std::uint64_t, node_id>>();
-  for (const auto &[Node, Host] : State.Hosts.records()) {
-    if (!Host.Leaving && !Host.StoreLost) {
-      Ranked.emplace_back(rendezvousScore(Service.Value, Node.Value), Node);
-    }
-  }
-  std::sort(Ranked.rbegin(), Ranked.rend());
-  Ranked.resize(std::min(Ranked.size(), DecidersPerService));
-  auto Nodes = std::vector<node_id>();
-  for (const auto &[Score, Node] : Ranked) {
-    Nodes.push_back(Node);
-  }
-  return Nodes;
+  return mesh::chooseDutyHosts(State.Hosts, Service.Value, DecidersPerService);
 }
 
 auto rollout_control::implementation::progressOf(
--- a/src/sidecar/usage_control.cpp
+++ b/src/sidecar/usage_control.cpp
@@ -4,8 +4,8 @@
 
 #include "platform/usage_api.h"
 #include "sycamorelb/core/clock_func.h"
-#include "sycamorelb/core/hash_func.h"
 #include "sycamorelb/http/client_connection.h"
+#include "sycamorelb/mesh/duty_func.h"
 
 #include <algorithm>
 #include <utility>
@@ -118,19 +118,7 @@
 
 auto usage_control::implementation::selectCandidates() const
     -> std::vector<node_id> {
-  auto Ranked = std::vector<std::pair<std::uint64_t, node_id>>();
-  for (const auto &[Node, Host] : State.Hosts.records()) {
-    if (!Host.Leaving && !Host.StoreLost) {
-      Ranked.emplace_back(rendezvousScore(HashKey, Node.Value), Node);
-    }
-  }
-  std::sort(Ranked.rbegin(), Ranked.rend());
-  Ranked.resize(std::min(Ranked.size(), Candidates));
-  auto Nodes = std::vector<node_id>();
-  for (const auto &[Score, Node] : Ranked) {
-    Nodes.push_back(Node);
-  }
-  return Nodes;
+  return mesh::chooseDutyHosts(State.Hosts, HashKey, Candidates);
 }
 
 auto usage_control::implementation::inputs() const -> usage::holder_inputs {
