--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -37,7 +37,7 @@
 class Upstream:
     """An application upstream. Subclasses or assigned functions change how it answers."""
 
-    def __init__(self, node, version="v1", slots=9, work_s=0.16):
+    def __init__(self, node, version="v1", slots=9, work_s=0.16, cold_s=0.0):
         self.node, self.lab = node, node.lab
         self.version, self.slots, self.work_s = version, slots, work_s
         self.id = f"i-{node.name}-{random.getrandbits(32):08x}"
@@ -47,6 +47,7 @@
         self.free = asyncio.Semaphore(slots)
         self.writers = set()
         self.server = self.beats = None
+        self.cold_until = time.monotonic() + cold_s
         self.runs = []  # (time, request id) of each run.
         self.answer = None  # async (upstream, message) -> (status, body) of a run.
 
@@ -55,13 +56,17 @@
                                                  limit=1 << 20)
         self.beats = asyncio.create_task(self.send_heartbeats())
 
+    def cold_ms(self):
+        return max(0, int((self.cold_until - time.monotonic()) * 1000))
+
     async def heartbeat(self):
         """Sends one heartbeat. Returns whether it was acknowledged."""
         self.sequence += 1
         body = {"born": self.born, "address": f"{self.node.ip}:{PORTS['application']}",
                 "information": {"service": self.node.service, "version": self.version, "zone": self.node.zone,
                                 "slots": self.slots},
-                "status": {"state": self.state, "sequence": self.sequence, "coldRemaining": "0ms"}}
+                "status": {"state": self.state, "sequence": self.sequence,
+                           "coldRemaining": f"{self.cold_ms()}ms"}}
         data = encode(f"PUT /instances/{self.id} HTTP/1.1", {"Host": "node", "Content-Type": "application/json"},
                       json.dumps(body).encode())
         answer = await request_once((self.node.ip, PORTS["controlPlane"]), data, 1.0)
@@ -105,7 +110,7 @@
         if message.target == "/health":
             healthy = self.state == "ready"
             writer.write(encode("HTTP/1.1 200 OK" if healthy else "HTTP/1.1 503 Leaving",
-                                {"Instance-Id": self.id, "Server-Load": f"{self.running},{self.waiting},{self.slots}"}))
+                                {"Instance-Id": self.id, "Cold-Milliseconds": self.cold_ms(), "Server-Load": f"{self.running},{self.waiting},{self.slots}"}))
             return
         request_id = message.headers.get("request-id", "")
         headers = {"Request-Id": request_id}
