--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -9,6 +9,7 @@
 import os
 import random
 import shutil
+import signal
 import subprocess
 import sys
 import tempfile
@@ -295,6 +296,11 @@
     """Runs a scenario, an async function of the lab that returns whether the rule held and why. Exits."""
     lab = Lab(os.path.dirname(os.path.abspath(case_file)))
 
+    def interrupt(*_):
+        raise KeyboardInterrupt  # So that a script that is stopped ends its processes.
+
+    signal.signal(signal.SIGTERM, interrupt)
+
     async def run():
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
         await lab.store.start()
@@ -305,7 +311,7 @@
     try:
         held, verdict = asyncio.run(run())
         code = 0 if held else 1
-    except (CannotRun, TimeoutError, OSError) as failure:
+    except (CannotRun, TimeoutError, OSError, KeyboardInterrupt) as failure:
         verdict = f"the case couldn't run: {failure!r}"
     finally:
         code = lab.finish(code, verdict)
