--- a/review/lab_2.py
+++ b/review/lab_2.py
@@ -111,7 +111,8 @@
         if message.target == "/health":
             healthy = self.state == "ready"
             writer.write(encode("HTTP/1.1 200 OK" if healthy else "HTTP/1.1 503 Leaving",
-                                {"Instance-Id": self.id, "Cold-Milliseconds": self.cold_ms(), "Server-Load": f"{self.running},{self.waiting},{self.slots}"}))
+                                {"Instance-Id": self.id, "Cold-Milliseconds": self.cold_ms(),
+                                 "Server-Load": f"{self.running},{self.waiting},{self.slots}"}))
             return
         request_id = message.headers.get("request-id", "")
         headers = {"Request-Id": request_id}
