--- a/Makefile
+++ b/Makefile
@@ -45,9 +45,10 @@
 cold-soak: build
 	python3 soak/cold_soak.py $(BUILD) --seed $(SEED) --rounds $(ROUNDS)
 
-# Crowds of untrusted callers; one run at a time, apart from other load.
+# Crowds of untrusted callers, at one node and through several; one run at a time, apart from other load.
 crowd-test: build
 	python3 soak/crowd_test.py $(BUILD)
+	python3 soak/mesh_crowd_test.py $(BUILD)
 
 bench: build
 	bench/run.sh $(BUILD)
