Fix: [Event] A small message behind a large one copied the large one

Seen: while a large message waits in the output of a connection, a small one that follows doubled the memory of the large one, for a moment beside the budget. Cause: send() appended to the last buffer, also if that was a large one that was taken over from its owner, so that it grew and was copied.

Test: event_stream/small_output_behind_large_one_copies_nothing.

--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -134,6 +134,19 @@
     }
   }
 
+  /** Adds small output to the last buffer, unless that is a large one that was
+   * taken over: it would be copied to grow. */
+  void appendOutput(std::string_view Bytes) {
+    auto &Last = OutputQueue.empty() ? OutputBuffer : OutputQueue.back();
+    if (Last.size() >= MinOwnedBytes) {
+      OutputQueue.emplace_back(Bytes);
+      QueuedBytes += Bytes.size();
+      return;
+    }
+    Last.append(Bytes);
+    QueuedBytes += OutputQueue.empty() ? 0 : Bytes.size();
+  }
+
   /** Writes queued output. @return false if the connection failed. */
   auto flush() -> bool {
     while (hasOutput()) {
@@ -354,12 +367,7 @@
   if (Impl->Descriptor < 0) {
     return;
   }
-  if (Impl->OutputQueue.empty()) {
-    Impl->OutputBuffer.append(Bytes);
-  } else {
-    Impl->OutputQueue.back().append(Bytes);
-    Impl->QueuedBytes += Bytes.size();
-  }
+  Impl->appendOutput(Bytes);
   writeOutput();
 }
 
--- a/test/event_stream_test.cpp
+++ b/test/event_stream_test.cpp
@@ -77,3 +77,21 @@
   Loop.unwatch(Ends[1]);
   ::close(Ends[1]);
 }
+
+// Guards against a large message that is copied into a larger buffer as a small
+// one follows it: the copy was held beside the account of the memory budget.
+Test(event_stream, small_output_behind_large_one_copies_nothing) {
+  constexpr auto LargeBytes = std::size_t{4} * 1024 * 1024;
+  constexpr auto SmallBytes = std::size_t{64} * 1024;
+  auto Loop = event::loop();
+  auto Ends = std::array<int, 2>();
+  cr_assert_eq(
+      ::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, Ends.data()), 0);
+  auto Stream = event::stream::adopt(Loop, Ends[0]);
+  for (auto Count = std::size_t{1}; Count <= 2; ++Count) {
+    Stream->sendOwned(std::string(LargeBytes, 'x'));
+    Stream->send("small");
+    cr_assert_leq(Stream->heldBytes(), Count * LargeBytes + SmallBytes);
+  }
+  ::close(Ends[1]);
+}
