Fix: [HTTP] Bodies of requests that had ended stayed in memory without a charge

Cause: a request was freed by assigning an empty one. That releases its charge, but a string that is assigned a short one keeps its buffer. Refused calls are kept for 2.5 s with their outcomes, so their bodies were held uncharged; so were those of requests refused at the entry until their connection was gone.

discard() moves the message out before it is emptied. Test: http_pressure/discarded_request_frees_its_body.

--- a/include/sycamorelb/http/message_type.h
+++ b/include/sycamorelb/http/message_type.h
@@ -6,6 +6,7 @@
 
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace sycamorelb::http {
 
@@ -29,6 +30,12 @@
   event::memory_charge Charge{}; ///< For the memory of Body.
 };
 
+/** Empties a request or response and frees its memory. Assigning an empty one
+ * would release the charge, but keep the buffer of the body. */
+template <class Message> void discard(Message &Discarded) {
+  static_cast<void>(std::exchange(Discarded, Message()));
+}
+
 /** @return the serialized request, framed by Content-Length. */
 auto renderRequest(const request &Request) -> std::string;
 
--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -273,7 +273,8 @@
   auto Handler = std::exchange(Impl->Handler, nullptr);
   Impl->OnSent = nullptr;
   Impl->releaseBudget();
-  Impl->Body = std::string();
+  // Assigning an empty string would keep the memory.
+  std::string().swap(Impl->Body);
   Impl->BodyCharge.resize(0);
   Impl->IdleSince = Impl->Loop.now();
   if (!Reusable) {
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -109,7 +109,7 @@
   void setNext(proxy::request_head Head) {
     NextKeepsAlive = Head.KeepAlive;
     NextAwaitsContinue = Head.ExpectContinue;
-    Next = request();
+    discard(Next);
     Next.Method = std::move(Head.Method);
     Next.Target = std::move(Head.Target);
     Next.Path = std::move(Head.Path);
@@ -160,7 +160,7 @@
     completeExchange(Pipeline, *Options.Budget, Number,
                      response{Status, "", {}, Reason + "\n"}, true);
     setStage(read_stage::None);
-    Next = request();
+    discard(Next);
   }
 
   void readHead() {
@@ -383,7 +383,7 @@
   auto Number =
       beginExchange(Impl->Pipeline, *Impl->Options.Budget, "POST", false, true);
   auto Response = Make(Impl->Next);
-  Impl->Next = request();
+  discard(Impl->Next);
   Impl->setStage(implementation::read_stage::None);
   completeExchange(Impl->Pipeline, *Impl->Options.Budget, Number,
                    std::move(Response), true);
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -136,7 +136,7 @@
   if (Known != Routes.end()) {
     Outcome.MeanRouteRunTime = usualRun(Known->second.Mean);
   }
-  Call.Forward.Request = http::request();
+  http::discard(Call.Forward.Request);
   KeptOutcomes.emplace_back(State.Loop.now(), Call.Serial);
   auto Reply = std::exchange(Call.Reply, nullptr);
   auto IsLocal = Call.Key.Node == State.Own.Node;
--- a/src/sidecar/call_dispatch.cpp
+++ b/src/sidecar/call_dispatch.cpp
@@ -171,7 +171,7 @@
   }
   Call->MayHaveRun = true;
   if (Reply.Response.Status >= 500) {
-    Call->Failure = Reply.Response;
+    Call->Failure.emplace(Reply.Response);
     return handleFailed(Call, Reply);
   }
   answerCall(Call, Reply.Response, "answered");
--- a/src/sidecar/target_exchange.cpp
+++ b/src/sidecar/target_exchange.cpp
@@ -77,7 +77,7 @@
         auto Delay = WasCold ? State.Loop.clockTime() - Now : micros(0);
         ColdCalls.WriteDelay = std::max(ColdCalls.WriteDelay, Delay);
       });
-  Forward.Request = http::request();
+  http::discard(Forward.Request);
   Call->Timer =
       State.Loop.addTimer(Call->DeadlineAt + DeadlineMargin, [this, Weak] {
         if (auto Self = Weak.lock()) {
--- a/test/http_pressure_test.cpp
+++ b/test/http_pressure_test.cpp
@@ -83,3 +83,15 @@
   Run.Client = nullptr;
   cr_assert_eq(Run.Loop.memory()->UsedBytes, 0U);
 }
+
+// Guards against bodies of requests that ended but are kept without a charge:
+// assigning an empty request keeps the buffer of the body.
+Test(http_pressure, discarded_request_frees_its_body) {
+  auto Budget = std::make_shared<event::memory_budget>();
+  auto Request = request();
+  Request.Body = std::string(BodyBytes, 'u');
+  Request.Charge = event::memory_charge(Budget, BodyBytes);
+  discard(Request);
+  cr_assert_lt(Request.Body.capacity(), std::size_t{64});
+  cr_assert_eq(Budget->UsedBytes, 0U);
+}
