Fix: [Sidecar] Large calls of several nodes that met at one exceeded its memory

Each entry was within its own limits.

Cause: a large message was received whole and decoded into a second copy before anything asked the budget. exceedsMemory() looked only at connections with a part of another message, after the fact, and closed them with all their calls.

Before a message from 64 KiB is received, its missing bytes and its decoded copy need room in the budget, and a call leaves a tenth for work under way; it is asked again when the message is complete. A call without room is refused as not run as soon as its number can be read: outlineMeshMessage() reads it from the first segment. The rest is dropped as it arrives; the connection and its other calls go on. The outcome is kept, so that a late copy doesn't run. An answer without room is reported as unknown (sycamorelb_replies_dropped_total).

message_reader.cpp is split off peer_links.cpp, kept_outcomes.cpp off admission.cpp. consume() frees the buffer of a large message that others follow. Tests: sidecar_intake/*.

--- a/include/sycamorelb/inner/mesh_message_type.h
+++ b/include/sycamorelb/inner/mesh_message_type.h
@@ -183,6 +183,18 @@
 auto decodeMeshMessage(std::string_view Bytes, steady_time Now)
     -> result<std::optional<decoded_mesh_message>>;
 
+/** What the beginning of a large message tells. */
+struct mesh_message_outline {
+  /** The number of its call if it is a forward_message or reply_message;
+   * nothing for other messages. */
+  std::optional<call_number> Call;
+};
+
+/** @return the outline of the message that begins with Bytes; nothing if too
+ * few of them have arrived; a Corrupt error if it is malformed. */
+auto outlineMeshMessage(std::string_view Bytes)
+    -> result<std::optional<mesh_message_outline>>;
+
 /** @return the gossip message in a record of the store, or nothing if the
  * record holds another message or is malformed. */
 auto decodeGossip(std::string_view Bytes, steady_time Now)
--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -343,7 +343,8 @@
     Impl->InputOffset = 0;
     implementation::release(Impl->InputBuffer);
   } else if (Impl->InputOffset > CompactThresholdBytes) {
-    Impl->InputBuffer.erase(0, Impl->InputOffset);
+    // Also frees the memory of a large message that was followed by others.
+    Impl->InputBuffer = std::string(input());
     Impl->InputOffset = 0;
   }
   Impl->updateCharges();
--- a/src/inner/mesh_codec.cpp
+++ b/src/inner/mesh_codec.cpp
@@ -4,6 +4,7 @@
 #include "inner/gossip_codec.h"
 
 #include <algorithm>
+#include <array>
 #include <capnp/message.h>
 #include <capnp/serialize.h>
 #include <cstdint>
@@ -16,6 +17,13 @@
 
 /** Size of the length prefix of a message. */
 constexpr auto LengthBytes = std::size_t{4};
+/** Most segments of a message whose outline is read: large bodies and headers
+ * have segments of their own, which double in size. */
+constexpr auto MaxSegments = std::uint32_t{64};
+/** Largest first segment of which an outline is read, in words; this encoder
+ * begins with 1024. */
+constexpr auto MaxOutlineWords = std::uint32_t{4096};
+
 template <class Builder>
 void writeHeaders(Builder Out, const proxy::header_list &Headers) {
   for (auto Index = 0U; Index < Headers.size(); ++Index) {
@@ -351,6 +359,48 @@
   }
 }
 
+auto outlineMeshMessage(std::string_view Bytes)
+    -> result<std::optional<mesh_message_outline>> {
+  using outline = std::optional<mesh_message_outline>;
+  // The frame of a Cap'n Proto message: the number of segments less one, their
+  // sizes in words, padding to a word. The first one has the numbers of a call.
+  constexpr auto CountBytes = sizeof(std::uint32_t);
+  constexpr auto WordBytes = sizeof(capnp::word);
+  auto Counts =
+      std::array<std::uint32_t, 2>(); // Segments less one, first size.
+  if (Bytes.size() < LengthBytes + sizeof(Counts)) {
+    return outline();
+  }
+  std::memcpy(Counts.data(), Bytes.data() + LengthBytes, sizeof(Counts));
+  auto [Others, FirstWords] = Counts;
+  if (Others >= MaxSegments || FirstWords > MaxOutlineWords) {
+    return outline(mesh_message_outline());
+  }
+  auto TableBytes =
+      (CountBytes * (Others + 2) + WordBytes - 1) / WordBytes * WordBytes;
+  auto FirstBytes = FirstWords * WordBytes;
+  if (Bytes.size() < LengthBytes + TableBytes + FirstBytes) {
+    return outline();
+  }
+  auto First = kj::heapArray<capnp::word>(FirstWords);
+  std::memcpy(First.begin(), Bytes.data() + LengthBytes + TableBytes,
+              FirstBytes);
+  auto Segment = kj::ArrayPtr<const capnp::word>(First);
+  try {
+    auto Reader = capnp::SegmentArrayMessageReader(kj::arrayPtr(&Segment, 1));
+    auto Root = Reader.getRoot<mesh_wire::Message>();
+    auto Outline = mesh_message_outline();
+    if (Root.isForward()) {
+      Outline.Call = call_number{Root.getForward().getCall()};
+    } else if (Root.isReply()) {
+      Outline.Call = call_number{Root.getReply().getCall()};
+    }
+    return outline(Outline);
+  } catch (const kj::Exception &Failure) {
+    return corruptMessage(Failure.getDescription().cStr());
+  }
+}
+
 auto decodeGossip(std::string_view Bytes, steady_time Now)
     -> std::optional<gossip_message> {
   auto Decoded = decodeMeshMessage(Bytes, Now);
--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -10,38 +10,6 @@
 
 using namespace inner;
 
-/** Time for which an outcome is kept for an entry node that resumes the call on
- * a new connection. */
-static constexpr auto OutcomeRetention = micros(2'500'000);
-
-/** Maximum number of outcomes kept. */
-static constexpr auto MaxKeptOutcomes = std::size_t{512};
-
-/** Maximum size of their bodies, in bytes: a target that answers many calls
- * with large bodies must not exhaust the memory of the host. */
-static constexpr auto MaxKeptOutcomeBytes = std::size_t{16} * 1024 * 1024;
-
-/** Share of the memory budget that they may take, if that is less. */
-static constexpr auto KeptOutcomeShare = std::size_t{8};
-
-/** @return the maximum size of the bodies of kept outcomes. */
-static auto maxKeptOutcomeBytes(const event::memory_budget &Budget)
-    -> std::size_t {
-  return Budget.LimitBytes == 0
-             ? MaxKeptOutcomeBytes
-             : std::min(MaxKeptOutcomeBytes,
-                        Budget.LimitBytes / KeptOutcomeShare);
-}
-
-/** Time for which the key of an ended call is kept, so that a delayed copy of
- * it does not run. No copy arrives later, as a connection with unacknowledged
- * data is closed sooner. */
-static constexpr auto EndedKeyRetention = micros(60'000'000);
-
-/** Time by which the process must be older than a call to know its outcome, if
- * it isn't known which process the call was sent to; covers the transit time of
- * the call. */
-static constexpr auto UptimeMargin = micros(1'000'000);
 /** Time that an entry node has to resume its calls after its connection was
  * lost, before they are cancelled. */
 static constexpr auto ReconnectGrace = micros(400'000);
@@ -77,33 +45,6 @@
   return Found == Serials.end() ? nullptr : Calls.at(Found->second);
 }
 
-void admission::implementation::rememberEndedKey(const call_key &Key) {
-  EndedKeys.insert(Key);
-  EndedKeyTimes.emplace_back(State.Loop.now(), Key);
-}
-
-void admission::implementation::dropOldOutcomes() {
-  while (!KeptOutcomes.empty() &&
-         (KeptOutcomes.size() > MaxKeptOutcomes ||
-          KeptOutcomeBytes > maxKeptOutcomeBytes(*State.Loop.memory()) ||
-          KeptOutcomes.front().first + OutcomeRetention < State.Loop.now())) {
-    auto Found = Calls.find(KeptOutcomes.front().second);
-    if (Found != Calls.end()) {
-      auto Key = Found->second->Key;
-      KeptOutcomeBytes -= Found->second->Outcome.Response.Body.size();
-      Serials.erase(Key);
-      Calls.erase(Found);
-      rememberEndedKey(Key);
-    }
-    KeptOutcomes.pop_front();
-  }
-  while (!EndedKeyTimes.empty() &&
-         EndedKeyTimes.front().first + EndedKeyRetention < State.Loop.now()) {
-    EndedKeys.erase(EndedKeyTimes.front().second);
-    EndedKeyTimes.pop_front();
-  }
-}
-
 void admission::implementation::finishCall(admitted_call &Call,
                                            reply_message Outcome) {
   State.Loop.cancelTimer(Call.Timer);
@@ -164,45 +105,51 @@
   refuseCall(Call, Reason);
 }
 
-void admission::implementation::replaceReply(admitted_call &Call,
-                                             reply_handler Reply,
-                                             source_connection Source) {
-  if (Call.Stage == call_stage::Done) {
-    return Reply(Call.Outcome);
+auto admission::implementation::addCall(const call_key &Key,
+                                        forward_message Forward,
+                                        reply_handler Reply,
+                                        source_connection Source)
+    -> std::shared_ptr<admitted_call> {
+  auto Call = std::make_shared<admitted_call>();
+  Call->Key = Key;
+  Call->Serial = NextSerial++;
+  Call->Reply = std::move(Reply);
+  Call->Source = Source;
+  Call->ArrivedAt = State.Loop.now();
+  Call->DeadlineAt = Call->ArrivedAt + Forward.TimeLeft;
+  Call->Id = platform::decodeCallHeader(Forward.Request).Id;
+  Call->Forward = std::move(Forward);
+  Serials.emplace(Key, Call->Serial);
+  Calls.emplace(Call->Serial, Call);
+  return Call;
+}
+
+void admission::refuseArrival(const call_key &Key, reply_handler Reply,
+                              source_connection Source) {
+  Impl->dropOldOutcomes();
+  if (Impl->answerKnownCall(Key, Reply, Source)) {
+    return;
   }
-  Call.Reply = std::move(Reply);
-  Call.Source = Source;
+  auto Forward = forward_message();
+  Forward.Call = Key.Call;
+  Impl->refuseCall(
+      *Impl->addCall(Key, std::move(Forward), std::move(Reply), Source),
+      "no memory");
 }
 
 void admission::submit(const call_key &Key, forward_message Forward,
                        reply_handler Reply, source_connection Source) {
   auto &State = Impl->State;
   Impl->dropOldOutcomes();
-  if (auto Known = Impl->findCall(Key)) {
-    return Impl->replaceReply(*Known, std::move(Reply), Source);
+  if (Impl->answerKnownCall(Key, Reply, Source)) {
+    return;
   }
   auto Now = State.Loop.now();
-  if (Impl->EndedKeys.contains(Key)) {
-    auto Outcome = reply_message();
-    Outcome.Call = Forward.Call;
-    Outcome.Outcome = reply_outcome::Unknown;
-    Outcome.Reason = "ended long ago";
-    return Reply(Outcome);
-  }
-  auto Call = std::make_shared<admitted_call>();
-  Call->Key = Key;
-  Call->Serial = Impl->NextSerial++;
-  Call->Reply = std::move(Reply);
-  Call->Source = Source;
-  Call->ArrivedAt = Now;
-  Call->DeadlineAt = Now + Forward.TimeLeft;
-  auto Waiting = dispatch::queued_call{Call->Serial, Forward.Priority,
-                                       Now + Forward.TimeToStartOnTime,
-                                       Now + Forward.TimeToLatestStart, Now};
-  Call->Id = platform::decodeCallHeader(Forward.Request).Id;
-  Call->Forward = std::move(Forward);
-  Impl->Serials.emplace(Key, Call->Serial);
-  Impl->Calls.emplace(Call->Serial, Call);
+  auto Call = Impl->addCall(Key, std::move(Forward), std::move(Reply), Source);
+  auto Waiting =
+      dispatch::queued_call{Call->Serial, Call->Forward.Priority,
+                            Now + Call->Forward.TimeToStartOnTime,
+                            Now + Call->Forward.TimeToLatestStart, Now};
   Impl->adoptLimit(Call->Forward, Call->Id);
   Impl->adoptColdRate(Call->Forward);
   if (const auto *Reason = Impl->refusalReason(Call->Forward)) {
@@ -237,42 +184,6 @@
   Impl->runQueue();
 }
 
-void admission::resume(const call_key &Key, const resume_message &Resume,
-                       reply_handler Reply, source_connection Source) {
-  Impl->dropOldOutcomes();
-  if (auto Known = Impl->findCall(Key)) {
-    return Impl->replaceReply(*Known, std::move(Reply), Source);
-  }
-  auto Outcome = reply_message();
-  Outcome.Call = Key.Call;
-  Outcome.Load = Impl->load();
-  Outcome.Reason = "did not arrive";
-  auto &State = Impl->State;
-  auto Uptime = State.Loop.now() - State.StartedAt;
-  auto IsForOther = Resume.Process == process_id()
-                        ? Uptime < Resume.Age + UptimeMargin
-                        : Resume.Process != State.Own.Process;
-  if (IsForOther) {
-    Outcome.Outcome = reply_outcome::Unknown;
-    Outcome.Reason = "node restarted since";
-  } else if (Impl->EndedKeys.contains(Key)) {
-    Outcome.Outcome = reply_outcome::Unknown;
-    Outcome.Reason = "ended long ago";
-  } else {
-    Impl->rememberEndedKey(Key);
-  }
-  State.Log.write(
-      log_class::Decision, "admission.resume",
-      {{"call", static_cast<std::int64_t>(Key.Call.Value)},
-       {"origin", Key.Node.Value},
-       {"process", static_cast<std::int64_t>(Key.Process.Value)},
-       {"reason", Outcome.Reason},
-       {"age_us", Resume.Age.count()},
-       {"uptime_us", Uptime.count()},
-       {"sent_to", static_cast<std::int64_t>(Resume.Process.Value)}});
-  Reply(Outcome);
-}
-
 auto admission::implementation::lacksMemoryFor(const admitted_call &Call) const
     -> bool {
   const auto &Memory = *State.Loop.memory();
--- a/src/sidecar/admission.h
+++ b/src/sidecar/admission.h
@@ -58,6 +58,10 @@
    * before is not run again: Reply gets the outcome of the first run. */
   void submit(const call_key &Key, inner::forward_message Call,
               reply_handler Reply, source_connection Source = nullptr);
+  /** Refuses a call of another node that is not received, as there is no memory
+   * for it. It is not run either if a copy of it arrives later. */
+  void refuseArrival(const call_key &Key, reply_handler Reply,
+                     source_connection Source);
   /** Reports the outcome of a call whose connection was lost. A call that has
    * not arrived is reported as not run, and is not run if it arrives later. If
    * the call was sent to another process of this node, the outcome is unknown,
--- a/src/sidecar/admission_state.h
+++ b/src/sidecar/admission_state.h
@@ -197,6 +197,13 @@
   void rememberEndedKey(const call_key &Key);
   void dropOldOutcomes();
   auto findCall(const call_key &Key) -> std::shared_ptr<admitted_call>;
+  /** Answers a call that was submitted before. @return whether it was. */
+  auto answerKnownCall(const call_key &Key, reply_handler &Reply,
+                       source_connection Source) -> bool;
+  /** Records a call that arrives now. */
+  auto addCall(const call_key &Key, inner::forward_message Forward,
+               reply_handler Reply, source_connection Source)
+      -> std::shared_ptr<admitted_call>;
 };
 
 } // namespace sycamorelb::sidecar
--- a/src/sidecar/node_counters.h
+++ b/src/sidecar/node_counters.h
@@ -41,9 +41,10 @@
   std::map<std::string, std::uint64_t> KeyRefusals; ///< By reason.
   /** Connections closed to protect memory and descriptors, by cause. */
   std::map<std::string, std::uint64_t> CallersClosed;
-  std::uint64_t Retries = 0;   ///< Retries of failed calls.
-  std::uint64_t Bounces = 0;   ///< Attempts that were not run.
-  std::uint64_t LinksLost = 0; ///< Peer connections lost.
+  std::uint64_t Retries = 0;        ///< Retries of failed calls.
+  std::uint64_t Bounces = 0;        ///< Attempts that were not run.
+  std::uint64_t LinksLost = 0;      ///< Peer connections lost.
+  std::uint64_t RepliesDropped = 0; ///< Answers without memory for them.
   /** By kind, and whether the other node is in the same zone. */
   std::map<std::pair<std::string_view, bool>, message_counts> PeerTraffic;
   std::uint64_t TargetConnections = 0;               ///< Opened to the target.
--- a/src/sidecar/peer_links.cpp
+++ b/src/sidecar/peer_links.cpp
@@ -1,9 +1,12 @@
 /** @file peer_links.cpp Connections between nodes. */
 #include "sidecar/peer_links.h"
 
+#include "sidecar/message_reader.h"
+
 #include <algorithm>
 #include <map>
 #include <set>
+#include <utility>
 
 namespace sycamorelb::sidecar {
 
@@ -22,9 +25,6 @@
 static constexpr auto InitialReconnectDelay = micros(200'000);
 static constexpr auto MaxReconnectDelay = micros(3'000'000);
 
-/** Smallest message for which the input buffer is made large enough at once. */
-static constexpr auto MinReservedBytes = std::size_t{64} * 1024;
-
 /** Largest body of a call or reply, in bytes, that is compressed. */
 static constexpr auto MaxCompressedBody = std::size_t{4096};
 
@@ -93,75 +93,20 @@
   return Offset - *Session.MinClockOffset;
 }
 
-/** Decodes the message at the front of a stream's input, compressed or not. */
-static auto decodeNext(node_state &State, std::string_view Input)
-    -> result<std::optional<decoded_mesh_message>> {
-  if (!isCompressedFrame(Input)) {
-    return decodeMeshMessage(Input, State.Loop.now());
-  }
-  auto Frame = State.Compressor.expand(Input);
-  if (!isOk(Frame)) {
-    return errorOf(Frame);
-  }
-  if (!valueOf(Frame)) {
-    return std::optional<decoded_mesh_message>();
-  }
-  auto Decoded = decodeMeshMessage(valueOf(Frame)->Message, State.Loop.now());
-  if (isOk(Decoded) && !valueOf(Decoded)) {
-    return error{error_code::Corrupt, "decode_frame", "", "truncated message"};
-  }
-  if (isOk(Decoded)) {
-    valueOf(Decoded)->EncodedBytes = valueOf(Frame)->EncodedBytes;
-  }
-  return Decoded;
+/** @return whether the node at the other end has told which one it is. */
+static auto isIntroduced(const peer_session &Session) -> bool {
+  return !Session.Peer.Node.Value.empty();
 }
 
-/** Charges the body of a received message to the memory budget. */
-static void chargeBody(node_state &State, mesh_message &Message) {
-  auto Charge = [&State](std::size_t Bytes) {
-    return event::memory_charge(State.Loop.memory(), Bytes);
-  };
-  if (auto *Forward = std::get_if<forward_message>(&Message)) {
-    Forward->Request.Charge = Charge(Forward->Request.Body.size());
-  } else if (auto *Reply = std::get_if<reply_message>(&Message)) {
-    Reply->Response.Charge = Charge(Reply->Response.Body.size());
-  }
-}
-
-/** @return whether a message that arrives in part no longer fits: its
- * connection gives way, and its sender offers the call elsewhere. */
-static auto exceedsMemory(const node_state &State, const event::stream &Stream)
-    -> bool {
-  return !event::hasRoom(*State.Loop.memory(), 0) &&
-         Stream.input().size() >= MinReservedBytes;
-}
-
-/** Decodes all complete messages at the front of a stream, until Handle returns
- * false.
- * @return false if the bytes can't be decoded. */
-template <class Handler>
-static auto readMessages(node_state &State, event::stream &Stream,
-                         const Handler &Handle) -> bool {
-  for (;;) {
-    auto Decoded = decodeNext(State, Stream.input());
-    if (!isOk(Decoded)) {
-      return false;
-    }
-    if (!valueOf(Decoded)) {
-      auto Size = isCompressedFrame(Stream.input())
-                      ? std::nullopt
-                      : messageSize(Stream.input());
-      if (Size && *Size >= MinReservedBytes) {
-        Stream.reserveInput(*Size);
-      }
-      return true;
-    }
-    chargeBody(State, valueOf(Decoded)->Message);
-    Stream.consume(valueOf(Decoded)->EncodedBytes);
-    if (!Handle(std::move(*valueOf(Decoded)))) {
-      return true;
-    }
-  }
+/** Counts and logs why a connection ends. */
+static void recordBadMessage(node_state &State, const node_id &Peer,
+                             read_end End) {
+  auto IsMalformed = End == read_end::Malformed;
+  ++(IsMalformed ? State.Counters.BadInput["peer"]
+                 : State.Counters.CallersClosed["peer: no memory"]);
+  State.Log.write(log_class::State,
+                  IsMalformed ? "peer.malformed" : "peer.no_memory",
+                  {{"peer", Peer.Value}});
 }
 
 namespace {
@@ -169,6 +114,7 @@
 /** A connection that this node opens, and its retry state. */
 struct outbound_link {
   std::shared_ptr<event::stream> Stream; ///< Null while not connected.
+  message_intake Intake;                 ///< Of large messages on Stream.
   zone_id Zone;                          ///< Zone of the host.
   process_id Process;                    ///< At the other end, once it told.
   std::uint32_t Compression = 0;         ///< Of messages that it reads.
@@ -193,6 +139,8 @@
 
   void accept(std::shared_ptr<event::stream> Stream);
   void receiveOnSession(const std::shared_ptr<peer_session> &Session);
+  void handleOnSession(const std::shared_ptr<peer_session> &Session,
+                       decoded_mesh_message Decoded);
   void beginSession(peer_session &Session, const mesh::host_record &Peer);
   void endSession(const std::shared_ptr<peer_session> &Session);
   auto openLink(const node_id &Node, outbound_link &Link) -> bool;
@@ -223,8 +171,8 @@
 }
 
 void peer_links::implementation::accept(std::shared_ptr<event::stream> Stream) {
-  auto Session =
-      std::make_shared<peer_session>(peer_session{std::move(Stream), {}, {}});
+  auto Session = std::make_shared<peer_session>();
+  Session->Stream = std::move(Stream);
   auto Weak = std::weak_ptr<peer_session>(Session);
   Sessions.insert(Session);
   Session->Stream->OnData = [this, Weak] {
@@ -241,47 +189,49 @@
 
 void peer_links::implementation::receiveOnSession(
     const std::shared_ptr<peer_session> &Session) {
-  auto Valid =
-      readMessages(State, *Session->Stream, [&](decoded_mesh_message Decoded) {
-        auto &Message = Decoded.Message;
-        if (auto *Opened = std::get_if<opened_message>(&Message)) {
-          beginSession(*Session, Opened->Sender);
-          // Tells the peer which process gets its calls.
-          sendOnSession(State, *Session, opened_message{State.Own});
-        }
-        auto Delay = transitDelay(*Session, Decoded.SentAt, State.Loop.now());
-        if (auto *Forward = std::get_if<forward_message>(&Message)) {
-          Forward->TimeToStartOnTime -= Delay;
-          Forward->TimeToLatestStart -= Delay;
-          Forward->TimeLeft -= Delay;
-        } else if (auto *Update = std::get_if<gossip_message>(&Message)) {
-          if (Update->StoreAge) {
-            *Update->StoreAge += Delay;
-          }
-        }
-        if (std::holds_alternative<ping_message>(Message)) {
-          sendOnSession(State, *Session, pong_message());
-        } else if (!Session->Peer.Node.Value.empty()) {
-          Events.OnSessionMessage(Session, std::move(Message));
-        }
-        return Session->Stream->isOpen();
-      });
-  if (Valid && exceedsMemory(State, *Session->Stream)) {
-    ++State.Counters.CallersClosed["peer: no memory"];
-    State.Log.write(log_class::State, "peer.no_memory",
-                    {{"peer", Session->Peer.Node.Value}});
-    Session->Stream->close();
-    return endSession(Session);
-  }
-  if (!Valid) {
-    ++State.Counters.BadInput["peer"];
-    State.Log.write(log_class::State, "peer.malformed",
-                    {{"peer", Session->Peer.Node.Value}});
+  auto Refuse = call_refusal{true, [&](call_number Call) {
+                               if (isIntroduced(*Session)) {
+                                 Events.OnCallWithoutMemory(Session, Call);
+                               }
+                             }};
+  auto End = readMessages(State, *Session->Stream, Session->Intake, Refuse,
+                          [&](decoded_mesh_message Decoded) {
+                            handleOnSession(Session, std::move(Decoded));
+                            return Session->Stream->isOpen();
+                          });
+  if (End != read_end::Open) {
+    recordBadMessage(State, Session->Peer.Node, End);
     Session->Stream->close();
     endSession(Session);
   }
 }
 
+void peer_links::implementation::handleOnSession(
+    const std::shared_ptr<peer_session> &Session,
+    decoded_mesh_message Decoded) {
+  auto &Message = Decoded.Message;
+  if (auto *Opened = std::get_if<opened_message>(&Message)) {
+    beginSession(*Session, Opened->Sender);
+    // Tells the peer which process gets its calls.
+    sendOnSession(State, *Session, opened_message{State.Own});
+  }
+  auto Delay = transitDelay(*Session, Decoded.SentAt, State.Loop.now());
+  if (auto *Forward = std::get_if<forward_message>(&Message)) {
+    Forward->TimeToStartOnTime -= Delay;
+    Forward->TimeToLatestStart -= Delay;
+    Forward->TimeLeft -= Delay;
+  } else if (auto *Update = std::get_if<gossip_message>(&Message)) {
+    if (Update->StoreAge) {
+      *Update->StoreAge += Delay;
+    }
+  }
+  if (std::holds_alternative<ping_message>(Message)) {
+    sendOnSession(State, *Session, pong_message());
+  } else if (isIntroduced(*Session)) {
+    Events.OnSessionMessage(Session, std::move(Message));
+  }
+}
+
 void peer_links::implementation::beginSession(peer_session &Session,
                                               const mesh::host_record &Peer) {
   Session.Peer = Peer;
@@ -313,6 +263,7 @@
   }
   Link.Stream = event::stream::connect(State.Loop, Host->Peer, ConnectTimeout);
   Link.Process = process_id();
+  Link.Intake = message_intake();
   Link.LastReceivedAt = Now;
   Link.PingedAt = steady_time();
   auto Established = std::make_shared<bool>(false);
@@ -336,15 +287,20 @@
   auto Stream = Link.Stream;
   Link.LastReceivedAt = State.Loop.now();
   Link.PingedAt = steady_time();
-  auto Valid = readMessages(State, *Stream, [&](decoded_mesh_message Decoded) {
-    if (const auto *Opened = std::get_if<opened_message>(&Decoded.Message)) {
-      Links[Node].Process = Opened->Sender.Process;
-    }
-    Events.OnLinkMessage(Node, std::move(Decoded.Message));
-    return Links[Node].Stream == Stream;
-  });
-  if (!Valid) {
-    ++State.Counters.BadInput["peer"];
+  auto Refuse = call_refusal{false, [&](call_number Call) {
+                               Events.OnReplyWithoutMemory(Node, Call);
+                             }};
+  auto End = readMessages(
+      State, *Stream, Link.Intake, Refuse, [&](decoded_mesh_message Decoded) {
+        if (const auto *Opened =
+                std::get_if<opened_message>(&Decoded.Message)) {
+          Links[Node].Process = Opened->Sender.Process;
+        }
+        Events.OnLinkMessage(Node, std::move(Decoded.Message));
+        return Links[Node].Stream == Stream;
+      });
+  if (End != read_end::Open && Links[Node].Stream == Stream) {
+    recordBadMessage(State, Node, End);
     Stream->close();
     endLink(Node, true, "malformed");
   }
--- a/src/sidecar/peer_links.h
+++ b/src/sidecar/peer_links.h
@@ -1,6 +1,7 @@
 /** @file peer_links.h Connections between nodes. */
 #pragma once
 
+#include "sidecar/message_intake.h"
 #include "sidecar/node_state.h"
 #include "sycamorelb/inner/mesh_message_type.h"
 
@@ -17,6 +18,7 @@
   /** Smallest observed difference between receive time here and send time at
    * the peer. Anything above it counts as transit delay. */
   std::optional<micros> MinClockOffset;
+  message_intake Intake; ///< Of large messages on Stream.
 };
 
 /** Estimates the transit delay of a message from the clocks of both nodes and
@@ -42,6 +44,12 @@
   std::function<void(const std::shared_ptr<peer_session> &,
                      inner::mesh_message)>
       OnSessionMessage;
+  /** There is no memory for a large reply to a call; the rest of it is dropped.
+   */
+  std::function<void(const node_id &, inner::call_number)> OnReplyWithoutMemory;
+  /** There is no memory for a large call; the rest of it is dropped. */
+  std::function<void(const std::shared_ptr<peer_session> &, inner::call_number)>
+      OnCallWithoutMemory;
   /** A connection that another node opened was lost. */
   std::function<void(const std::shared_ptr<peer_session> &)> OnSessionLost;
 };
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -59,6 +59,21 @@
                                    mesh_message Message) {
     handleSessionMessage(Session, std::move(Message));
   };
+  Events.OnReplyWithoutMemory = [this](const node_id &Node, call_number Call) {
+    ++State.Counters.RepliesDropped;
+    auto Reply = reply_message();
+    Reply.Call = Call;
+    Reply.Outcome = reply_outcome::Unknown;
+    Reply.ReachedTarget = true;
+    Reply.Reason = "no memory for the answer";
+    Entry.handleReply(Node, Reply);
+  };
+  Events.OnCallWithoutMemory = [this](
+                                   const std::shared_ptr<peer_session> &Session,
+                                   call_number Call) {
+    Admission.refuseArrival({Session->Peer.Node, Session->Peer.Process, Call},
+                            replyHandlerFor(Session), Session.get());
+  };
   Events.OnSessionLost = [this](const std::shared_ptr<peer_session> &Session) {
     Admission.handleConnectionLost(Session.get());
   };
