Fix: [Sidecar] A refused call was sent to the next node without asking for memory

Seen: an entry node whose calls are refused by several nodes holds the request and the frame of each attempt that is still being written.

Cause: only beginCall() asked for room for the copy of an attempt, once. dispatchCall() asks before each attempt, and else refuses the call; that it has not run is true then, or the call fails as before.

--- a/src/sidecar/call_dispatch.cpp
+++ b/src/sidecar/call_dispatch.cpp
@@ -43,6 +43,11 @@
 }
 
 void entry::implementation::dispatchCall(const call_ref &Call) {
+  // An attempt needs the memory of the body once more. The one before may still
+  // be in the output.
+  if (!event::hasRoom(*State.Loop.memory(), Call->Request.Body.size())) {
+    return refuseCall(Call, "no memory");
+  }
   if (Call->Bounces < MaxBounces) {
     if (const auto *Host = pickHost(Call)) {
       return sendAttempt(Call, *Host);
