Fix: [Sidecar] Answers to other nodes were copied without asking for memory

Cause: an answer was held up to four times for a moment: the response, the kept outcome, a copy for the message, and the frame. The limit on kept outcomes was enforced only when the next call arrived, so that it didn't hold for the calls that were running, and not at all when no call came.

Responses are moved on, from the target to the frame, to the kept outcome, and at the entry to the caller. Before a frame is made, room is asked for it; kept answers give way, the oldest first. Without room the call ends as unknown. The limit is enforced when an outcome is kept, and old ones are dropped each second.

--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -47,12 +47,19 @@
 
 void admission::implementation::finishCall(admitted_call &Call,
                                            reply_message Outcome) {
+  auto KeepAlive = Calls.at(Call.Serial);
+  auto IsLocal = Call.Key.Node == State.Own.Node;
   State.Loop.cancelTimer(Call.Timer);
   Call.Stage = call_stage::Done;
   Call.Connection = nullptr;
   Outcome.Call = Call.Forward.Call;
   Outcome.Load = load();
   Outcome.Notice = notice();
+  http::discard(Call.Forward.Request);
+  if (!IsLocal && !makeRoomForReply(Outcome.Response.Body.size())) {
+    ++State.Counters.RepliesDropped;
+    dropAnswer(Outcome);
+  }
   auto Now = State.Loop.now();
   auto Started = Call.StartedAt != steady_time();
   State.Log.write(
@@ -77,17 +84,13 @@
   if (Known != Routes.end()) {
     Outcome.MeanRouteRunTime = usualRun(Known->second.Mean);
   }
-  http::discard(Call.Forward.Request);
   KeptOutcomes.emplace_back(State.Loop.now(), Call.Serial);
-  auto Reply = std::exchange(Call.Reply, nullptr);
-  auto IsLocal = Call.Key.Node == State.Own.Node;
-  if (!IsLocal) {
-    Call.Outcome = Outcome;
-    KeptOutcomeBytes += Outcome.Response.Body.size();
-  }
-  if (Reply) {
+  if (auto Reply = std::exchange(Call.Reply, nullptr)) {
     Reply(Outcome);
   }
+  if (!IsLocal) {
+    keepOutcome(Call, std::move(Outcome));
+  }
 }
 
 void admission::implementation::refuseCall(admitted_call &Call,
--- a/src/sidecar/admission.h
+++ b/src/sidecar/admission.h
@@ -44,7 +44,8 @@
  */
 class admission {
 public:
-  using reply_handler = std::function<void(const inner::reply_message &)>;
+  /** May move the response out of the outcome of a call of this node. */
+  using reply_handler = std::function<void(inner::reply_message &)>;
   /** Identifies the peer connection that delivered a call; null for calls of
    * this node. */
   using source_connection = const void *;
@@ -69,6 +70,8 @@
    * process, so it is if this one may have started after the call was sent. */
   void resume(const call_key &Key, const inner::resume_message &Resume,
               reply_handler Reply, source_connection Source = nullptr);
+  /** Frees the memory of outcomes that are too old to be asked for. */
+  void dropOldOutcomes();
   /** Cancels a call whose caller no longer waits: a queued call is dropped, a
    * running idempotent call is aborted, any other running call finishes. */
   void cancel(const call_key &Key);
--- a/src/sidecar/admission_state.h
+++ b/src/sidecar/admission_state.h
@@ -63,6 +63,9 @@
   std::uint64_t TargetStart = 0; // Value of TargetStarts when it was started.
 };
 
+/** Replaces the answer of a target that there is no memory for. */
+void dropAnswer(inner::reply_message &Outcome);
+
 struct admission::implementation {
   implementation(node_state &State, admission_events Events)
       : State(State), Events(std::move(Events)), Pool(State) {}
@@ -196,6 +199,11 @@
   void scheduleQueueRun(steady_time At);
   void rememberEndedKey(const call_key &Key);
   void dropOldOutcomes();
+  /** Keeps the outcome of a call of another node. */
+  void keepOutcome(admitted_call &Call, inner::reply_message Outcome);
+  /** @return whether there is memory to send an answer of that size to another
+   * node; kept answers give way. */
+  auto makeRoomForReply(std::size_t Bytes) -> bool;
   auto findCall(const call_key &Key) -> std::shared_ptr<admitted_call>;
   /** Answers a call that was submitted before. @return whether it was. */
   auto answerKnownCall(const call_key &Key, reply_handler &Reply,
--- a/src/sidecar/call_dispatch.cpp
+++ b/src/sidecar/call_dispatch.cpp
@@ -120,7 +120,7 @@
     auto Key = call_key{Node, State.Own.Process, Call->Attempt};
     auto Weak = std::weak_ptr<open_call>(Call);
     Admission.submit(Key, std::move(Forward),
-                     [this, Weak, Node](const reply_message &Reply) {
+                     [this, Weak, Node](reply_message &Reply) {
                        if (auto Self = Weak.lock()) {
                          handleOutcome(Self, Node, Reply);
                        }
@@ -156,7 +156,7 @@
 
 void entry::implementation::handleOutcome(const call_ref &Call,
                                           const node_id &Node,
-                                          const reply_message &Reply) {
+                                          reply_message &Reply) {
   if (Call->Host != Node) {
     return;
   }
@@ -176,10 +176,10 @@
   }
   Call->MayHaveRun = true;
   if (Reply.Response.Status >= 500) {
-    Call->Failure.emplace(Reply.Response);
+    Call->Failure.emplace(std::move(Reply.Response));
     return handleFailed(Call, Reply);
   }
-  answerCall(Call, Reply.Response, "answered");
+  answerCall(Call, std::move(Reply.Response), "answered");
 }
 
 void entry::implementation::handleNotRun(const call_ref &Call,
@@ -258,8 +258,7 @@
 void entry::implementation::failCall(const call_ref &Call, int Status,
                                      const char *Reason) {
   if (Call->Failure) {
-    auto Response = std::move(*Call->Failure);
-    return answerCall(Call, Response, "failed by target");
+    return answerCall(Call, std::move(*Call->Failure), "failed by target");
   }
   answerCall(Call,
              platform::encodeLocalReply(Status, Call->Id, std::nullopt, Reason),
@@ -279,7 +278,7 @@
 }
 
 void entry::implementation::answerCall(const call_ref &Call,
-                                       const http::response &Response,
+                                       http::response Response,
                                        const char *Outcome) {
   removeCall(*Call);
   logCustomer(*Call, Response.Status);
@@ -299,7 +298,7 @@
        {"body", static_cast<std::int64_t>(Call->Request.Body.size())},
        {"took_us", Duration.count()}});
   if (auto Caller = Call->Caller.lock()) {
-    Caller->respond(Call->Exchange, Response, State.Stopping);
+    Caller->respond(Call->Exchange, std::move(Response), State.Stopping);
   }
   relieveIfFull();
 }
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -211,7 +211,7 @@
   dispatchCall(Call);
 }
 
-void entry::handleReply(const node_id &Node, const reply_message &Reply) {
+void entry::handleReply(const node_id &Node, reply_message &Reply) {
   auto Found = Impl->Attempts.find(Reply.Call.Value);
   if (Found != Impl->Attempts.end() && Found->second->Host == Node) {
     auto Call = Found->second;
--- a/src/sidecar/entry.h
+++ b/src/sidecar/entry.h
@@ -24,7 +24,7 @@
   /** Starts to listen for callers. @return Unreachable on failure. */
   auto listen() -> result<done>;
   /** Handles the reply of another node to a forwarded call. */
-  void handleReply(const node_id &Node, const inner::reply_message &Reply);
+  void handleReply(const node_id &Node, inner::reply_message &Reply);
   /** Handles the loss of the connection to another node, or a failed attempt to
    * connect.
    * @param Established whether the connection had been established.
--- a/src/sidecar/entry_state.h
+++ b/src/sidecar/entry_state.h
@@ -114,8 +114,9 @@
   /** Removes the attempt in progress, if any, from the call and its host's
    * view. */
   void releaseHost(open_call &Call);
+  /** Takes the response out of the reply. */
   void handleOutcome(const call_ref &Call, const node_id &Node,
-                     const inner::reply_message &Reply);
+                     inner::reply_message &Reply);
   void handleNotRun(const call_ref &Call, const inner::reply_message &Reply);
   void handleFailed(const call_ref &Call, const inner::reply_message &Reply);
   auto mayRetry(const open_call &Call, retry_cause Cause) -> bool;
@@ -126,7 +127,7 @@
   void failCall(const call_ref &Call, int Status, const char *Reason);
   /** Logs the customer of a call that ends, if it has one. */
   void logCustomer(const open_call &Call, int Status);
-  void answerCall(const call_ref &Call, const http::response &Response,
+  void answerCall(const call_ref &Call, http::response Response,
                   const char *Outcome);
   void handleTimeout(const call_ref &Call);
   void handleConnectionClosed(
--- a/src/sidecar/kept_outcomes.cpp
+++ b/src/sidecar/kept_outcomes.cpp
@@ -2,6 +2,7 @@
  * calls that must not run any more, for calls that arrive again or are resumed.
  */
 #include "sidecar/admission_state.h"
+#include "sidecar/message_intake.h"
 
 #include <algorithm>
 #include <utility>
@@ -33,6 +34,12 @@
                         Budget.LimitBytes / KeptOutcomeShare);
 }
 
+void dropAnswer(reply_message &Outcome) {
+  Outcome.Outcome = reply_outcome::Unknown;
+  http::discard(Outcome.Response);
+  Outcome.Reason = "no memory for the answer";
+}
+
 /** Time for which the key of an ended call is kept, so that a delayed copy of
  * it does not run. No copy arrives later, as a connection with unacknowledged
  * data is closed sooner. */
@@ -69,10 +76,40 @@
   }
 }
 
+void admission::dropOldOutcomes() { Impl->dropOldOutcomes(); }
+
+void admission::implementation::keepOutcome(admitted_call &Call,
+                                            reply_message Outcome) {
+  KeptOutcomeBytes += Outcome.Response.Body.size();
+  Call.Outcome = std::move(Outcome);
+  dropOldOutcomes();
+}
+
+auto admission::implementation::makeRoomForReply(std::size_t Bytes) -> bool {
+  const auto &Memory = *State.Loop.memory();
+  if (Bytes < LargeMessageBytes) {
+    return true;
+  }
+  for (const auto &[EndedAt, Serial] : KeptOutcomes) {
+    if (event::hasRoom(Memory, Bytes)) {
+      break;
+    }
+    auto Found = Calls.find(Serial);
+    if (Found != Calls.end() &&
+        Found->second->Outcome.Response.Body.size() >= LargeMessageBytes) {
+      KeptOutcomeBytes -= Found->second->Outcome.Response.Body.size();
+      dropAnswer(Found->second->Outcome);
+    }
+  }
+  return event::hasRoom(Memory, Bytes);
+}
+
 void admission::implementation::replaceReply(admitted_call &Call,
                                              reply_handler Reply,
                                              source_connection Source) {
   if (Call.Stage == call_stage::Done) {
+    // It may give way itself.
+    makeRoomForReply(Call.Outcome.Response.Body.size());
     return Reply(Call.Outcome);
   }
   Call.Reply = std::move(Reply);
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -82,10 +82,13 @@
 
 auto sidecar::implementation::replyHandlerFor(
     const std::shared_ptr<peer_session> &Session) -> admission::reply_handler {
-  return [this, Weak = std::weak_ptr<peer_session>(Session)](
-             const reply_message &Reply) {
+  return [this,
+          Weak = std::weak_ptr<peer_session>(Session)](reply_message &Reply) {
     if (auto Origin = Weak.lock()) {
-      sendOnSession(State, *Origin, Reply);
+      // Encoded without a copy of the response, which may be kept.
+      auto Message = mesh_message(std::move(Reply));
+      sendOnSession(State, *Origin, Message);
+      Reply = std::move(std::get<reply_message>(Message));
     }
   };
 }
@@ -383,6 +386,7 @@
     Store.restart();
     Gossip.syncWithPeers();
   }
+  Admission.dropOldOutcomes();
   if (++TickCount % SettingsCheckTicks == 0) {
     reloadIfChanged();
   }
