Fix: [HTTP] The body of a response was read without asking for memory

Cause: the buffer of a response was charged as it was filled, and nothing asked whether there is room. Its growth by doubling held the old buffer beside.

From 64 KiB a body needs room for its announced length, or for the next buffer, before it is read; else the exchange fails with "no memory for the response". The charge moves with the response. Test: sidecar_answer_memory/answer_of_the_target_without_room_is_not_read.

--- a/src/http/client_connection.cpp
+++ b/src/http/client_connection.cpp
@@ -19,6 +19,13 @@
 /** Size from which a request body is written separately from its head. */
 static constexpr auto SeparateBodyBytes = std::size_t{64} * 1024;
 
+/** Size from which a response body needs room in the memory budget before it is
+ * read; smaller ones are always read. */
+static constexpr auto LargeBodyBytes = std::size_t{64} * 1024;
+
+/** Factor by which the memory of a body of unknown length grows. */
+static constexpr auto BodyGrowth = std::size_t{2};
+
 struct client_connection::implementation {
   implementation(event::loop &Loop, client_options Options)
       : Loop(Loop), Options(std::move(Options)) {}
@@ -57,16 +64,44 @@
     }
   }
 
-  /** Adds bytes to Body. @return false if the budget is exhausted. */
-  auto appendBody(std::string_view Bytes) -> bool {
-    Body.append(Bytes);
+  /** Makes Body large enough for Size bytes; Failure is set if there is no
+   * memory for them. */
+  void reserveBody(std::size_t Size, std::string &Failure) {
+    if (Size <= Body.capacity()) {
+      return;
+    }
+    if (Size >= LargeBodyBytes && !event::hasRoom(*Loop.memory(), Size)) {
+      Failure = "no memory for the response";
+      return;
+    }
+    Body.reserve(Size);
     BodyCharge.resize(Body.capacity());
-    if (!Options.Budget) {
-      return true;
+  }
+
+  /** Adds bytes to Body; Failure is set if they exceed a limit. */
+  void appendBody(std::string_view Bytes, std::string &Failure) {
+    auto Size = Body.size() + Bytes.size();
+    if (Size > Body.capacity()) {
+      reserveBody(std::max(Size, BodyGrowth * Body.capacity()), Failure);
+    }
+    if (!Failure.empty()) {
+      return;
+    }
+    Body.append(Bytes);
+    if (Options.Budget) {
+      BudgetBytes += Bytes.size();
+      Options.Budget->UsedBytes += Bytes.size();
+      if (Options.Budget->UsedBytes > Options.Budget->MaxBytes) {
+        Failure = "responses too large in total";
+      }
     }
-    BudgetBytes += Bytes.size();
-    Options.Budget->UsedBytes += Bytes.size();
-    return Options.Budget->UsedBytes <= Options.Budget->MaxBytes;
+  }
+
+  /** @return the response that was read. */
+  auto takeResponse() -> response {
+    return {Head.Status, std::move(Head.Reason), std::move(Head.Headers),
+            std::move(Body),
+            std::exchange(BodyCharge, event::memory_charge(Loop.memory(), 0))};
   }
 
   /** Returns the bytes of Body to the budget. */
@@ -203,10 +238,11 @@
   Body.clear();
   if (Head.Body.Kind == proxy::body_kind::Length && !SkippingBody) {
     // Exact, as the body is kept in this buffer until it is delivered.
-    Body.reserve(static_cast<std::size_t>(
-        std::min<std::uint64_t>(Head.Body.Length, Options.MaxBodyBytes)));
+    reserveBody(static_cast<std::size_t>(std::min<std::uint64_t>(
+                    Head.Body.Length, Options.MaxBodyBytes)),
+                Failure);
   }
-  return true;
+  return Failure.empty();
 }
 
 auto client_connection::implementation::parseInput(std::string &Failure)
@@ -225,10 +261,13 @@
       }
       if (SkippingBody) {
         ignoreBytes(Step.Consumed, Failure);
-      } else if (!appendBody(Step.Data)) {
-        Failure = "responses too large in total";
+      } else {
+        appendBody(Step.Data, Failure);
       }
       Stream->consume(Step.Consumed);
+      if (!Failure.empty()) {
+        return false;
+      }
     }
     if (Decoder.isInvalid() || Body.size() > Options.MaxBodyBytes) {
       Failure = "malformed or too long response body";
@@ -254,10 +293,7 @@
   auto Failure = std::string();
   if (Impl->parseInput(Failure)) {
     Impl->parseIdleTimeout();
-    auto Response = response{
-        Impl->Head.Status, std::move(Impl->Head.Reason),
-        std::move(Impl->Head.Headers), std::move(Impl->Body),
-        event::memory_charge(Impl->Loop.memory(), Impl->BodyCharge.bytes())};
+    auto Response = Impl->takeResponse();
     // If the server responds before it has read the whole request, it still
     // expects the remainder, so the connection cannot carry another request.
     auto Reusable = Impl->Head.KeepAlive && Impl->Stream->input().empty() &&
@@ -299,11 +335,7 @@
       Impl->ReadingBody && !Impl->SkippingBody) {
     Impl->Decoder.handleClose();
     if (Impl->Decoder.isComplete()) {
-      auto Response = response{
-          Impl->Head.Status, std::move(Impl->Head.Reason),
-          std::move(Impl->Head.Headers), std::move(Impl->Body),
-          event::memory_charge(Impl->Loop.memory(), Impl->BodyCharge.bytes())};
-      return finish(std::move(Response), false);
+      return finish(Impl->takeResponse(), false);
     }
   }
   auto ResponseStarted = Impl->ReadingBody || !Impl->Stream->input().empty();
--- a/test/sidecar_answer_memory_test.cpp
+++ b/test/sidecar_answer_memory_test.cpp
@@ -134,3 +134,17 @@
   cr_assert_eq(Run.State.Counters.RepliesDropped, 1U);
   cr_assert_leq(Run.Loop.memory()->PeakBytes, 96 * MiB);
 }
+
+// Guards against an answer of the target that is read although there is no
+// memory for it.
+Test(sidecar_answer_memory, answer_of_the_target_without_room_is_not_read) {
+  auto Run = answer_run(32 * MiB);
+  // Less than the share above which no call starts.
+  auto Others = event::memory_charge(Run.Loop.memory(), 28 * MiB + MiB / 2);
+  Run.call(1);
+  cr_assert(Run.Outcomes.at(1) == reply_outcome::Unknown);
+  cr_assert_eq(Run.State.Counters.Admissions["failed: no memory for the "
+                                             "response"],
+               1U);
+  cr_assert_leq(Run.Loop.memory()->PeakBytes, 32 * MiB);
+}
