Fix: [Sidecar] Silent connections to the platform's listeners took all descriptors

Seen: connections to the endpoints for readiness, heartbeats and metrics that send nothing, or stop short of the end of their request, took a process to 355 descriptors where 120 are allowed (crowd listeners); they stayed for ever.

Cause: each endpoint kept 256 connections, whatever fileDescriptors says, and then turned new ones away. Nothing ended an unfinished request.

Each endpoint has an eighth of the descriptors that are not for callers: 4 to 64. Tests: sidecar_listener/*.

--- a/include/sycamorelb/event/stream.h
+++ b/include/sycamorelb/event/stream.h
@@ -4,6 +4,7 @@
 #include "sycamorelb/core/result_type.h"
 #include "sycamorelb/event/loop.h"
 
+#include <cstddef>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -114,6 +115,10 @@
 public:
   using accept_callback = std::function<void(std::shared_ptr<stream>)>;
 
+  /** Maximum number of connections accepted for one event. The others wait
+   * until the input of these was handled. */
+  std::size_t AcceptsPerEvent = 64;
+
   /** @return the listener, or Unreachable if the address can't be bound. */
   static auto open(loop &Loop, const endpoint &Address, accept_callback Accept)
       -> result<std::unique_ptr<listener>>;
--- a/src/event/listener.cpp
+++ b/src/event/listener.cpp
@@ -14,8 +14,6 @@
 static constexpr auto ListenBacklog = 512;
 /** Time without accepting while no descriptor is free. */
 static constexpr auto AcceptPause = micros(100'000);
-/** Maximum number of connections accepted for one event. */
-static constexpr auto MaxAcceptsPerEvent = 64;
 
 struct listener::implementation {
   implementation(loop &Loop, int Descriptor, accept_callback Accept)
@@ -35,8 +33,8 @@
                           [this] { Loop.modifyWatch(Descriptor, EPOLLIN); });
   }
 
-  void acceptReady() {
-    for (auto Count = 0; Count < MaxAcceptsPerEvent; ++Count) {
+  void acceptReady(std::size_t Most) {
+    for (auto Count = std::size_t{0}; Count < Most; ++Count) {
       auto Accepted =
           ::accept4(Descriptor, nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC);
       if (Accepted < 0) {
@@ -79,9 +77,10 @@
   }
   auto Listener = std::unique_ptr<listener>(new listener(
       std::make_unique<implementation>(Loop, Descriptor, std::move(Accept))));
-  auto *State = Listener->Impl.get();
-  Loop.watch(Descriptor, EPOLLIN,
-             [State](std::uint32_t) { State->acceptReady(); });
+  auto *Self = Listener.get();
+  Loop.watch(Descriptor, EPOLLIN, [Self](std::uint32_t) {
+    Self->Impl->acceptReady(Self->AcceptsPerEvent);
+  });
   return Listener;
 }
 
--- a/src/sidecar/caller_relief.cpp
+++ b/src/sidecar/caller_relief.cpp
@@ -30,6 +30,15 @@
  * store, health checks and metrics. */
 static constexpr auto InternalShare = 4;
 
+/** Part of the descriptors that are kept for those that one of the four
+ * listeners may use. The others are for connections to the target, to the store
+ * and between nodes. */
+static constexpr auto ListenerShare = std::size_t{8};
+/** Fewest and most connections of such a listener: requests of the platform
+ * come one at a time, mostly; many nodes may connect at once. */
+static constexpr auto MinListenerConnections = std::size_t{4};
+static constexpr auto MaxListenerConnections = std::size_t{64};
+
 auto findExpired(const std::vector<caller_view> &Callers,
                  const caller_timeouts &Timeouts)
     -> std::vector<relief_decision> {
@@ -227,12 +236,30 @@
   return Chosen;
 }
 
+/** @return the descriptors that are not reserved for files. */
+static auto socketsOf(std::size_t FileDescriptors) -> std::size_t {
+  return FileDescriptors - std::min(FileDescriptors, FileReserve);
+}
+
 auto maxCallerConnections(std::size_t FileDescriptors) -> std::size_t {
   if (FileDescriptors == 0) {
     return std::numeric_limits<std::size_t>::max();
   }
-  auto Sockets = FileDescriptors - std::min(FileDescriptors, FileReserve);
+  auto Sockets = socketsOf(FileDescriptors);
   return std::max(std::size_t{1}, Sockets - Sockets / InternalShare);
 }
 
+auto maxListenerConnections(std::size_t FileDescriptors) -> std::size_t {
+  if (FileDescriptors == 0) {
+    return MaxListenerConnections;
+  }
+  auto Internal = socketsOf(FileDescriptors) / InternalShare;
+  return std::clamp(Internal / ListenerShare, MinListenerConnections,
+                    MaxListenerConnections);
+}
+
+auto acceptsPerEvent(std::size_t MaxConnections) -> std::size_t {
+  return std::max(std::size_t{1}, MaxConnections / 2);
+}
+
 } // namespace sycamorelb::sidecar
--- a/src/sidecar/caller_relief.h
+++ b/src/sidecar/caller_relief.h
@@ -77,4 +77,14 @@
  * descriptors; no limit if that is 0. */
 auto maxCallerConnections(std::size_t FileDescriptors) -> std::size_t;
 
+/** @return the most connections of one listener that isn't for callers, of a
+ * process that may open so many descriptors: for the platform's requests, or of
+ * other nodes before their first message. */
+auto maxListenerConnections(std::size_t FileDescriptors) -> std::size_t;
+
+/** @return the connections that a listener with this limit accepts before their
+ * input is handled, so that none gives way to a newer one before it could send
+ * a request. */
+auto acceptsPerEvent(std::size_t MaxConnections) -> std::size_t;
+
 } // namespace sycamorelb::sidecar
--- a/src/sidecar/http_endpoint.h
+++ b/src/sidecar/http_endpoint.h
@@ -16,7 +16,7 @@
 
   /** @return the listening server, or Unreachable if the address can't be
    * bound. */
-  static auto open(event::loop &Loop, const event::endpoint &Address,
+  static auto open(node_state &State, const event::endpoint &Address,
                    handler Handle) -> result<std::unique_ptr<http_endpoint>>;
   ~http_endpoint();
   http_endpoint(const http_endpoint &) = delete;
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -349,7 +349,7 @@
   auto Open = [this](const event::endpoint &Address,
                      std::unique_ptr<http_endpoint> &Endpoint,
                      http_endpoint::handler Handle) -> result<done> {
-    auto Opened = http_endpoint::open(Loop, Address, std::move(Handle));
+    auto Opened = http_endpoint::open(State, Address, std::move(Handle));
     if (!isOk(Opened)) {
       return errorOf(Opened);
     }
