Fix: [Sidecar] Connections to the listener for other nodes that tell no node stayed

Seen: connections to the listener for other nodes that send nothing took a process to 265 descriptors where 120 are allowed (crowd strangers_at_peer_listener); ones that announce 72 MiB got a buffer for it.

Cause: nothing bounded the connections before their first message, or its size.

A connection must tell its node within 5 s, by a message of at most 16 KiB; host records have a few hundred bytes. Of those that have not told it, as many are kept as by the other listeners; the oldest gives way. Nodes that are known are not counted. Test: sidecar_listener/strangers_at_the_peer_listener_give_way.

--- a/src/sidecar/peer_links.cpp
+++ b/src/sidecar/peer_links.cpp
@@ -1,6 +1,7 @@
 /** @file peer_links.cpp Connections between nodes. */
 #include "sidecar/peer_links.h"
 
+#include "sidecar/caller_relief.h"
 #include "sidecar/message_reader.h"
 
 #include <algorithm>
@@ -25,6 +26,11 @@
 static constexpr auto InitialReconnectDelay = micros(200'000);
 static constexpr auto MaxReconnectDelay = micros(3'000'000);
 
+/** Time in which a connection must tell which node has opened it. */
+static constexpr auto IntroductionTimeout = micros(5'000'000);
+/** Largest message that tells it, in bytes; host records are smaller. */
+static constexpr auto MaxIntroductionBytes = std::size_t{16} * 1024;
+
 /** Largest body of a call or reply, in bytes, that is compressed. */
 static constexpr auto MaxCompressedBody = std::size_t{4096};
 
@@ -138,6 +144,11 @@
   bool CheckScheduled = false;
 
   void accept(std::shared_ptr<event::stream> Stream);
+  /** Closes the oldest connection of an unknown node if there are as many of
+   * them as allowed. */
+  void makeRoomForStranger();
+  void closeStranger(const std::shared_ptr<peer_session> &Session,
+                     const char *Cause);
   void receiveOnSession(const std::shared_ptr<peer_session> &Session);
   void handleOnSession(const std::shared_ptr<peer_session> &Session,
                        decoded_mesh_message Decoded);
@@ -167,12 +178,16 @@
     return errorOf(Opened);
   }
   Impl->Listener = std::move(valueOf(Opened));
+  Impl->Listener->AcceptsPerEvent = acceptsPerEvent(
+      maxListenerConnections(Impl->State.Settings.FileDescriptors));
   return done();
 }
 
 void peer_links::implementation::accept(std::shared_ptr<event::stream> Stream) {
+  makeRoomForStranger();
   auto Session = std::make_shared<peer_session>();
   Session->Stream = std::move(Stream);
+  Session->AcceptedAt = State.Loop.now();
   auto Weak = std::weak_ptr<peer_session>(Session);
   Sessions.insert(Session);
   Session->Stream->OnData = [this, Weak] {
@@ -185,10 +200,45 @@
       endSession(Self);
     }
   };
+  State.Loop.addTimer(Session->AcceptedAt + IntroductionTimeout, [this, Weak] {
+    auto Self = Weak.lock();
+    if (Self && !isIntroduced(*Self)) {
+      closeStranger(Self, "peer: no introduction");
+    }
+  });
+}
+
+void peer_links::implementation::makeRoomForStranger() {
+  auto Count = std::size_t{0};
+  auto Oldest = std::shared_ptr<peer_session>();
+  for (const auto &Session : Sessions) {
+    if (!isIntroduced(*Session)) {
+      ++Count;
+      if (!Oldest || Session->AcceptedAt < Oldest->AcceptedAt) {
+        Oldest = Session;
+      }
+    }
+  }
+  if (Oldest &&
+      Count >= maxListenerConnections(State.Settings.FileDescriptors)) {
+    closeStranger(Oldest, "peer: no descriptor");
+  }
+}
+
+void peer_links::implementation::closeStranger(
+    const std::shared_ptr<peer_session> &Session, const char *Cause) {
+  ++State.Counters.CallersClosed[Cause];
+  Session->Stream->close();
+  endSession(Session);
 }
 
 void peer_links::implementation::receiveOnSession(
     const std::shared_ptr<peer_session> &Session) {
+  if (!isIntroduced(*Session) &&
+      messageSize(Session->Stream->input()).value_or(0) >
+          MaxIntroductionBytes) {
+    return closeStranger(Session, "peer: no introduction");
+  }
   auto Refuse = call_refusal{true, [&](call_number Call) {
                                if (isIntroduced(*Session)) {
                                  Events.OnCallWithoutMemory(Session, Call);
--- a/src/sidecar/peer_links.h
+++ b/src/sidecar/peer_links.h
@@ -18,7 +18,8 @@
   /** Smallest observed difference between receive time here and send time at
    * the peer. Anything above it counts as transit delay. */
   std::optional<micros> MinClockOffset;
-  message_intake Intake; ///< Of large messages on Stream.
+  message_intake Intake;    ///< Of large messages on Stream.
+  steady_time AcceptedAt{}; ///< When it was opened.
 };
 
 /** Estimates the transit delay of a message from the clocks of both nodes and
--- a/test/sidecar_listener_test.cpp
+++ b/test/sidecar_listener_test.cpp
@@ -111,6 +111,27 @@
   cr_assert_eq(Crowd.Closed, CrowdSize);
 }
 
+// Guards against connections to the listener for other nodes that never tell
+// who opened them, and against waiting for a first message of any size.
+Test(sidecar_listener, strangers_at_the_peer_listener_give_way) {
+  auto Mesh = sim::mesh_sim(1, 2);
+  auto Version = Mesh.publishConfig();
+  Mesh.startTarget(1);
+  Mesh.run(micros(6'000'000));
+  auto Silent = silent_crowd(Mesh.loop(), Mesh.peerAddress(1), "");
+  Mesh.run(micros(200'000));
+  cr_assert_leq(static_cast<std::size_t>(CrowdSize - Silent.Closed),
+                maxListenerConnections(0));
+  cr_assert_eq(Mesh.call(0, Version), 200);
+  auto Announced = std::string("\0\0\1\0", 4); // 64 KiB.
+  auto Large = silent_crowd(Mesh.loop(), Mesh.peerAddress(1), Announced);
+  Mesh.run(micros(200'000));
+  cr_assert_eq(Large.Closed, CrowdSize);
+  Mesh.run(micros(6'000'000));
+  cr_assert_eq(Silent.Closed, CrowdSize);
+  cr_assert_eq(Mesh.call(0, Version), 200);
+}
+
 // Guards against limits that mass connections of nodes or the platform meet.
 Test(sidecar_listener, limits_follow_the_descriptors) {
   cr_assert_eq(maxListenerConnections(FileDescriptors), 4U);
