Fix: [Event] Bytes that wait in the kernel were not charged

Seen: the platform counts received bytes that were not read yet as memory of the process.

Cause: while reading stops for memory, or a node is busy, the kernel goes on to receive, by default up to some MB for each connection, which nothing charged.

The receive buffers are limited: 64 KiB for callers and the platform, 192 KiB between nodes. What waits at a connection that has stopped reading is charged when it stops and at each decision about memory. Test: event_stream/unread_bytes_of_a_stopped_connection_are_charged.

--- a/include/sycamorelb/event/stream.h
+++ b/include/sycamorelb/event/stream.h
@@ -82,6 +82,13 @@
   void excludeFromLinkTraffic();
   /** Stops or resumes reading, to bound the size of input(). */
   void pauseReading(bool Paused);
+  /** Limits the received bytes that the kernel holds for this connection,
+   * about. By default they grow to several megabytes. The peer then writes no
+   * more than that in a round trip. */
+  void limitUnread(std::size_t Bytes);
+  /** Updates the charge of the bytes that wait in the kernel while reading has
+   * stopped: the host counts them as memory of this process. */
+  void chargeUnread();
   /** Makes reading stop while the memory budget is under pressure.
    * @param IsLarge whether this connection already holds much, so that it stops
    * before others. */
--- a/include/sycamorelb/http/server_connection.h
+++ b/include/sycamorelb/http/server_connection.h
@@ -88,6 +88,8 @@
   auto stateChangedAt() const -> steady_time;
   /** @return what the connection holds. */
   auto progress() const -> connection_progress;
+  /** Updates the charge of bytes that wait in the kernel. */
+  void chargeUnread();
   /** Reads on after a stop for memory: Bytes may arrive despite pressure. */
   void resumeReading(std::size_t Bytes);
   /** Answers the request that has arrived in part, which is not passed to the
--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -10,6 +10,7 @@
 #include <netinet/tcp.h>
 #include <optional>
 #include <sys/epoll.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 #include <unistd.h>
 #include <utility>
@@ -76,12 +77,13 @@
   bool YieldsToPressure = false;
   bool IsLarge = false;
   std::optional<steady_time> HeldBackSince;
+  std::size_t UnreadBytes = 0;  // In the kernel, while reading has stopped.
   std::size_t GrantedBytes = 0; // Read also under pressure.
   steady_time LastActivityAt = Loop.now();
   timer_id Timer{0};
 
   void updateCharges() {
-    InputCharge.resize(InputBuffer.capacity());
+    InputCharge.resize(InputBuffer.capacity() + UnreadBytes);
     OutputCharge.resize(OutputBuffer.capacity() + QueuedBytes);
   }
 
@@ -131,6 +133,8 @@
       Loop.unwatch(Descriptor);
       ::close(Descriptor);
       Descriptor = -1;
+      UnreadBytes = 0;
+      updateCharges();
     }
   }
 
@@ -268,6 +272,7 @@
   }
   if (Impl->HeldBackSince || (!Broken && Impl->mustHoldBack())) {
     Impl->HeldBackSince = Impl->HeldBackSince.value_or(Impl->Loop.now());
+    chargeUnread();
     return Impl->updateEvents();
   }
   auto SizeBefore = Impl->InputBuffer.size();
@@ -428,6 +433,21 @@
   }
 }
 
+void stream::limitUnread(std::size_t Bytes) {
+  if (Impl->Descriptor >= 0) {
+    setOption(Impl->Descriptor, SOL_SOCKET, SO_RCVBUF, static_cast<int>(Bytes));
+  }
+}
+
+void stream::chargeUnread() {
+  auto Unread = 0;
+  if ((Impl->HeldBackSince || Impl->Paused) && Impl->Descriptor >= 0) {
+    ::ioctl(Impl->Descriptor, FIONREAD, &Unread);
+  }
+  Impl->UnreadBytes = static_cast<std::size_t>(std::max(0, Unread));
+  Impl->updateCharges();
+}
+
 auto stream::heldBackSince() const -> std::optional<steady_time> {
   return Impl->HeldBackSince;
 }
@@ -435,6 +455,7 @@
 void stream::readOn(std::size_t Bytes) {
   Impl->GrantedBytes = std::max(Impl->GrantedBytes, Bytes);
   Impl->HeldBackSince = std::nullopt;
+  chargeUnread();
   // Waiting for memory is no silence of the peer.
   Impl->LastActivityAt = Impl->Loop.now();
   if (!Impl->Connecting) {
--- a/src/http/server_connection.cpp
+++ b/src/http/server_connection.cpp
@@ -369,6 +369,8 @@
   return Progress;
 }
 
+void server_connection::chargeUnread() { Impl->Stream->chargeUnread(); }
+
 void server_connection::resumeReading(std::size_t Bytes) {
   Impl->Stream->readOn(Bytes);
 }
--- a/src/sidecar/caller_limits.cpp
+++ b/src/sidecar/caller_limits.cpp
@@ -55,6 +55,7 @@
   auto Callers = connection_list();
   auto Views = std::vector<caller_view>();
   for (const auto &[Connection, Serials] : From) {
+    Connection->chargeUnread();
     Callers.push_back(Connection);
     Views.push_back(viewCaller(*Connection, Now));
   }
--- a/src/sidecar/entry.cpp
+++ b/src/sidecar/entry.cpp
@@ -13,6 +13,10 @@
 /** Maximum number of times that a call is resumed after a lost connection. */
 static constexpr auto MaxResumes = std::uint32_t{2};
 
+/** Received bytes of a caller that wait in the kernel, at most: what is read at
+ * once. Callers are on this host or near it. */
+static constexpr auto MaxUnreadBytes = std::size_t{64} * 1024;
+
 /** Retry delay sent to callers whose calls might outlast a shutdown. */
 static constexpr auto StoppingRetryDelay = micros(250'000);
 
@@ -41,6 +45,7 @@
   if (!makeRoomForCaller()) {
     return Stream->close();
   }
+  Stream->limitUnread(MaxUnreadBytes);
   auto Options = http::server_options();
   Options.Memory = State.Loop.memory();
   if (State.Routes) {
--- a/src/sidecar/http_endpoint.cpp
+++ b/src/sidecar/http_endpoint.cpp
@@ -61,6 +61,7 @@
 
   void accept(std::shared_ptr<event::stream> Stream) {
     makeRoom();
+    Stream->limitUnread(MaxBodyBytes);
     auto Options = http::server_options();
     Options.Limits.MaxBodyBytes = MaxBodyBytes;
     auto Connection = http::server_connection::create(
--- a/src/sidecar/peer_links.cpp
+++ b/src/sidecar/peer_links.cpp
@@ -26,6 +26,9 @@
 static constexpr auto InitialReconnectDelay = micros(200'000);
 static constexpr auto MaxReconnectDelay = micros(3'000'000);
 
+/** Received bytes of a node that wait in the kernel, at most: what a link of
+ * 1 Gbit/s transfers in 1.5 ms. */
+static constexpr auto MaxUnreadBytes = std::size_t{192} * 1024;
 /** Time in which a connection must tell which node has opened it. */
 static constexpr auto IntroductionTimeout = micros(5'000'000);
 /** Largest message that tells it, in bytes; host records are smaller. */
@@ -187,6 +190,7 @@
   makeRoomForStranger();
   auto Session = std::make_shared<peer_session>();
   Session->Stream = std::move(Stream);
+  Session->Stream->limitUnread(MaxUnreadBytes);
   Session->AcceptedAt = State.Loop.now();
   auto Weak = std::weak_ptr<peer_session>(Session);
   Sessions.insert(Session);
@@ -312,6 +316,7 @@
     return false;
   }
   Link.Stream = event::stream::connect(State.Loop, Host->Peer, ConnectTimeout);
+  Link.Stream->limitUnread(MaxUnreadBytes);
   Link.Process = process_id();
   Link.Intake = message_intake();
   Link.LastReceivedAt = Now;
--- a/test/event_stream_test.cpp
+++ b/test/event_stream_test.cpp
@@ -95,3 +95,33 @@
   }
   ::close(Ends[1]);
 }
+
+// Guards against bytes that wait in the kernel beside the account: the host
+// counts them as memory of the process.
+Test(event_stream, unread_bytes_of_a_stopped_connection_are_charged) {
+  constexpr auto SentBytes = std::size_t{10'000};
+  auto Loop = event::loop();
+  auto Ends = std::array<int, 2>();
+  cr_assert_eq(
+      ::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, Ends.data()), 0);
+  Loop.memory()->LimitBytes = std::size_t{1} << 20U;
+  auto Others = event::memory_charge(Loop.memory(), Loop.memory()->LimitBytes);
+  auto Stream = event::stream::adopt(Loop, Ends[0]);
+  Stream->yieldToPressure(false);
+  auto Bytes = std::string(SentBytes, 'x');
+  cr_assert_eq(::send(Ends[1], Bytes.data(), SentBytes, 0),
+               static_cast<ssize_t>(SentBytes));
+  Loop.runUntil(event::bootTime() + millis(50));
+  cr_assert(Stream->heldBackSince().has_value());
+  cr_assert_geq(Stream->heldBytes(), SentBytes);
+  ::send(Ends[1], Bytes.data(), SentBytes, 0);
+  Stream->chargeUnread();
+  cr_assert_geq(Stream->heldBytes(), 2 * SentBytes);
+  Others.resize(0);
+  Stream->readOn(0);
+  Loop.runUntil(event::bootTime() + millis(50));
+  cr_assert_eq(Stream->input().size(), 2 * SentBytes);
+  Stream->consume(2 * SentBytes);
+  cr_assert_lt(Stream->heldBytes(), SentBytes);
+  ::close(Ends[1]);
+}
