--- a/src/sidecar/kept_outcomes.cpp
+++ b/src/sidecar/kept_outcomes.cpp
@@ -25,6 +25,16 @@
 /** Share of the memory budget that they may take, if that is less. */
 static constexpr auto KeptOutcomeShare = std::size_t{8};
 
+/** Time for which the key of an ended call is kept, so that a delayed copy of
+ * it does not run. No copy arrives later, as a connection with unacknowledged
+ * data is closed sooner. */
+static constexpr auto EndedKeyRetention = micros(60'000'000);
+
+/** Time by which the process must be older than a call to know its outcome, if
+ * it isn't known which process the call was sent to; covers the transit time of
+ * the call. */
+static constexpr auto UptimeMargin = micros(1'000'000);
+
 /** @return the maximum size of the bodies of kept outcomes. */
 static auto maxKeptOutcomeBytes(const event::memory_budget &Budget)
     -> std::size_t {
@@ -40,15 +50,6 @@
   Outcome.Reason = "no memory for the answer";
 }
 
-/** Time for which the key of an ended call is kept, so that a delayed copy of
- * it does not run. No copy arrives later, as a connection with unacknowledged
- * data is closed sooner. */
-static constexpr auto EndedKeyRetention = micros(60'000'000);
-
-/** Time by which the process must be older than a call to know its outcome, if
- * it isn't known which process the call was sent to; covers the transit time of
- * the call. */
-static constexpr auto UptimeMargin = micros(1'000'000);
 void admission::implementation::rememberEndedKey(const call_key &Key) {
   EndedKeys.insert(Key);
   EndedKeyTimes.emplace_back(State.Loop.now(), Key);
