--- a/soak/crowd_test.py
+++ b/soak/crowd_test.py
@@ -162,12 +162,13 @@
         for node in self.nodes:
             await node.start()
 
-    async def ordinary(self, node, service):
-        """Returns whether an ordinary request is answered. Refused ones are repeated, as the answer asks for."""
+    async def ordinary(self, node, service, body=b""):
+        """Returns whether a request is answered, an upload if it has a body. Refused ones are repeated, as asked."""
+        start = f"POST /{service}up/x HTTP/1.1" if body else f"GET /{service}/x HTTP/1.1"
         try:
             async with asyncio.timeout(ORDINARY_LIMIT_S):
                 while True:
-                    data = encode(f"GET /{service}/x HTTP/1.1", self.headers())
+                    data = encode(start, self.headers(), body)
                     answer = await request_once((node.ip, PORTS["outbound"]), data, 6.0)
                     if answer is not None and answer.status == 200:
                         return True
@@ -330,8 +331,8 @@
     try:
         await world.start()
         for node, service in world.ordinary_calls():
-            if not await world.ordinary(node, service):
-                return ["the nodes don't serve before the crowd"], ""
+            if not await world.ordinary(node, service) or not await world.ordinary(node, service, BODY):
+                return ["the nodes don't serve a call and a single upload of the largest size before the crowd"], ""
         faults = await world.play(list(case(world)))
         return faults, "; ".join(f"{node.name} {node.max_resident_kb // 1024} MB, {node.max_held_kb // 1024} with unread "
                                  f"bytes, {node.max_descriptors} descriptors" for node in world.nodes)
