Fix: [Event] Unread bytes of a connection that paused were charged late, and too long

Seen in a review of the change, not by callers: a connection that pauses because its caller sends ahead was charged for the bytes in the kernel only at the next check of all callers, up to 2 s later, and for as long again after it read on.

Cause: only a stop for memory updated that charge. pauseReading() does so when reading stops or goes on. Test: event_stream/ charge_of_unread_bytes_ends_when_reading_goes_on, which failed at its first assertion on the code before.

--- a/src/event/stream.cpp
+++ b/src/event/stream.cpp
@@ -419,7 +419,9 @@
 void stream::excludeFromLinkTraffic() { Impl->CountsAsLinkTraffic = false; }
 
 void stream::pauseReading(bool Paused) {
-  Impl->Paused = Paused;
+  if (std::exchange(Impl->Paused, Paused) != Paused) {
+    chargeUnread();
+  }
   if (!Impl->Connecting) {
     Impl->updateEvents();
   }
--- a/test/event_stream_test.cpp
+++ b/test/event_stream_test.cpp
@@ -125,3 +125,25 @@
   cr_assert_lt(Stream->heldBytes(), SentBytes);
   ::close(Ends[1]);
 }
+
+// Guards against bytes that are charged once more after they were read: as if
+// they still waited in the kernel.
+Test(event_stream, charge_of_unread_bytes_ends_when_reading_goes_on) {
+  constexpr auto SentBytes = std::size_t{10'000};
+  auto Loop = event::loop();
+  auto Ends = std::array<int, 2>();
+  cr_assert_eq(
+      ::socketpair(AF_UNIX, SOCK_STREAM | SOCK_NONBLOCK, 0, Ends.data()), 0);
+  auto Stream = event::stream::adopt(Loop, Ends[0]);
+  auto Bytes = std::string(SentBytes, 'x');
+  cr_assert_eq(::send(Ends[1], Bytes.data(), SentBytes, 0),
+               static_cast<ssize_t>(SentBytes));
+  Stream->pauseReading(true);
+  cr_assert_geq(Stream->heldBytes(), SentBytes);
+  Stream->pauseReading(false);
+  Loop.runUntil(event::bootTime() + millis(50));
+  cr_assert_eq(Stream->input().size(), SentBytes);
+  Stream->consume(SentBytes);
+  cr_assert_lt(Stream->heldBytes(), SentBytes);
+  ::close(Ends[1]);
+}
