Fix: [Sidecar] A link that ended for lack of memory was logged as malformed

Seen in a review of the change: link.lost gave "malformed" as the reason also if there was no memory for a large message, beside the line peer.no_memory. Cause: the reason was written when that was the only one. It is "no memory" now. No test: the line is for operators only, and nothing reads it.

--- a/src/sidecar/peer_links.cpp
+++ b/src/sidecar/peer_links.cpp
@@ -357,7 +357,7 @@
   if (End != read_end::Open && Links[Node].Stream == Stream) {
     recordBadMessage(State, Node, End);
     Stream->close();
-    endLink(Node, true, "malformed");
+    endLink(Node, true, End == read_end::Malformed ? "malformed" : "no memory");
   }
 }
 
