Cleanup: [Sidecar] The outline of a large message is read only to refuse it

It was read for each large message, twice: at its beginning and when it was complete, although only a refusal needs the number of the call. Now room is asked for first, so that a message that has it is reserved and decoded as before. Decisions stay the same. sidecar_intake/* pass.

--- a/src/sidecar/message_reader.cpp
+++ b/src/sidecar/message_reader.cpp
@@ -66,6 +66,15 @@
   if (Intake.AdmittedBytes > 0 && Missing > 0) {
     return intake_step::Decode;
   }
+  // Asked again when the message is complete, as others arrived meanwhile.
+  auto IsNewWork = Intake.AdmittedBytes == 0 && Refuse.IsNewWork;
+  if (mayReceive(*State.Loop.memory(), *Size, Missing, IsNewWork)) {
+    Intake.AdmittedBytes = *Size;
+    if (Missing > 0) {
+      Stream.reserveInput(*Size);
+    }
+    return intake_step::Decode;
+  }
   auto Outline = outlineMeshMessage(Input);
   if (!isOk(Outline)) {
     return intake_step::Malformed;
@@ -73,22 +82,12 @@
   if (!valueOf(Outline)) {
     return Missing > 0 ? intake_step::Wait : intake_step::Malformed;
   }
-  const auto &Call = valueOf(Outline)->Call;
-  // Asked again when the message is complete, as others arrived meanwhile.
-  auto IsNewWork = Intake.AdmittedBytes == 0 && Refuse.IsNewWork;
-  if (!mayReceive(*State.Loop.memory(), *Size, Missing, IsNewWork)) {
-    if (!Call) {
-      return intake_step::NoMemory;
-    }
-    Intake = {0, *Size};
-    Refuse.Handle(*Call);
-    return intake_step::Skip;
-  }
-  Intake.AdmittedBytes = *Size;
-  if (Missing > 0) {
-    Stream.reserveInput(*Size);
+  if (!valueOf(Outline)->Call) {
+    return intake_step::NoMemory;
   }
-  return intake_step::Decode;
+  Intake = {0, *Size};
+  Refuse.Handle(*valueOf(Outline)->Call);
+  return intake_step::Skip;
 }
 
 /** Drops what has arrived of a refused message.
