Cleanup: [Sidecar] One function drops an answer without memory

The node beside the target and the entry node each wrote the outcome and its reason. Both call dropAnswer() now, which stands with the other decisions about large messages.

--- a/src/sidecar/admission.cpp
+++ b/src/sidecar/admission.cpp
@@ -1,6 +1,7 @@
 /** @file admission.cpp Admits calls to the local target. */
 #include "platform/call_header.h"
 #include "sidecar/admission_state.h"
+#include "sidecar/message_intake.h"
 
 #include <algorithm>
 #include <utility>
--- a/src/sidecar/admission_state.h
+++ b/src/sidecar/admission_state.h
@@ -63,9 +63,6 @@
   std::uint64_t TargetStart = 0; // Value of TargetStarts when it was started.
 };
 
-/** Replaces the answer of a target that there is no memory for. */
-void dropAnswer(inner::reply_message &Outcome);
-
 struct admission::implementation {
   implementation(node_state &State, admission_events Events)
       : State(State), Events(std::move(Events)), Pool(State) {}
--- a/src/sidecar/kept_outcomes.cpp
+++ b/src/sidecar/kept_outcomes.cpp
@@ -44,12 +44,6 @@
                         Budget.LimitBytes / KeptOutcomeShare);
 }
 
-void dropAnswer(reply_message &Outcome) {
-  Outcome.Outcome = reply_outcome::Unknown;
-  http::discard(Outcome.Response);
-  Outcome.Reason = "no memory for the answer";
-}
-
 void admission::implementation::rememberEndedKey(const call_key &Key) {
   EndedKeys.insert(Key);
   EndedKeyTimes.emplace_back(State.Loop.now(), Key);
--- a/src/sidecar/message_intake.cpp
+++ b/src/sidecar/message_intake.cpp
@@ -16,4 +16,10 @@
                          MissingBytes + Budget.LimitBytes / ReserveShare));
 }
 
+void dropAnswer(inner::reply_message &Reply) {
+  Reply.Outcome = inner::reply_outcome::Unknown;
+  http::discard(Reply.Response);
+  Reply.Reason = "no memory for the answer";
+}
+
 } // namespace sycamorelb::sidecar
--- a/src/sidecar/message_intake.h
+++ b/src/sidecar/message_intake.h
@@ -6,6 +6,7 @@
 #pragma once
 
 #include "sycamorelb/event/memory_budget.h"
+#include "sycamorelb/inner/mesh_message_type.h"
 
 #include <cstddef>
 
@@ -28,4 +29,8 @@
 auto mayReceive(const event::memory_budget &Budget, std::size_t Size,
                 std::size_t MissingBytes, bool LeavesReserve) -> bool;
 
+/** Drops the answer in a reply that there is no memory for: the target has run
+ * the call, but its caller can't get the result. */
+void dropAnswer(inner::reply_message &Reply);
+
 } // namespace sycamorelb::sidecar
--- a/src/sidecar/sidecar.cpp
+++ b/src/sidecar/sidecar.cpp
@@ -63,9 +63,8 @@
     ++State.Counters.RepliesDropped;
     auto Reply = reply_message();
     Reply.Call = Call;
-    Reply.Outcome = reply_outcome::Unknown;
     Reply.ReachedTarget = true;
-    Reply.Reason = "no memory for the answer";
+    dropAnswer(Reply);
     Entry.handleReply(Node, Reply);
   };
   Events.OnCallWithoutMemory = [this](
