Cleanup: [Sidecar] Bytes in the kernel are measured once for each decision about memory

Each list of all callers asked the kernel for every connection that had stopped: twice in each check under pressure, and for each new caller at the limit of descriptors, which decides nothing about memory.

--- a/src/sidecar/caller_limits.cpp
+++ b/src/sidecar/caller_limits.cpp
@@ -55,7 +55,6 @@
   auto Callers = connection_list();
   auto Views = std::vector<caller_view>();
   for (const auto &[Connection, Serials] : From) {
-    Connection->chargeUnread();
     Callers.push_back(Connection);
     Views.push_back(viewCaller(*Connection, Now));
   }
@@ -105,6 +104,7 @@
   auto Limits =
       State.Routes ? State.Routes->config().Limits : mesh::caller_limits();
   auto Now = State.Loop.now();
+  chargeUnread();
   auto [Callers, Views] = listCallers(Connections, Now);
   applyRelief(Callers,
               findExpired(Views, {Limits.HeadTimeout, Limits.IdleTimeout}));
@@ -122,7 +122,14 @@
   };
 }
 
+void entry::implementation::chargeUnread() {
+  for (const auto &[Connection, Serials] : Connections) {
+    Connection->chargeUnread();
+  }
+}
+
 void entry::implementation::relieveOnce() {
+  chargeUnread();
   auto [Callers, Views] = listCallers(Connections, State.Loop.now());
   applyRelief(Callers, relieveMemory(Views, *State.Loop.memory()));
 }
--- a/src/sidecar/entry_state.h
+++ b/src/sidecar/entry_state.h
@@ -143,6 +143,8 @@
   /** Makes connections of callers give way while memory is under pressure. */
   void watchMemory();
   void relieveCallers();
+  /** Updates the charges of bytes of callers that wait in the kernel. */
+  void chargeUnread();
   /** Carries out the decisions about memory now. */
   void relieveOnce();
   /** Does so at the end of this iteration if nearly all memory is used. */
