Fix: [Test] A crowd skipped its sample of unread bytes if a descriptor had closed

Found in a review: one descriptor that closes between the listing and its readlink dropped the sample of that process, and crowds close many. Cause: one handler for the whole sample.

--- a/soak/crowd_test.py
+++ b/soak/crowd_test.py
@@ -57,6 +57,14 @@
             if field[3] != "0A" and not field[4].endswith(":00000000")}
 
 
+def link_target(path):
+    """Returns what a descriptor refers to, or nothing if it was closed meanwhile."""
+    try:
+        return os.readlink(path)
+    except OSError:
+        return ""
+
+
 class CrowdNode(Node):
     """A node with the lowered limits of this test and the largest values seen of its process."""
 
@@ -81,10 +89,10 @@
             descriptors = os.listdir(folder + "/fd")
             self.max_descriptors = max(self.max_descriptors, len(descriptors))
             self.max_resident_kb = max(self.max_resident_kb, sizes["VmHWM:"])
-            waiting = sum(unread.get(os.readlink(f"{folder}/fd/{name}"), 0) for name in descriptors) if unread else 0
+            waiting = sum(unread.get(link_target(f"{folder}/fd/{name}"), 0) for name in descriptors) if unread else 0
             self.max_held_kb = max(self.max_held_kb, sizes["VmRSS:"] + waiting // 1024)
         except (OSError, ValueError, KeyError):
-            pass  # A descriptor was closed, or the process has ended, which is checked for itself.
+            pass  # The process has ended, which is checked for itself.
 
     def faults(self):
         """Returns what the process did against the limits of its host."""
