--- a/soak/crowd_test.py
+++ b/soak/crowd_test.py
@@ -116,7 +116,6 @@
 
     def __init__(self, args):
         self.binary = os.path.abspath(os.path.join(args.build, "sycamorelb"))
-        self.kept = bool(args.keep)
         self.folder = args.keep or tempfile.mkdtemp(prefix="crowd-")
         os.makedirs(self.folder, exist_ok=True)
         self.random = soak.random.Random(1)
@@ -334,8 +333,9 @@
          "f": endless_heads}
 
 
-async def run_case(world, case):
+async def run_case(args, name, case, make_world):
     """Plays one case. Returns the faults and a line about what was measured."""
+    world = make_world(args, name)
     try:
         await world.start()
         for node, service in world.ordinary_calls():
@@ -348,7 +348,7 @@
         # The tasks of the stand-ins end with the loop and report that.
         asyncio.get_running_loop().set_exception_handler(lambda *_: None)
         world.stop()
-        if not world.kept:
+        if not args.keep:
             shutil.rmtree(world.folder, ignore_errors=True)
 
 
@@ -370,7 +370,7 @@
         print("skipped, see KNOWN-RED.txt: " + " ".join(f"{suite}/{name}" for name in sorted(skipped)), flush=True)
     failed = False
     for name in args.case or sorted(set(cases) - skipped):
-        faults, measured = asyncio.run(run_named(args, name, cases[name], make_world))
+        faults, measured = asyncio.run(run_case(args, name, cases[name], make_world))
         print(f"{suite}/{name}: {measured}", flush=True)
         failed = failed or bool(faults)
         for fault in faults:
@@ -378,10 +378,5 @@
     sys.exit(1 if failed else 0)
 
 
-async def run_named(args, name, case, make_world):
-    """Runs a case in a world that begins within the event loop of the case."""
-    return await run_case(make_world(args, name), case)
-
-
 if __name__ == "__main__":
     run_cases("crowd", CASES, lambda args, _: CrowdWorld(args))
