Cleanup: [Test] One fixture for the tests of admission

sidecar_answer_memory_test.cpp and sidecar_intake_test.cpp built the node, the ready target and its address again that sidecar_admission_test.cpp has.

--- a/test/sidecar_admission_test.cpp
+++ b/test/sidecar_admission_test.cpp
@@ -1,6 +1,6 @@
 /** @file sidecar_admission_test.cpp Tests of call admission and of the outcomes
  * that a node reports. */
-#include "sidecar/admission.h"
+#include "admission_fixture.h"
 #include "sycamorelb/dispatch/call_queue.h"
 
 #include <algorithm>
@@ -15,65 +15,6 @@
 using namespace sycamorelb::sidecar;
 using inner::reply_outcome;
 
-/** A node without a target, whose process started a minute ago. */
-struct admission_fixture {
-  event::loop Loop;
-  node_state State;
-  admission Admission;
-
-  admission_fixture()
-      : State(Loop, settings(), 1), Admission(State, {[] {}, [] {}, [] {}}) {
-    State.StartedAt = Loop.now() - micros(60'000'000);
-  }
-  static auto settings() -> node_settings {
-    auto Settings = node_settings();
-    Settings.Node = {"node-1"};
-    Settings.Service = {"svc"};
-    return Settings;
-  }
-  static auto target() -> mesh::target_record {
-    auto Target = mesh::target_record();
-    Target.Id = {"i-1"};
-    Target.StartedAtMs = 1;
-    Target.Service = {"svc"};
-    Target.Slots = 1;
-    Target.State = mesh::target_state::Ready;
-    return Target;
-  }
-  /** Makes the target ready and warm, so that calls are queued or run. */
-  void start() {
-    auto Target = target();
-    State.Own.Target = Target;
-    State.Hosts.merge(State.Own);
-    Admission.setTarget(Target, micros(0));
-  }
-  /** @return a call for the service of the target. */
-  static auto forward(micros TimeLeft) -> inner::forward_message {
-    auto Forward = inner::forward_message();
-    Forward.Service = {"svc"};
-    Forward.TimeLeft = TimeLeft;
-    return Forward;
-  }
-  auto submit(const call_key &Key) -> std::optional<reply_outcome> {
-    auto Forward = inner::forward_message();
-    Forward.Call = Key.Call;
-    Forward.TimeLeft = micros(1'000'000);
-    auto Outcome = std::optional<reply_outcome>();
-    Admission.submit(Key, Forward, [&Outcome](const auto &Reply) {
-      Outcome = Reply.Outcome;
-    });
-    return Outcome;
-  }
-  auto resume(const call_key &Key, micros Age, process_id SentTo = {})
-      -> std::optional<reply_outcome> {
-    auto Outcome = std::optional<reply_outcome>();
-    Admission.resume(
-        Key, {Key.Call, Age, SentTo},
-        [&Outcome](const auto &Reply) { Outcome = Reply.Outcome; });
-    return Outcome;
-  }
-};
-
 static const auto Key = call_key{{"node-2"}, {1}, {7}};
 
 // Guards against running a call after it was reported as not run: a copy that
@@ -184,15 +125,6 @@
   cr_assert(Node.Admission.load().StartGap == micros(0));
 }
 
-/** @return an address of its own for a target, as other runs of the tests may
- * use the same ports. */
-static auto targetAddress() -> event::endpoint {
-  auto Process = static_cast<unsigned>(::getpid());
-  return {"127.1." + std::to_string(Process % 250) + "." +
-              std::to_string(Process / 250 % 250),
-          28'390};
-}
-
 // Guards against running out of memory: a target answers many calls of other
 // nodes with large bodies, which are kept for nodes that lose the connection.
 Test(sidecar_admission, kept_outcomes_are_limited_by_their_size) {
--- a/test/sidecar_answer_memory_test.cpp
+++ b/test/sidecar_answer_memory_test.cpp
@@ -1,13 +1,13 @@
 /** @file sidecar_answer_memory_test.cpp Tests of large answers of the target to
  * calls of other nodes. */
-#include "sidecar/admission.h"
+#include "admission_fixture.h"
 
 #include <algorithm>
 #include <criterion/criterion.h>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
-#include <unistd.h>
 #include <vector>
 
 using namespace sycamorelb;
@@ -20,16 +20,14 @@
 namespace {
 
 /** A node beside a target that answers each call with a large body. */
-struct answer_run {
-  event::loop Loop;
-  node_state State{Loop, settings(), 1};
-  admission Admission{State, {[] {}, [] {}, [] {}}};
+struct answer_run : admission_fixture {
   std::vector<std::shared_ptr<event::stream>> Streams;
   std::unique_ptr<event::listener> Target;
   std::map<std::uint64_t, reply_outcome> Outcomes;
 
   explicit answer_run(std::size_t Limit) {
     Loop.memory()->LimitBytes = Limit;
+    State.Settings.TargetAddress = targetAddress();
     auto Listening = event::listener::open(
         Loop, State.Settings.TargetAddress, [this](const auto &Stream) {
           Stream->OnData = [Raw = Stream.get()] {
@@ -42,27 +40,7 @@
         });
     cr_assert(isOk(Listening));
     Target = std::move(valueOf(Listening));
-    auto Record = mesh::target_record();
-    Record.Id = {"i-1"};
-    Record.StartedAtMs = 1;
-    Record.Service = {"svc"};
-    Record.Slots = 1;
-    Record.State = mesh::target_state::Ready;
-    State.Own.Target = Record;
-    State.Hosts.merge(State.Own);
-    Admission.setTarget(Record, micros(0));
-  }
-
-  static auto settings() -> node_settings {
-    // Tests run in processes of their own, in parallel.
-    auto Process = static_cast<unsigned>(::getpid());
-    auto Settings = node_settings();
-    Settings.Node = {"node-1"};
-    Settings.Service = {"svc"};
-    Settings.TargetAddress = {"127.2." + std::to_string(Process % 250) + "." +
-                                  std::to_string(Process / 250 % 250),
-                              28'391};
-    return Settings;
+    start();
   }
 
   /** Writes in blocks, as the output of the target is charged here too. */
@@ -80,10 +58,9 @@
 
   /** Runs a call of another node to its outcome. */
   void call(std::uint64_t Number) {
-    auto Forward = inner::forward_message();
+    auto Forward = forward(micros(4'000'000));
     Forward.Call = {Number};
-    Forward.Service = {"svc"};
-    Forward.TimeLeft = Forward.TimeToLatestStart = micros(4'000'000);
+    Forward.TimeToLatestStart = Forward.TimeLeft;
     Forward.Request.Method = "GET";
     Forward.Request.Target = "/a/";
     Admission.submit(
@@ -99,12 +76,8 @@
     }
   }
 
-  auto resume(std::uint64_t Number) -> reply_outcome {
-    auto Outcome = reply_outcome::NotRun;
-    Admission.resume({{"node-2"}, {1}, {Number}},
-                     {{Number}, micros(1000), State.Own.Process},
-                     [&](auto &Reply) { Outcome = Reply.Outcome; });
-    return Outcome;
+  auto resume(std::uint64_t Number) -> std::optional<reply_outcome> {
+    return admission_fixture::resume({{"node-2"}, {1}, {Number}}, micros(1000));
   }
 };
 
--- a/test/sidecar_intake_test.cpp
+++ b/test/sidecar_intake_test.cpp
@@ -1,6 +1,6 @@
 /** @file sidecar_intake_test.cpp Tests of large messages of several nodes that
  * meet at one node. */
-#include "sidecar/admission.h"
+#include "admission_fixture.h"
 #include "sidecar/message_reader.h"
 
 #include <criterion/criterion.h>
@@ -170,17 +170,16 @@
 // Guards against a wrong "not run": a copy of a call that was refused before it
 // was received arrives later.
 Test(sidecar_intake, refused_call_is_not_run_later) {
-  auto Loop = event::loop();
-  auto State = node_state(Loop, settings(), 1);
-  auto Admission = admission(State, {[] {}, [] {}, [] {}});
+  auto Node = admission_fixture();
   auto Key = call_key{{"node-2"}, {1}, {7}};
   auto Replies = std::vector<reply_message>();
   auto Reply = [&Replies](const auto &Each) { Replies.push_back(Each); };
-  Admission.refuseArrival(Key, Reply, nullptr);
+  Node.Admission.refuseArrival(Key, Reply, nullptr);
   auto Forward = forward_message();
   Forward.Call = Key.Call;
-  Admission.submit(Key, Forward, Reply);
-  Admission.resume(Key, {Key.Call, micros(1000), State.Own.Process}, Reply);
+  Node.Admission.submit(Key, Forward, Reply);
+  Node.Admission.resume(Key, {Key.Call, micros(1000), Node.State.Own.Process},
+                        Reply);
   cr_assert_eq(Replies.size(), 3U);
   for (const auto &Each : Replies) {
     cr_assert(Each.Outcome == reply_outcome::NotRun);
