Feature: [Sidecar] The log tells what a health check proved, and which leave was ignored

So these couldn't be told apart: a heartbeat accepted without a check, one accepted by a check that a leaving target passed, and a target resumed from the record of a previous process.

Change: heartbeat.checked with the status of the answer, the start in heartbeat.unproved, the start and the known one in leave.outdated.

--- a/src/sidecar/target_control.cpp
+++ b/src/sidecar/target_control.cpp
@@ -207,11 +207,20 @@
   State.Log.write(
       log_class::State, "heartbeat.unproved",
       {{"target", Heartbeat.Target.Id.Value},
+       {"born", Heartbeat.Target.StartedAtMs},
        {"sequence", static_cast<std::int64_t>(Heartbeat.Sequence)}});
   probeTarget([this, Heartbeat](const http::response &Response) {
-    if (awaitsVerification(Watch, Heartbeat) &&
-        platform::isHealthy(Response, Heartbeat.Target.Id) &&
-        acceptHeartbeat(Watch, Heartbeat)) {
+    auto Verified = awaitsVerification(Watch, Heartbeat) &&
+                    platform::isHealthy(Response, Heartbeat.Target.Id) &&
+                    acceptHeartbeat(Watch, Heartbeat);
+    State.Log.write(
+        log_class::State, "heartbeat.checked",
+        {{"target", Heartbeat.Target.Id.Value},
+         {"born", Heartbeat.Target.StartedAtMs},
+         {"sequence", static_cast<std::int64_t>(Heartbeat.Sequence)},
+         {"status", std::int64_t{Response.Status}},
+         {"verified", std::int64_t{Verified ? 1 : 0}}});
+    if (Verified) {
       publishTarget();
       applyCheckedColdTime(laterColdTime(Heartbeat, Response), true,
                            "verified heartbeat", Heartbeat.Sequence);
@@ -244,8 +253,13 @@
 
 void sidecar::implementation::handleLeave(const mesh::target_id &Id,
                                           std::string_view Body) {
-  if (!acceptLeave(Watch, Id, platform::decodeLeaveStartTime(Body))) {
-    State.Log.write(log_class::State, "leave.outdated", {{"target", Id.Value}});
+  auto StartedAtMs = platform::decodeLeaveStartTime(Body);
+  if (!acceptLeave(Watch, Id, StartedAtMs)) {
+    State.Log.write(log_class::State, "leave.outdated",
+                    {{"target", Id.Value},
+                     {"born", StartedAtMs.value_or(-1)},
+                     {"known", Watch.Known.Id.Value},
+                     {"known_born", Watch.Known.StartedAtMs}});
     return;
   }
   publishTarget();
