Fix: [Sidecar] A leave of a start that wasn't the known one was acknowledged and ignored

Cause: a leave was a state of the known start; one of another start had no place to be kept.

Change: starts that have ended or leave are kept apart from the known one, by id and start time, also before their first heartbeat. A leave with the id of the known start and another start time doubts the known one: it gets no calls until a health check that was sent later tells that the target isn't leaving.

--- a/src/sidecar/target_control.cpp
+++ b/src/sidecar/target_control.cpp
@@ -281,8 +281,10 @@
   switch (Effect) {
   case leave_effect::KnownStart:
     return "known start";
+  case leave_effect::OtherStart:
+    return "other start of the known target";
   case leave_effect::OtherTarget:
-    return "ignored";
+    return "remembered";
   }
   return "";
 }
@@ -298,9 +300,7 @@
                    {"known", Known.Id.Value},
                    {"known_born", Known.StartedAtMs},
                    {"effect", leaveEffectName(Effect)}});
-  if (Effect == leave_effect::KnownStart) {
-    applyWatch();
-  }
+  applyWatch();
 }
 
 auto sidecar::implementation::answerHeartbeat(const http::request &Request)
--- a/src/sidecar/target_watch.cpp
+++ b/src/sidecar/target_watch.cpp
@@ -87,19 +87,29 @@
 /** Applies that a start leaves. */
 static auto applyEnd(target_watch &Watch, const ended_start &Start,
                      target_state State) -> leave_effect {
+  ++Watch.Changes;
+  rememberEnd(Watch, Start);
   auto &Known = Watch.Known;
   if (Known.Id.Value.empty()) {
     Known.Id = Start.Id;
     Known.StartedAtMs = Start.StartedAtMs.value_or(0);
   }
-  if (Known.Id != Start.Id ||
-      Start.StartedAtMs.value_or(Known.StartedAtMs) != Known.StartedAtMs) {
+  if (Known.Id != Start.Id) {
     return leave_effect::OtherTarget;
   }
-  ++Watch.Changes;
-  rememberEnd(Watch, Start);
-  Known.State = std::max(Known.State, State);
-  return leave_effect::KnownStart;
+  if (Start.StartedAtMs.value_or(Known.StartedAtMs) == Known.StartedAtMs) {
+    Known.State = std::max(Known.State, State);
+    return leave_effect::KnownStart;
+  }
+  if (Known.State == target_state::Ready) {
+    if (*Start.StartedAtMs < Known.StartedAtMs) {
+      // Most likely the leave is late. Without a check the known start would
+      // get no calls until its next heartbeat.
+      keepUnverified(Watch, {Known, Watch.Sequence, micros(0)});
+    }
+    Known.State = target_state::Absent;
+  }
+  return leave_effect::OtherStart;
 }
 
 /** @return whether the start of a heartbeat is the one at the address without a
@@ -119,16 +129,19 @@
   const auto &Reported = Heartbeat.Target;
   auto &Known = Watch.Known;
   auto IsKnownStart = isSameStart(Known, Reported);
-  auto Replaces = Known.Id.Value.empty() || IsKnownStart ||
-                  Reported.StartedAtMs > Known.StartedAtMs;
-  if (!Replaces || (IsKnownStart && Known.State == target_state::Gone)) {
+  if (hasEnded(Watch, Reported) &&
+      !(IsKnownStart && Known.State == target_state::Draining)) {
     return heartbeat_effect::Outdated;
   }
+  auto Replaces = Known.Id.Value.empty() || IsKnownStart ||
+                  Reported.StartedAtMs > Known.StartedAtMs;
   if (!hasEnded(Watch, Reported)) {
-    ++Watch.Changes;
-    rememberEnd(Watch, {Reported.Id, Reported.StartedAtMs});
+    applyEnd(Watch, {Reported.Id, Reported.StartedAtMs},
+             target_state::Draining);
+  }
+  if (Replaces && Known.State != target_state::Gone) {
+    adopt(Watch, Heartbeat);
   }
-  adopt(Watch, Heartbeat);
   return heartbeat_effect::Leaving;
 }
 
--- a/src/sidecar/target_watch.h
+++ b/src/sidecar/target_watch.h
@@ -49,8 +49,11 @@
 /** What became of a leave, or of a heartbeat that says that its start leaves.
  */
 enum class leave_effect : std::uint8_t {
-  KnownStart,  ///< The known start gets no more calls.
-  OtherTarget, ///< Another start; the leave changes nothing.
+  KnownStart, ///< The known start gets no more calls.
+  /** It is about the known target, but not its known start. Nothing is sent
+   * there until a health check tells that the target isn't leaving. */
+  OtherStart,
+  OtherTarget, ///< Another target; the leave is remembered.
 };
 
 /** Health check of the target. */
--- a/test/sidecar_heartbeat_test.cpp
+++ b/test/sidecar_heartbeat_test.cpp
@@ -374,8 +374,8 @@
                 "ready after an acknowledged leave");
 }
 
-// Known failure (KNOWN-RED.txt): the leave of a target that started again under
-// its id, after the time of day was set back, is acknowledged and ignored.
+// Guards against the leave of a target that started again under its id, after
+// the time of day was set back: it was acknowledged and ignored.
 Test(sidecar_heartbeat, leave_of_a_start_at_an_earlier_time_counts) {
   auto Run = target_run();
   Run.startWarm();
@@ -387,8 +387,23 @@
   cr_assert_not(Run.isReady(), "ready after an acknowledged leave");
 }
 
-// Known failure (KNOWN-RED.txt): the leave of a start whose first heartbeat is
-// late is acknowledged and ignored, and the heartbeat makes it ready.
+// The same for a heartbeat that says that it drains (review/9).
+Test(sidecar_heartbeat, draining_of_a_start_at_an_earlier_time_counts) {
+  auto Run = target_run();
+  Run.startWarm();
+  Run.send({EarlierStart, 1, "0ms"});
+  Run.run(500);
+  Run.answerChecks(0, 503);
+  Run.send({EarlierStart, 2, "0ms", "i-1", "draining"});
+  Run.run(100);
+  cr_assert_not(Run.isReady(), "ready while it drains");
+  Run.send({KnownStart, 2, "0ms"});
+  Run.run(1000);
+  cr_assert_not(Run.isReady(), "ready by a late heartbeat of the start before");
+}
+
+// Guards against the leave of a start whose first heartbeat is late: it was
+// acknowledged and ignored, and the heartbeat made the start ready (review/8).
 Test(sidecar_heartbeat, leave_before_the_first_heartbeat_counts) {
   auto Run = target_run();
   Run.startWarm();
@@ -418,6 +433,18 @@
   }
 }
 
+// Guards against a late leave without a start time that ends a target for good
+// which has started again under its id.
+Test(sidecar_heartbeat, leave_without_start_time_ends_no_healthy_target) {
+  auto Run = target_run();
+  Run.startWarm();
+  Run.leave(-1, 9, 100);
+  cr_assert_not(Run.isReady(), "ready before a heartbeat");
+  Run.send({KnownStart, 2, "0ms"});
+  Run.run(100);
+  cr_assert(Run.isReady(), "healthy and not used");
+}
+
 // Known failure (KNOWN-RED.txt): a target that starts with another id, after
 // the time of day was set back, gets no calls.
 Test(sidecar_heartbeat, other_target_that_starts_at_an_earlier_time_is_used) {
