Fix: [Sidecar] A target that started after the time of day was set back got no calls

Cause: start times ordered the starts. One with a time before that of the known one counted as an earlier start, and its heartbeats as late, for as long as the process ran.

Change: such a start waits for a health check, which the target answers that is there. If its id is another than that of the known start, that one has ended, and its late heartbeats are dropped. A known start whose calls fail no longer stands for other starts with its id.

The tests of sidecar_heartbeat, _watch, _cold, _rewind and _start pass.

--- a/src/sidecar/target_control.cpp
+++ b/src/sidecar/target_control.cpp
@@ -15,7 +15,10 @@
 static constexpr auto MaxHealthBytes = std::size_t{4096};
 
 void sidecar::implementation::publishTarget() {
-  const auto &Target = Watch.Known;
+  auto Target = Watch.Known;
+  if (Watch.IsLost && Target.State == mesh::target_state::Ready) {
+    Target.State = mesh::target_state::Absent;
+  }
   if (State.Own.Target == Target) {
     return;
   }
@@ -32,6 +35,7 @@
 }
 
 void sidecar::implementation::publishTargetLost() {
+  markLost(Watch);
   State.Own.Target.State = mesh::target_state::Absent;
   publishOwnRecord(State);
   Gossip.broadcastState();
--- a/src/sidecar/target_watch.cpp
+++ b/src/sidecar/target_watch.cpp
@@ -82,6 +82,7 @@
   });
   Watch.Known = Heartbeat.Target;
   Watch.Sequence = Heartbeat.Sequence;
+  Watch.IsLost = false;
 }
 
 /** Applies that a start leaves. */
@@ -153,7 +154,7 @@
 auto mayBeOtherStart(const target_watch &Watch,
                      const target_heartbeat &Heartbeat) -> bool {
   const auto &Known = Watch.Known;
-  return Known.State == target_state::Ready &&
+  return Known.State == target_state::Ready && !Watch.IsLost &&
          Heartbeat.Target.State == target_state::Ready &&
          Heartbeat.Target.Id == Known.Id &&
          Heartbeat.Target.StartedAtMs < Known.StartedAtMs;
@@ -165,9 +166,7 @@
   if (Reported.State == target_state::Draining) {
     return applyDraining(Watch, Heartbeat);
   }
-  if (hasEnded(Watch, Reported) ||
-      (!Watch.Known.Id.Value.empty() &&
-       Reported.StartedAtMs < Watch.Known.StartedAtMs)) {
+  if (hasEnded(Watch, Reported) || mayBeOtherStart(Watch, Heartbeat)) {
     return heartbeat_effect::Outdated;
   }
   if (isSameStart(Watch.Known, Reported) &&
@@ -196,6 +195,8 @@
   return true;
 }
 
+void markLost(target_watch &Watch) { Watch.IsLost = true; }
+
 void applyPreviousTarget(target_watch &Watch,
                          const mesh::target_record &Previous) {
   auto IsUnknown = Watch.Known.Id.Value.empty();
--- a/src/sidecar/target_watch.h
+++ b/src/sidecar/target_watch.h
@@ -25,8 +25,9 @@
 
 /** What this process knows of the local target. */
 struct target_watch {
-  mesh::target_record Known;  ///< Gets calls if it is ready.
+  mesh::target_record Known;  ///< Gets calls if it is ready and not lost.
   std::uint64_t Sequence = 0; ///< Sequence of its last accepted heartbeat.
+  bool IsLost = false;        ///< Calls don't reach it; a heartbeat ends this.
   /** This process may lack leaves: an earlier one has acknowledged them, or
    * they were dropped from Ended. */
   bool MayLackLeaves = true;
@@ -93,6 +94,9 @@
  * @return whether it was ready before. */
 auto markLeaving(target_watch &Watch, const mesh::target_id &Id) -> bool;
 
+/** Applies that calls don't reach the known target. */
+void markLost(target_watch &Watch);
+
 /** Applies what other nodes or the store know of the target of a previous
  * process. A target that was ready waits for a health check. */
 void applyPreviousTarget(target_watch &Watch,
--- a/test/sidecar_heartbeat_test.cpp
+++ b/test/sidecar_heartbeat_test.cpp
@@ -445,8 +445,8 @@
   cr_assert(Run.isReady(), "healthy and not used");
 }
 
-// Known failure (KNOWN-RED.txt): a target that starts with another id, after
-// the time of day was set back, gets no calls.
+// Guards against a target that starts with another id, after the time of day
+// was set back, and gets no calls.
 Test(sidecar_heartbeat, other_target_that_starts_at_an_earlier_time_is_used) {
   auto Run = target_run();
   Run.Target.HealthId = "i-0";
@@ -466,3 +466,17 @@
   Run.run(1000);
   cr_assert_eq(Run.Mesh.state(0)["hosts"]["node-1"]["target"], "i-1");
 }
+
+// The same with its own id, after a crash that was noticed.
+Test(sidecar_heartbeat, lost_target_that_starts_at_an_earlier_time_is_used) {
+  auto Run = target_run();
+  Run.startWarm();
+  Run.Target.stopListening();
+  Run.Mesh.startCall(0, 1, [](int) {});
+  Run.run(200);
+  cr_assert_not(Run.isReady());
+  Run.Target.listen(Run.Mesh.targetAddress(0));
+  Run.send({EarlierStart, 1, "0ms"});
+  Run.run(100);
+  cr_assert(Run.isReady(), "healthy and not used");
+}
