Cleanup: [Sidecar] One function tells which target is healthy

An answer with an empty id counts as none in both now; before, it could only match while no target was known, whose cold time changes nothing.

--- a/src/sidecar/target_control.cpp
+++ b/src/sidecar/target_control.cpp
@@ -61,8 +61,9 @@
                          State.Own.Target == Asked &&
                          platform::isAnswerOf(Response, Asked.Id);
         // A target that rejects the check may omit its cold time.
-        auto IsAnswered = ColdFor && (*ColdFor > micros(0) ||
-                                      platform::isHealthy(Response, Asked.Id));
+        auto IsAnswered =
+            ColdFor && (*ColdFor > micros(0) ||
+                        platform::decodeHealthyTarget(Response) == Asked.Id);
         if (IsCurrent && IsAnswered) {
           applyCheckedColdTime(ColdFor, {"health check", 0, ServedBefore});
         }
