Cleanup: [Sidecar] Starts of a target are compared in one place

Cause: id and start time were compared by four lambdas and isSameStart() in target_watch.cpp; whether a health check is superseded was asked twice by the node, and by applyHealthyAnswer() only after its search.

Change: ended_start has operator==, startOf() makes one of a record, and dropUnverified() serves its two callers. applyHealthyAnswer() returns first if the check is superseded; handleCheckResult() sends the next one itself.

--- a/src/sidecar/target_control.cpp
+++ b/src/sidecar/target_control.cpp
@@ -234,11 +234,7 @@
       probeTarget([this, Check = beginCheck(Watch),
                    SentAt = Loop.now()](const http::response *Response) {
         IsCheckInProgress = false;
-        auto WasSuperseded = isSuperseded(Watch, Check);
         handleCheckResult(Check, SentAt, Response);
-        if (WasSuperseded) {
-          checkTarget();
-        }
       });
   IsCheckInProgress = IsCheckInProgress && IsSent;
 }
@@ -266,6 +262,9 @@
         Verified ? static_cast<std::int64_t>(Verified->Heartbeat.Sequence)
                  : -1},
        {"took_us", (Loop.now() - SentAt).count()}});
+  if (WasSuperseded) {
+    return checkTarget();
+  }
   if (!Verified) {
     return;
   }
--- a/src/sidecar/target_watch.cpp
+++ b/src/sidecar/target_watch.cpp
@@ -12,19 +12,20 @@
 static constexpr auto MaxEndedStarts = std::size_t{64};
 static constexpr auto MaxUnverifiedStarts = std::size_t{8};
 
+static auto startOf(const mesh::target_record &Target) -> ended_start {
+  return {Target.Id, Target.StartedAtMs};
+}
+
 static auto isSameStart(const mesh::target_record &Left,
                         const mesh::target_record &Right) -> bool {
-  return Left.Id == Right.Id && Left.StartedAtMs == Right.StartedAtMs;
+  return startOf(Left) == startOf(Right);
 }
 
 /** @return whether this start is known to have ended or to leave. */
 static auto hasEnded(const target_watch &Watch,
                      const mesh::target_record &Target) -> bool {
-  return std::any_of(Watch.Ended.begin(), Watch.Ended.end(),
-                     [&Target](const ended_start &Start) {
-                       return Start.Id == Target.Id &&
-                              Start.StartedAtMs == Target.StartedAtMs;
-                     });
+  return std::find(Watch.Ended.begin(), Watch.Ended.end(), startOf(Target)) !=
+         Watch.Ended.end();
 }
 
 /** @return whether any start with this id is known to have ended or to leave.
@@ -36,14 +37,15 @@
       [&Id](const ended_start &Start) { return Start.Id == Id; });
 }
 
-static void rememberEnd(target_watch &Watch, const ended_start &Start) {
+static void dropUnverified(target_watch &Watch, const ended_start &Start) {
   std::erase_if(Watch.Unverified, [&Start](const target_heartbeat &Heartbeat) {
-    return Heartbeat.Target.Id == Start.Id &&
-           Heartbeat.Target.StartedAtMs == Start.StartedAtMs;
-  });
-  std::erase_if(Watch.Ended, [&Start](const ended_start &Known) {
-    return Known.Id == Start.Id && Known.StartedAtMs == Start.StartedAtMs;
+    return startOf(Heartbeat.Target) == Start;
   });
+}
+
+static void rememberEnd(target_watch &Watch, const ended_start &Start) {
+  dropUnverified(Watch, Start);
+  std::erase(Watch.Ended, Start);
   Watch.Ended.push_back(Start);
   if (Watch.Ended.size() > MaxEndedStarts) {
     Watch.Ended.erase(Watch.Ended.begin());
@@ -77,9 +79,7 @@
   if (!isSameStart(Watch.Known, Heartbeat.Target)) {
     ++Watch.Changes;
   }
-  std::erase_if(Watch.Unverified, [&Heartbeat](const target_heartbeat &Other) {
-    return isSameStart(Other.Target, Heartbeat.Target);
-  });
+  dropUnverified(Watch, startOf(Heartbeat.Target));
   Watch.Known = Heartbeat.Target;
   Watch.Sequence = Heartbeat.Sequence;
   Watch.IsLost = false;
@@ -137,8 +137,7 @@
   auto Replaces = Known.Id.Value.empty() || IsKnownStart ||
                   Reported.StartedAtMs > Known.StartedAtMs;
   if (!hasEnded(Watch, Reported)) {
-    applyEnd(Watch, {Reported.Id, Reported.StartedAtMs},
-             target_state::Draining);
+    applyEnd(Watch, startOf(Reported), target_state::Draining);
   }
   if (Replaces && Known.State != target_state::Gone) {
     adopt(Watch, Heartbeat);
@@ -191,7 +190,7 @@
   if (Watch.Known.Id != Id || Watch.Known.State != target_state::Ready) {
     return false;
   }
-  applyEnd(Watch, {Id, Watch.Known.StartedAtMs}, target_state::Draining);
+  applyEnd(Watch, startOf(Watch.Known), target_state::Draining);
   return true;
 }
 
@@ -211,7 +210,7 @@
   case target_state::Draining:
     if (!hasEnded(Watch, Previous)) {
       ++Watch.Changes;
-      rememberEnd(Watch, {Previous.Id, Previous.StartedAtMs});
+      rememberEnd(Watch, startOf(Previous));
     }
     if (IsUnknown || (isSameStart(Watch.Known, Previous) &&
                       Watch.Known.State < target_state::Draining)) {
@@ -241,6 +240,9 @@
 auto applyHealthyAnswer(target_watch &Watch, const target_check &Check,
                         const mesh::target_id &Id)
     -> std::optional<verified_start> {
+  if (isSuperseded(Watch, Check)) {
+    return std::nullopt;
+  }
   auto Found = std::optional<target_heartbeat>();
   for (const auto &Heartbeat : Watch.Unverified) {
     const auto &Target = Heartbeat.Target;
@@ -249,9 +251,6 @@
       Found = Heartbeat;
     }
   }
-  if (isSuperseded(Watch, Check)) {
-    return std::nullopt;
-  }
   // Those of other targets were late.
   Watch.Unverified.clear();
   if (!Found) {
@@ -259,7 +258,7 @@
   }
   auto MayHaveServed = mayHaveServed(Watch, *Found);
   if (!Watch.Known.Id.Value.empty() && Watch.Known.Id != Id) {
-    rememberEnd(Watch, {Watch.Known.Id, Watch.Known.StartedAtMs});
+    rememberEnd(Watch, startOf(Watch.Known));
   }
   adopt(Watch, *Found);
   return verified_start{*Found, MayHaveServed};
--- a/src/sidecar/target_watch.h
+++ b/src/sidecar/target_watch.h
@@ -21,6 +21,7 @@
   /** Start time in Unix ms; nothing if the leave didn't tell which start of the
    * target it is about. */
   std::optional<std::int64_t> StartedAtMs;
+  auto operator==(const ended_start &) const -> bool = default;
 };
 
 /** What this process knows of the local target. */
